--- a/bench/src/fleet.cpp
+++ b/bench/src/fleet.cpp
@@ -2,7 +2,7 @@
 
 #include <godwit/base/rendezvous.h>
 #include <godwit/language/operatorrequest.h>
-#include <godwit/platform/base64.h>
+#include <godwit/ports/base64.h>
 #include <godwit/standin/objectstandin.h>
 #include <godwit/weights/manifest.h>
 
--- a/bench/src/fleet.h
+++ b/bench/src/fleet.h
@@ -4,8 +4,8 @@
 #include "synchttp.h"
 
 #include <godwit/language/operatorrequest.h>
-#include <godwit/platform/enginestate.h>
-#include <godwit/platform/hostlist.h>
+#include <godwit/ports/enginestate.h>
+#include <godwit/ports/hostlist.h>
 #include <godwit/standin/engineledger.h>
 #include <godwit/standin/plainservicestandin.h>
 
--- a/bench/src/streamcallers.cpp
+++ b/bench/src/streamcallers.cpp
@@ -1,7 +1,7 @@
 #include "streamcallers.h"
 
-#include <godwit/platform/httpclient.h>
-#include <godwit/platform/sseparser.h>
+#include <godwit/ports/httpclient.h>
+#include <godwit/ports/sseparser.h>
 #include <godwit/wire/iothread.h>
 
 #include <boost/asio/post.hpp>
--- a/bench/src/streamcallers.h
+++ b/bench/src/streamcallers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <godwit/platform/httpendpoint.h>
+#include <godwit/ports/httpendpoint.h>
 
 #include <atomic>
 #include <cstdint>
--- a/bench/src/synchttp.h
+++ b/bench/src/synchttp.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <godwit/platform/httpclient.h>
+#include <godwit/ports/httpclient.h>
 #include <godwit/wire/iothread.h>
 
 #include <memory>
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,22 +1,25 @@
 # Compile and link flags of all our targets.
 add_library(godwit-flags INTERFACE)
-target_compile_options(godwit-flags INTERFACE -Wall -Wextra -Werror)
+# g++ 12 reports false maybe-uninitialized warnings for std::variant and LEAF, the more the higher the
+# optimization.
+target_compile_options(godwit-flags INTERFACE -Wall -Wextra -Werror -Wno-maybe-uninitialized)
 target_compile_definitions(godwit-flags INTERFACE
   BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_DISABLE_CONCEPTS)
 if(GODWIT_SANITIZE)
   target_compile_options(godwit-flags INTERFACE -fsanitize=${GODWIT_SANITIZE} -fno-omit-frame-pointer)
   target_link_options(godwit-flags INTERFACE -fsanitize=${GODWIT_SANITIZE})
-  # g++ 12 reports false maybe-uninitialized warnings in sanitized builds.
-  target_compile_options(godwit-flags INTERFACE -Wno-maybe-uninitialized -Wno-tsan)
+  target_compile_options(godwit-flags INTERFACE -Wno-tsan)
 endif()
 target_link_libraries(godwit-flags INTERFACE Threads::Threads)
 
-find_package(Catch2 2.13 REQUIRED)
-include(Catch)
+if(GODWIT_TESTS)
+  find_package(Catch2 2.13 REQUIRED)
+  include(Catch)
 
-# The Catch2 main function, compiled once for all test programs.
-add_library(godwit-test-main STATIC ${CMAKE_SOURCE_DIR}/cmake/testmain.cpp)
-target_link_libraries(godwit-test-main PUBLIC godwit-flags)
+  # The Catch2 main function, compiled once for all test programs.
+  add_library(godwit-test-main STATIC ${CMAKE_SOURCE_DIR}/cmake/testmain.cpp)
+  target_link_libraries(godwit-test-main PUBLIC godwit-flags)
+endif()
 
 # Adds the library, the test program and the bench programs of a module folder:
 # src/*.cpp -> library godwit-NAME, tests/*.cpp -> godwit-NAME-tests,
@@ -29,6 +32,9 @@
   add_library(godwit-${name} STATIC ${sources})
   target_include_directories(godwit-${name} PUBLIC include)
   target_link_libraries(godwit-${name} PUBLIC godwit-flags ${ARG_DEPENDS})
+  if(NOT GODWIT_TESTS)
+    return()
+  endif()
   if(tests)
     add_executable(godwit-${name}-tests ${tests})
     target_include_directories(godwit-${name}-tests PRIVATE src tests)
--- a/modules/apps/programs/godwitd.cpp
+++ b/modules/apps/programs/godwitd.cpp
@@ -1,5 +1,7 @@
 #include <godwit/apps/daemon.h>
+#include <godwit/fleet/fleetprocess.h>
 #include <godwit/observe/log.h>
+#include <godwit/platform/operatorplatform.h>
 #include <godwit/settings/settingsparser.h>
 
 #include <gflags/gflags.h>
@@ -8,22 +10,17 @@
 #include <iostream>
 
 DEFINE_string(settings, "", "TOML file with the settings of this process");
+DEFINE_bool(fleet, false, "Run as a process of a fleet on the operators' platform");
 DEFINE_bool(check, false, "Only check the settings; exit code 0 if they are valid, 2 if not");
 
 namespace {
 
 constexpr int ExitInvalidSettings = 2;
 
-} // namespace
-
-int main(int argc, char **argv)
+/// Reports the problems of \a parsed, or runs \a run with the settings.
+template <typename Parsed, typename Run>
+int runWith(const Parsed &parsed, Run run)
 {
-    gflags::SetUsageMessage("runs an entry or host process of godwitrun\n\n"
-                            "  godwitd --settings FILE [--check]\n\n"
-                            "Exit codes: 0 stopped, 2 invalid settings, 3 stopped with requests "
-                            "left, 4 a port could not be opened.");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto parsed = godwit::loadDaemonSettings(FLAGS_settings);
     if (const auto *problems = std::get_if<1>(&parsed)) {
         for (const auto &problem : *problems)
             std::cerr << godwit::toString(problem) << '\n';
@@ -33,6 +30,32 @@
         std::cout << FLAGS_settings << ": valid\n";
         return EXIT_SUCCESS;
     }
+    return run(std::get<0>(parsed));
+}
+
+int runInFleet(const godwit::FleetSettings &settings)
+{
+    godwit::setUpLogging(std::cout);
+    const godwit::platform::OperatorPlatform platform;
+    return godwit::runFleetProcess(settings, FLAGS_settings, platform);
+}
+
+int runAlone(const godwit::DaemonSettings &settings)
+{
     godwit::setUpLogging();
-    return godwit::runDaemon(std::get<0>(parsed));
+    return godwit::runDaemon(settings);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("runs an entry or host process of godwitrun\n\n"
+                            "  godwitd [--fleet] --settings FILE [--check]\n\n"
+                            "Exit codes: 0 stopped, 2 invalid settings, 3 stopped with requests "
+                            "left, 4 a port could not be opened.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_fleet)
+        return runWith(godwit::loadFleetSettings(FLAGS_settings), runInFleet);
+    return runWith(godwit::loadDaemonSettings(FLAGS_settings), runAlone);
 }
--- a/modules/apps/src/callerrequest.cpp
+++ b/modules/apps/src/callerrequest.cpp
@@ -1,7 +1,7 @@
 #include "callerrequest.h"
 
 #include <godwit/base/json.h>
-#include <godwit/platform/cacheblocks.h>
+#include <godwit/ports/cacheblocks.h>
 #include <godwit/requests/idempotency.h>
 
 #include <array>
--- a/modules/apps/src/callerrequest.h
+++ b/modules/apps/src/callerrequest.h
@@ -4,7 +4,7 @@
 #include <godwit/base/ids.h>
 #include <godwit/base/result.h>
 #include <godwit/base/time.h>
-#include <godwit/platform/httprequest.h>
+#include <godwit/ports/httprequest.h>
 #include <godwit/requests/admissionqueue.h>
 
 #include <string>
--- a/modules/apps/src/clusteragent.cpp
+++ b/modules/apps/src/clusteragent.cpp
@@ -4,7 +4,7 @@
 
 #include <godwit/base/rendezvous.h>
 #include <godwit/observe/log.h>
-#include <godwit/platform/calleffect.h>
+#include <godwit/ports/calleffect.h>
 
 #include <charconv>
 #include <chrono>
--- a/modules/apps/src/controlio.h
+++ b/modules/apps/src/controlio.h
@@ -2,10 +2,10 @@
 
 #include <godwit/apps/peerpool.h>
 #include <godwit/observe/metricsregistry.h>
-#include <godwit/platform/etcdkeyvalue.h>
-#include <godwit/platform/httphostlist.h>
-#include <godwit/platform/httporigin.h>
-#include <godwit/platform/httpweightstore.h>
+#include <godwit/ports/etcdkeyvalue.h>
+#include <godwit/ports/httphostlist.h>
+#include <godwit/ports/httporigin.h>
+#include <godwit/ports/httpweightstore.h>
 #include <godwit/settings/daemonsettings.h>
 #include <godwit/wire/iothread.h>
 
--- a/modules/apps/src/daemonbase.h
+++ b/modules/apps/src/daemonbase.h
@@ -4,7 +4,7 @@
 
 #include <godwit/observe/metricsregistry.h>
 #include <godwit/observe/tracer.h>
-#include <godwit/platform/httpserver.h>
+#include <godwit/ports/httpserver.h>
 #include <godwit/settings/daemonsettings.h>
 #include <godwit/wire/iothread.h>
 
--- a/modules/apps/src/engineagent.h
+++ b/modules/apps/src/engineagent.h
@@ -3,7 +3,7 @@
 #include "controlio.h"
 
 #include <godwit/control/orderreconciler.h>
-#include <godwit/platform/httpengine.h>
+#include <godwit/ports/httpengine.h>
 
 #include <functional>
 #include <map>
--- a/modules/apps/src/engineselector.cpp
+++ b/modules/apps/src/engineselector.cpp
@@ -1,7 +1,7 @@
 #include "engineselector.h"
 
 #include <godwit/base/rendezvous.h>
-#include <godwit/platform/cacheblocks.h>
+#include <godwit/ports/cacheblocks.h>
 
 #include <algorithm>
 #include <charconv>
--- a/modules/apps/src/entryshard.h
+++ b/modules/apps/src/entryshard.h
@@ -5,7 +5,7 @@
 #include "requestservice.h"
 
 #include <godwit/apps/peerpool.h>
-#include <godwit/platform/httpserver.h>
+#include <godwit/ports/httpserver.h>
 #include <godwit/wire/iothread.h>
 
 #include <functional>
--- a/modules/apps/src/hostdaemon.cpp
+++ b/modules/apps/src/hostdaemon.cpp
@@ -2,7 +2,7 @@
 
 #include "peermessages.h"
 
-#include <godwit/platform/calleffect.h>
+#include <godwit/ports/calleffect.h>
 
 #include <future>
 
--- a/modules/apps/src/hostreport.h
+++ b/modules/apps/src/hostreport.h
@@ -2,9 +2,9 @@
 
 #include <godwit/base/ids.h>
 #include <godwit/base/json.h>
-#include <godwit/platform/cacheevent.h>
-#include <godwit/platform/engineload.h>
-#include <godwit/platform/modelpin.h>
+#include <godwit/ports/cacheevent.h>
+#include <godwit/ports/engineload.h>
+#include <godwit/ports/modelpin.h>
 #include <godwit/requests/slotdocument.h>
 
 #include <cstdint>
--- a/modules/apps/src/requestservice.h
+++ b/modules/apps/src/requestservice.h
@@ -11,7 +11,7 @@
 #include <godwit/apps/peerpool.h>
 #include <godwit/observe/metricsregistry.h>
 #include <godwit/observe/tracer.h>
-#include <godwit/platform/httpreply.h>
+#include <godwit/ports/httpreply.h>
 #include <godwit/requests/concurrencylimiter.h>
 #include <godwit/requests/poisondetector.h>
 #include <godwit/requests/requesttracker.h>
--- a/modules/apps/src/runmessages.h
+++ b/modules/apps/src/runmessages.h
@@ -5,7 +5,7 @@
 #include <godwit/base/json.h>
 #include <godwit/base/resultcode.h>
 #include <godwit/base/runstate.h>
-#include <godwit/platform/modelpin.h>
+#include <godwit/ports/modelpin.h>
 
 #include <array>
 #include <cstdint>
--- a/modules/apps/src/runservice.cpp
+++ b/modules/apps/src/runservice.cpp
@@ -2,7 +2,7 @@
 
 #include "tokenframe.h"
 
-#include <godwit/platform/calleffect.h>
+#include <godwit/ports/calleffect.h>
 #include <godwit/wire/wiremessage.h>
 
 namespace godwit {
--- a/modules/apps/src/runservice.h
+++ b/modules/apps/src/runservice.h
@@ -5,8 +5,8 @@
 
 #include <godwit/observe/metricsregistry.h>
 #include <godwit/observe/tracer.h>
-#include <godwit/platform/httpengine.h>
-#include <godwit/platform/httpplainservice.h>
+#include <godwit/ports/httpengine.h>
+#include <godwit/ports/httpplainservice.h>
 #include <godwit/requests/attempttable.h>
 #include <godwit/settings/daemonsettings.h>
 #include <godwit/wire/wirestream.h>
--- a/modules/apps/src/slotservice.h
+++ b/modules/apps/src/slotservice.h
@@ -3,7 +3,7 @@
 #include "runmessages.h"
 
 #include <godwit/control/configuration.h>
-#include <godwit/platform/httpresponse.h>
+#include <godwit/ports/httpresponse.h>
 #include <godwit/requests/slothost.h>
 #include <godwit/settings/daemonsettings.h>
 
--- a/modules/apps/src/storagereplies.h
+++ b/modules/apps/src/storagereplies.h
@@ -2,7 +2,7 @@
 
 #include <godwit/base/result.h>
 #include <godwit/control/storagereply.h>
-#include <godwit/platform/keyvalueentry.h>
+#include <godwit/ports/keyvalueentry.h>
 
 #include <optional>
 
--- a/modules/apps/tests/callerrequesttest.cpp
+++ b/modules/apps/tests/callerrequesttest.cpp
@@ -1,6 +1,6 @@
 #include "callerrequest.h"
 
-#include <godwit/platform/cacheblocks.h>
+#include <godwit/ports/cacheblocks.h>
 
 #include <catch2/catch.hpp>
 
--- a/modules/apps/tests/engineselectortest.cpp
+++ b/modules/apps/tests/engineselectortest.cpp
@@ -1,6 +1,6 @@
 #include "engineselector.h"
 
-#include <godwit/platform/cacheblocks.h>
+#include <godwit/ports/cacheblocks.h>
 #include <godwit/settings/settingsparser.h>
 
 #include <catch2/catch.hpp>
--- a/modules/ctl/include/godwit/ctl/clientoptions.h
+++ b/modules/ctl/include/godwit/ctl/clientoptions.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <godwit/base/time.h>
-#include <godwit/platform/httpendpoint.h>
+#include <godwit/ports/httpendpoint.h>
 
 #include <cstdint>
 #include <vector>
--- a/modules/ctl/include/godwit/ctl/operatorclient.h
+++ b/modules/ctl/include/godwit/ctl/operatorclient.h
@@ -4,7 +4,7 @@
 #include <godwit/ctl/clientoptions.h>
 #include <godwit/ctl/clientresult.h>
 #include <godwit/language/operatorrequest.h>
-#include <godwit/platform/httpclient.h>
+#include <godwit/ports/httpclient.h>
 
 #include <boost/asio/io_context.hpp>
 
--- a/modules/ctl/tests/stubentry.h
+++ b/modules/ctl/tests/stubentry.h
@@ -2,7 +2,7 @@
 
 #include <godwit/language/operatorreply.h>
 #include <godwit/language/operatorrequest.h>
-#include <godwit/platform/httpserver.h>
+#include <godwit/ports/httpserver.h>
 
 #include <catch2/catch.hpp>
 
--- /dev/null
+++ b/modules/fleet/src/entryprocess.cpp
@@ -0,0 +1,161 @@
+#include "entryprocess.h"
+
+#include <godwit/observe/log.h>
+
+namespace godwit {
+
+namespace {
+
+/// A watch confirms the configuration this often; half a second less than the time in which an
+/// unconfirmed configuration may still refuse for good.
+constexpr Duration WatchWait = std::chrono::milliseconds(1000);
+/// Between the last confirmation that lets a request pass and the end of the revocation time.
+constexpr Duration RevocationMargin = std::chrono::milliseconds(400);
+/// A request may wait for its first token in an engine; it must begin before the time is over.
+constexpr Duration VersionMargin = std::chrono::milliseconds(800);
+/// The balancer asks once a second and takes a process out after two misses; requests that it still
+/// sends meanwhile are served.
+constexpr Duration BalancerNotice = std::chrono::milliseconds(3000);
+/// Before the platform kills the process.
+constexpr Duration LeaveMargin = std::chrono::milliseconds(700);
+constexpr Duration LeavePoll = std::chrono::milliseconds(50);
+/// Clients may reuse a connection until shortly before the idle time of the configuration.
+constexpr Duration IdleMargin = std::chrono::seconds(2);
+/// For the body of a request, beyond the time for its headers.
+constexpr Duration BodyTime = std::chrono::seconds(20);
+constexpr int ExitIncomplete = 3;
+
+GatewayOptions optionsFor(const FleetSettings &settings)
+{
+    const FleetBounds &bounds = settings.bounds;
+    GatewayOptions options;
+    options.zone = settings.zone;
+    options.retries = {bounds.retryShare, bounds.retrySlack, bounds.retryWindow};
+    if (bounds.strictRevocation)
+        options.longestKeyAge = bounds.keyRevocation - RevocationMargin;
+    return options;
+}
+
+HttpClientOptions backendClientOptions()
+{
+    HttpClientOptions options;
+    options.poolTimeout = std::chrono::seconds(10);
+    return options;
+}
+
+void applyLimits(const CallerLimits &limits, HttpServerOptions &options)
+{
+    if (limits.headerBytes > 0)
+        options.headerLimit = limits.headerBytes;
+    if (limits.bodyBytes > 0)
+        options.bodyLimit = limits.bodyBytes;
+    if (limits.headerTime > Duration::zero())
+        options.requestTimeout = limits.headerTime + BodyTime;
+    if (limits.idleTime > Duration::zero())
+        options.idleTimeout = limits.idleTime + IdleMargin;
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(FleetSettings settings, std::string settingsFile,
+                           const FleetPlatform &platform)
+    : FleetProcessBase(std::move(settings), std::move(settingsFile), platform, WatchWait)
+    , m_backendClient(m_io, backendClientOptions())
+    , m_gatewayMetrics(m_metrics)
+    , m_gateway(optionsFor(m_settings),
+                {m_scheduler, m_platform.callerProtocol(), m_gatewayMetrics,
+                 [this](HttpCall call, HttpStreamHandlers handlers) {
+                     return m_backendClient.stream(std::move(call), std::move(handlers));
+                 }},
+                newRandom())
+    , m_operator(m_platform, *m_store, m_scheduler, newRandom(),
+                 {[this](GatewayConfiguration configuration) {
+                      configurationChanged(std::move(configuration));
+                  },
+                  [this](const WantedVersion &wanted) { versionWanted(wanted); },
+                  [this](TimePoint asked) { m_gateway.configurationConfirmed(asked); }})
+    , m_backends(m_platform, *m_store, m_scheduler, newRandom(),
+                 {[this](const BackendRecord &record) {
+                      m_gateway.backends().update(record, m_scheduler.now());
+                  },
+                  [this](const BackendId &id) { m_gateway.backends().remove(id); }})
+{}
+
+EntryProcess::~EntryProcess() = default;
+
+Result<void> EntryProcess::start()
+{
+    HttpServerOptions options;
+    options.listen = toHttpEndpoint(m_settings.listen.callers);
+    BOOST_LEAF_ASSIGN(
+            m_callers,
+            HttpServer::listen(m_io, options,
+                               [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
+                                   m_gateway.handle(std::move(request), std::move(reply));
+                               }));
+    BOOST_LEAF_CHECK(openReadiness());
+    m_operator.start();
+    m_backends.start();
+    return {};
+}
+
+Result<void> EntryProcess::openReadiness()
+{
+    if (m_settings.listen.readiness.port == 0)
+        return {};
+    HttpServerOptions options;
+    options.listen = toHttpEndpoint(m_settings.listen.readiness);
+    BOOST_LEAF_ASSIGN(m_readiness,
+                      HttpServer::listen(m_io, options,
+                                         [this](const HttpRequest &request,
+                                                const std::shared_ptr<HttpReply> &reply) {
+                                             HttpResponse response;
+                                             const bool ready = !m_leaving && m_gateway.isReady();
+                                             response.status = ready ? 200 : 503;
+                                             if (request.path() != "/readyz")
+                                                 response.status = 404;
+                                             reply->send(std::move(response));
+                                         }));
+    return {};
+}
+
+void EntryProcess::configurationChanged(GatewayConfiguration configuration)
+{
+    HttpServerOptions options;
+    applyLimits(configuration.limits, options);
+    m_callers->setOptions(options);
+    m_gateway.setConfiguration(std::make_shared<const RouteTable>(std::move(configuration)));
+}
+
+void EntryProcess::versionWanted(const WantedVersion &wanted)
+{
+    const Duration time = m_settings.bounds.versionChange - VersionMargin;
+    m_gateway.backends().requireVersion(wanted.model, wanted.version, m_scheduler.now() + time);
+}
+
+void EntryProcess::leave()
+{
+    m_leaving = true;
+    m_leaveLimit = m_scheduler.now() + m_settings.bounds.leave - LeaveMargin;
+    m_callers->closeAfterReplies();
+    m_leaveTimer = m_scheduler.after(BalancerNotice, [this] {
+        m_callers->stopAccepting();
+        awaitRequests();
+    });
+}
+
+void EntryProcess::awaitRequests()
+{
+    const std::size_t left = m_gateway.inProgress();
+    if (left > 0 && m_scheduler.now() < m_leaveLimit) {
+        m_leaveTimer = m_scheduler.after(LeavePoll, [this] { awaitRequests(); });
+        return;
+    }
+    logStateChange("process_stopped", {{"left_requests", left}},
+                   left == 0 ? LogLevel::Info : LogLevel::Warning);
+    // The last answers are still on their way to the sockets.
+    m_leaveTimer =
+            m_scheduler.after(LeavePoll, [this, left] { finish(left == 0 ? 0 : ExitIncomplete); });
+}
+
+} // namespace godwit
--- /dev/null
+++ b/modules/fleet/src/entryprocess.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "fleetprocessbase.h"
+
+#include <godwit/fleet/backendfeed.h>
+#include <godwit/fleet/operatorfeed.h>
+#include <godwit/gateway/gateway.h>
+
+namespace godwit {
+
+/// Entry role: forwards the requests of clients.
+class EntryProcess : public FleetProcessBase
+{
+public:
+    EntryProcess(FleetSettings settings, std::string settingsFile, const FleetPlatform &platform);
+    ~EntryProcess() override;
+
+protected:
+    Result<void> start() override;
+    void leave() override;
+
+private:
+    Result<void> openReadiness();
+    void configurationChanged(GatewayConfiguration configuration);
+    void versionWanted(const WantedVersion &wanted);
+    void awaitRequests();
+
+    HttpClient m_backendClient;
+    GatewayMetrics m_gatewayMetrics;
+    Gateway m_gateway;
+    OperatorFeed m_operator;
+    BackendFeed m_backends;
+    std::unique_ptr<HttpServer> m_callers;
+    std::unique_ptr<HttpServer> m_readiness;
+    bool m_leaving = false;
+    TimePoint m_leaveLimit;
+    std::unique_ptr<Timer> m_leaveTimer;
+};
+
+} // namespace godwit
--- /dev/null
+++ b/modules/fleet/src/fleetprocessbase.cpp
@@ -0,0 +1,117 @@
+#include "fleetprocessbase.h"
+
+#include <godwit/base/rendezvous.h>
+#include <godwit/observe/log.h>
+#include <godwit/settings/settingsparser.h>
+
+#include <chrono>
+#include <csignal>
+
+#include <unistd.h>
+
+namespace godwit {
+
+namespace {
+
+std::uint64_t seedOf(const FleetSettings &settings)
+{
+    const auto wall = std::chrono::system_clock::now().time_since_epoch().count();
+    return stableHash(settings.host.value() + '/' + std::to_string(getpid()),
+                      static_cast<std::uint64_t>(wall));
+}
+
+} // namespace
+
+HttpEndpoint toHttpEndpoint(const Endpoint &endpoint)
+{
+    return {endpoint.address, endpoint.port};
+}
+
+FleetProcessBase::FleetProcessBase(FleetSettings settings, std::string settingsFile,
+                                   const FleetPlatform &platform, Duration watchWait)
+    : m_settings(std::move(settings))
+    , m_platform(platform)
+    , m_scheduler(m_io)
+    , m_storeClient(m_io)
+    , m_store(platform.store(m_storeClient, m_scheduler, toHttpEndpoint(m_settings.store),
+                             watchWait))
+    , m_settingsFile(std::move(settingsFile))
+    , m_random(seedOf(m_settings))
+    , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+{
+    signal(SIGPIPE, SIG_IGN);
+}
+
+FleetProcessBase::~FleetProcessBase() = default;
+
+Result<void> FleetProcessBase::open()
+{
+    awaitSignal();
+    BOOST_LEAF_CHECK(openMetrics());
+    return start();
+}
+
+int FleetProcessBase::run()
+{
+    m_io.run();
+    return m_exitCode;
+}
+
+void FleetProcessBase::finish(int exitCode)
+{
+    m_exitCode = exitCode;
+    m_io.stop();
+}
+
+Result<void> FleetProcessBase::openMetrics()
+{
+    if (m_settings.listen.metrics.port == 0)
+        return {};
+    HttpServerOptions options;
+    options.listen = toHttpEndpoint(m_settings.listen.metrics);
+    BOOST_LEAF_ASSIGN(m_metricsServer,
+                      HttpServer::listen(m_io, options,
+                                         [this](const HttpRequest &request,
+                                                const std::shared_ptr<HttpReply> &reply) {
+                                             HttpResponse response;
+                                             response.headers.add("Content-Type",
+                                                                  "text/plain; version=0.0.4");
+                                             if (request.path() == "/metrics")
+                                                 response.body = m_metrics.text();
+                                             else
+                                                 response.status = 404;
+                                             reply->send(std::move(response));
+                                         }));
+    return {};
+}
+
+void FleetProcessBase::awaitSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &ec, int number) {
+        if (ec)
+            return;
+        awaitSignal();
+        if (number == SIGHUP) {
+            reload();
+        } else if (!std::exchange(m_leaving, true)) {
+            logStateChange("process_leaving", {{"signal", number}});
+            leave();
+        }
+    });
+}
+
+void FleetProcessBase::reload()
+{
+    const auto parsed = loadFleetSettings(m_settingsFile);
+    if (const auto *problems = std::get_if<1>(&parsed)) {
+        for (const SettingsProblem &problem : *problems)
+            logStateChange("settings_refused", {{"problem", toString(problem)}}, LogLevel::Error);
+        return;
+    }
+    const auto &settings = std::get<0>(parsed);
+    // Addresses and bounds of a running process stay; others follow with its next start.
+    logStateChange("settings_reloaded",
+                   {{"file", m_settingsFile}, {"changed", !(settings == m_settings)}});
+}
+
+} // namespace godwit
--- /dev/null
+++ b/modules/fleet/src/hostprocess.cpp
@@ -0,0 +1,132 @@
+#include "hostprocess.h"
+
+#include <godwit/observe/log.h>
+
+#include <algorithm>
+
+namespace godwit {
+
+namespace {
+
+/// Host processes need no proof that they are up to date, so their watches are long.
+constexpr Duration WatchWait = std::chrono::seconds(10);
+constexpr Duration MaintenanceInterval = std::chrono::seconds(3);
+constexpr double BitsPerByte = 8;
+/// The first version of a model is wanted before the operator has named any.
+constexpr std::uint64_t FirstVersion = 1;
+/// Memory for the pieces of the present and the next version.
+constexpr std::uint64_t WindowBytes = 24UL * 1024 * 1024;
+
+RolloutOptions optionsFor(const FleetSettings &settings)
+{
+    RolloutOptions options;
+    options.self = HostId(settings.listen.peers.address);
+    options.versionTime = settings.bounds.versionChange;
+    if (settings.linkBitsPerSecond > 0)
+        options.transfer.hostRate = settings.linkBitsPerSecond / BitsPerByte;
+    options.transfer.originRate = options.transfer.hostRate;
+    options.transfer.windowBytes = WindowBytes;
+    return options;
+}
+
+} // namespace
+
+HostProcess::HostProcess(FleetSettings settings, std::string settingsFile,
+                         const FleetPlatform &platform)
+    : FleetProcessBase(std::move(settings), std::move(settingsFile), platform, WatchWait)
+    , m_engineClient(m_io)
+    , m_originClient(m_io)
+    , m_engine(platform.engine(m_engineClient, toHttpEndpoint(m_settings.engine->endpoint)))
+    , m_peers(m_io, HostId(m_settings.listen.peers.address), m_settings.listen.peers.port)
+    , m_rollout(optionsFor(m_settings), {m_scheduler, *m_engine, m_peers}, newRandom())
+    , m_operator(m_platform, *m_store, m_scheduler, newRandom(),
+                 {[this](const GatewayConfiguration &configuration) {
+                      configurationChanged(configuration);
+                  },
+                  [this](const WantedVersion &wanted) {
+                      m_rollout.want(wanted.model, wanted.version);
+                  },
+                  [](TimePoint) {}})
+    , m_backends(m_platform, *m_store, m_scheduler, newRandom(),
+                 {[this](const BackendRecord &record) {
+                      m_records[record.id] = record;
+                      recordsChanged();
+                  },
+                  [this](const BackendId &id) {
+                      m_records.erase(id);
+                      recordsChanged();
+                  }})
+{}
+
+HostProcess::~HostProcess() = default;
+
+Result<void> HostProcess::start()
+{
+    BOOST_LEAF_CHECK(
+            m_peers.listen({[this](const HostId &peer, const HaveUpdate &update) {
+                                m_rollout.haveArrived(peer, update);
+                            },
+                            [this](const HostId &peer, const Digest &chunk, UploadId upload) {
+                                m_rollout.chunkRequested(peer, chunk, upload);
+                            },
+                            [this](UploadId upload) { m_rollout.uploadFailed(upload); }}));
+    m_operator.start();
+    m_backends.start();
+    maintain();
+    return {};
+}
+
+void HostProcess::leave()
+{
+    logStateChange("process_stopped", {});
+    finish(0);
+}
+
+void HostProcess::maintain()
+{
+    m_peers.closeIdle();
+    m_maintenance = m_scheduler.after(MaintenanceInterval, [this] { maintain(); });
+}
+
+RegionId HostProcess::regionOf(const ZoneId &zone) const
+{
+    const auto it = std::ranges::find(m_settings.zones, zone, &ZoneSettings::id);
+    return it == m_settings.zones.end() ? RegionId(zone.value()) : it->region;
+}
+
+void HostProcess::configurationChanged(const GatewayConfiguration &configuration)
+{
+    for (const ServiceDescription &it : configuration.services) {
+        if (it.origin)
+            useOrigin(*it.origin);
+    }
+    for (const ServiceDescription &it : configuration.services) {
+        if (it.name != m_settings.engine->service || !it.engine)
+            continue;
+        for (const ModelId &model : it.engine->models)
+            m_rollout.want(model, FirstVersion);
+    }
+}
+
+void HostProcess::useOrigin(const WeightOrigin &origin)
+{
+    if (m_origin == origin)
+        return;
+    m_origin = origin;
+    logStateChange("origin_changed",
+                   {{"endpoint", toString(origin.endpoint)}, {"zone", origin.zone.value()}});
+    m_rollout.setOrigin(m_platform.origin(m_originClient, origin.endpoint), regionOf(origin.zone));
+}
+
+void HostProcess::recordsChanged()
+{
+    std::vector<Participant> participants;
+    for (const auto &[id, record] : m_records) {
+        if (record.service == m_settings.engine->service && !record.draining)
+            participants.push_back(
+                    {HostId(record.endpoint.address), record.zone, regionOf(record.zone)});
+    }
+    m_rollout.setParticipants(std::move(participants));
+}
+
+} // namespace godwit
--- /dev/null
+++ b/modules/fleet/src/operatorfeed.cpp
@@ -0,0 +1,41 @@
+#include <godwit/fleet/operatorfeed.h>
+
+#include <godwit/observe/log.h>
+
+namespace godwit {
+
+OperatorFeed::OperatorFeed(const FleetPlatform &platform, KeyValuePort &store, Scheduler &scheduler,
+                           Random random, Handlers handlers)
+    : m_platform(platform)
+    , m_handlers(std::move(handlers))
+    , m_mirror(store, scheduler, random, std::string(platform.operatorPrefix()),
+               {[this](const KeyValueEntry &entry) { put(entry); }, [](const std::string &) {},
+                [this](TimePoint asked) { m_handlers.onConfirmed(asked); },
+                [&platform](bool reachable, const std::string &problem) {
+                    logStateChange(reachable ? "store_regained" : "store_lost",
+                                   {{"keys", std::string(platform.operatorPrefix())},
+                                    {"problem", problem}},
+                                   reachable ? LogLevel::Info : LogLevel::Warning);
+                }})
+{}
+
+void OperatorFeed::put(const KeyValueEntry &entry)
+{
+    auto decoded = capture([&] { return m_platform.decodeOperatorRecord(entry); });
+    if (const auto *error = std::get_if<Error>(&decoded)) {
+        logStateChange("operator_record_refused",
+                       {{"key", entry.key}, {"problem", toString(*error)}}, LogLevel::Warning);
+        return;
+    }
+    OperatorRecord &record = std::get<0>(decoded);
+    if (auto *configuration = std::get_if<GatewayConfiguration>(&record)) {
+        m_handlers.onConfiguration(std::move(*configuration));
+    } else if (const auto *wanted = std::get_if<WantedVersion>(&record)) {
+        logStateChange("version_wanted", {{"model", wanted->model.value()},
+                                          {"version", wanted->version},
+                                          {"revision", entry.modified.value}});
+        m_handlers.onVersion(*wanted);
+    }
+}
+
+} // namespace godwit
--- /dev/null
+++ b/modules/fleet/src/peerlinks.cpp
@@ -0,0 +1,223 @@
+#include "peerlinks.h"
+
+#include <godwit/base/json.h>
+
+#include <charconv>
+
+namespace godwit {
+
+namespace {
+
+constexpr const char *HavePath = "/chunks/have";
+constexpr const char *ChunkPath = "/chunks/get";
+constexpr const char *HostField = "x-godwit-host";
+constexpr const char *DigestField = "x-godwit-digest";
+constexpr const char *CodeField = "x-godwit-code";
+/// An announcement that takes longer is out of date.
+constexpr Duration AnnounceTimeout = std::chrono::seconds(2);
+constexpr std::size_t LargestAnnouncement = 64UL * 1024;
+
+WireOptions wireOptions()
+{
+    WireOptions options;
+    // Connections exist only while weights are on their way.
+    options.heartbeatInterval = std::chrono::milliseconds(700);
+    options.silenceTimeout = std::chrono::milliseconds(2000);
+    options.connectionWindow = 512 * 1024;
+    options.streamWindow = 64 * 1024;
+    return options;
+}
+
+/// Cancels a stream.
+class StreamHandle : public CallHandle
+{
+public:
+    explicit StreamHandle(std::shared_ptr<WireStream> stream)
+        : m_stream(std::move(stream))
+    {}
+
+    void cancel() override
+    {
+        if (const auto stream = std::exchange(m_stream, nullptr))
+            stream->cancel();
+    }
+
+private:
+    std::shared_ptr<WireStream> m_stream;
+};
+
+ResultCode codeOf(const WireHeaders &headers)
+{
+    const auto text = fieldValue(headers.fields, CodeField);
+    int code = 0;
+    std::from_chars(text.data(), text.data() + text.size(), code);
+    return static_cast<ResultCode>(code);
+}
+
+} // namespace
+
+PeerLinks::PeerLinks(boost::asio::io_context &io, HostId self, std::uint16_t port)
+    : m_io(io)
+    , m_self(std::move(self))
+    , m_port(port)
+{}
+
+PeerLinks::~PeerLinks() = default;
+
+Result<void> PeerLinks::listen(Handlers handlers)
+{
+    m_handlers = std::move(handlers);
+    BOOST_LEAF_ASSIGN(m_server,
+                      WireServer::listen(
+                              m_io, m_self.value(), m_port,
+                              [this](const std::shared_ptr<WireStream> &stream) { accept(stream); },
+                              wireOptions()));
+    return {};
+}
+
+void PeerLinks::closeIdle()
+{
+    for (auto it = m_links.begin(); it != m_links.end();) {
+        const bool idle = it->second.client->openStreams() == 0;
+        const bool wasIdle = std::exchange(it->second.idle, idle);
+        it = idle && wasIdle ? m_links.erase(it) : std::next(it);
+    }
+}
+
+WireClient &PeerLinks::client(const HostId &peer)
+{
+    Link &link = m_links[peer];
+    if (!link.client)
+        link.client = std::make_unique<WireClient>(m_io, peer.value(), m_port, wireOptions());
+    link.idle = false;
+    return *link.client;
+}
+
+std::shared_ptr<CallHandle> PeerLinks::fetch(const HostId &peer, const Digest &chunk,
+                                             std::uint32_t bytes, std::function<void()> progressed,
+                                             Completion<std::string> done)
+{
+    struct Received
+    {
+        std::string bytes;
+        ResultCode code = ResultCode::Ok;
+    };
+    const auto received = std::make_shared<Received>();
+    StreamEvents events;
+    events.onHeaders = [received](const WireHeaders &headers) { received->code = codeOf(headers); };
+    events.onData = [received, bytes, progressed = std::move(progressed)](std::string_view data) {
+        // One byte too many is enough to recognise the chunk as wrong.
+        if (received->bytes.size() <= bytes)
+            received->bytes += data;
+        progressed();
+    };
+    events.onEnd = [received, done](const WireFields &) {
+        if (received->code == ResultCode::Ok)
+            done(std::move(received->bytes));
+        else
+            done(Error{received->code, "the peer refused the chunk"});
+    };
+    events.onError = [done](const Error &error) { done(error); };
+    auto stream = client(peer).open(ChunkPath,
+                                    {{HostField, m_self.value()}, {DigestField, chunk.toHex()}},
+                                    std::move(events));
+    stream->finish();
+    return std::make_shared<StreamHandle>(std::move(stream));
+}
+
+void PeerLinks::announce(const HostId &peer, const HaveUpdate &update)
+{
+    client(peer).call(HavePath, toJsonText(update), AnnounceTimeout,
+                      [](const Outcome<std::string> &) {}, {{HostField, m_self.value()}});
+}
+
+void PeerLinks::accept(const std::shared_ptr<WireStream> &stream)
+{
+    if (stream->request().path == HavePath) {
+        acceptHave(stream);
+    } else if (stream->request().path == ChunkPath) {
+        acceptRequest(stream);
+    } else {
+        stream->respond(404);
+        stream->finish();
+    }
+}
+
+void PeerLinks::acceptHave(const std::shared_ptr<WireStream> &stream)
+{
+    const auto body = std::make_shared<std::string>();
+    StreamEvents events;
+    events.onData = [body](std::string_view data) {
+        if (body->size() <= LargestAnnouncement)
+            *body += data;
+    };
+    events.onEnd = [this, body, weak = std::weak_ptr(stream)](const WireFields &) {
+        const auto stream = weak.lock();
+        if (!stream)
+            return;
+        stream->respond(200);
+        stream->finish();
+        const auto update = capture([&] { return parseHaveUpdate(*body); });
+        const HostId peer{std::string(fieldValue(stream->request().fields, HostField))};
+        if (succeeded(update) && !peer.empty())
+            m_handlers.onHave(peer, std::get<0>(update));
+    };
+    stream->setEvents(std::move(events));
+}
+
+void PeerLinks::acceptRequest(const std::shared_ptr<WireStream> &stream)
+{
+    const auto &fields = stream->request().fields;
+    const HostId peer{std::string(fieldValue(fields, HostField))};
+    const auto digest = capture([&] { return Digest::parse(fieldValue(fields, DigestField)); });
+    if (peer.empty() || !succeeded(digest)) {
+        stream->respond(400);
+        stream->finish();
+        return;
+    }
+    const UploadId upload = ++m_lastUpload;
+    m_uploads[upload] = stream;
+    StreamEvents events;
+    events.onError = [this, upload](const Error &) {
+        if (m_uploads.erase(upload) > 0)
+            m_handlers.onUploadFailed(upload);
+    };
+    stream->setEvents(std::move(events));
+    m_handlers.onChunkRequested(peer, std::get<0>(digest), upload);
+}
+
+void PeerLinks::serve(UploadId upload, ChunkBytes bytes, std::function<void(bool)> ended)
+{
+    const auto it = m_uploads.find(upload);
+    if (it == m_uploads.end()) {
+        ended(false);
+        return;
+    }
+    const auto stream = it->second;
+    StreamEvents events;
+    events.onError = [this, upload, ended](const Error &) {
+        if (m_uploads.erase(upload) > 0)
+            ended(false);
+    };
+    events.onDrained = [this, upload, ended] {
+        if (m_uploads.erase(upload) > 0)
+            ended(true);
+    };
+    stream->setEvents(std::move(events));
+    stream->respond(200);
+    stream->write(*bytes);
+    stream->finish();
+}
+
+void PeerLinks::refuse(UploadId upload, ResultCode code)
+{
+    const auto it = m_uploads.find(upload);
+    if (it == m_uploads.end())
+        return;
+    const auto stream = it->second;
+    m_uploads.erase(it);
+    stream->respond(503, {{CodeField, std::to_string(static_cast<int>(code))}});
+    stream->finish();
+}
+
+} // namespace godwit
--- /dev/null
+++ b/modules/gateway/include/godwit/gateway/backendload.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+
+namespace godwit {
+
+/// Load that a backend server states with a response.
+struct BackendLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+
+    friend auto operator<=>(const BackendLoad &, const BackendLoad &) = default;
+};
+
+} // namespace godwit
--- /dev/null
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <godwit/base/random.h>
+#include <godwit/base/time.h>
+#include <godwit/gateway/backendload.h>
+#include <godwit/gateway/backendrecord.h>
+#include <godwit/gateway/gatewayconfiguration.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace godwit {
+
+/// How an attempt at a backend server ended.
+enum class AttemptEnd {
+    Complete,
+    Failed,       ///< It answered with a failure of its own.
+    Rejected,     ///< It states that it did not run the request, usually because it is full.
+    OtherProcess, ///< Another process has the address; not run.
+    Unreachable,  ///< No connection; not run.
+    Broken,       ///< The connection or the response broke.
+    Silent,       ///< Nothing arrived in time.
+    Abandoned,    ///< The client has left; says nothing about the backend server.
+};
+
+/// What the pool needs to know about a request.
+struct BackendQuery
+{
+    std::string service;
+    ModelId model; ///< Empty for a service without models.
+    std::uint32_t promptTokens = 0;
+    std::set<BackendId> excluded; ///< That were tried before.
+    /// A backend server is used only if the response is expected to begin within this time.
+    Duration startLimit = Duration::max();
+};
+
+/// A backend server to which a request goes.
+struct BackendChoice
+{
+    BackendId id;
+    HttpEndpoint endpoint;
+    Duration predictedStart{0}; ///< Until the response begins.
+
+    friend bool operator==(const BackendChoice &, const BackendChoice &) = default;
+};
+
+/// Why no backend server was chosen.
+struct NoBackend
+{
+    enum class Reason {
+        NoneKnown, ///< The service has no backend server that serves the model.
+        AllFull,   ///< All would begin after the limit.
+    };
+    Reason reason = Reason::NoneKnown;
+    Duration shortestWait{0}; ///< Predicted time after which one has room; 0 if not known.
+
+    friend bool operator==(const NoBackend &, const NoBackend &) = default;
+};
+
+/// The backend servers that an entry process knows, with load and health as its own requests show
+/// them, and the choice among them. No sockets and no clock.
+///
+/// The load of a backend server is the number of requests in progress from this process, which is
+/// exact, and that of the other processes, taken from the load that responses state. The latter
+/// is trusted less as it ages.
+class BackendPool
+{
+public:
+    BackendPool(ZoneId zone, Random random);
+
+    /// Adds a backend server or replaces its record. Its health starts anew with a new process.
+    void update(const BackendRecord &record, TimePoint now);
+    void remove(const BackendId &id);
+    const std::map<BackendId, BackendRecord> records() const;
+
+    void setServices(const std::vector<ServiceDescription> &services);
+
+    /// Engines with older versions of \a model get nothing new from \a deadline on.
+    void requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline);
+
+    std::variant<BackendChoice, NoBackend> choose(const BackendQuery &query, TimePoint now);
+
+    /// An attempt was sent to \a id.
+    void started(const BackendId &id, TimePoint now);
+    /// It ended. \a held is the time since it was sent.
+    void finished(const BackendId &id, AttemptEnd end, Duration held, TimePoint now);
+    /// A response stated the load, counting the request that it answers.
+    void loadStated(const BackendId &id, const BackendLoad &load, TimePoint now);
+
+    std::size_t size() const { return m_backends.size(); }
+
+    /// Requests of this process in progress at \a id.
+    std::uint32_t inProgress(const BackendId &id) const;
+
+private:
+    struct Backend
+    {
+        BackendRecord record;
+        std::uint32_t own = 0; ///< Requests of this process in progress.
+        double foreign = 0;    ///< Requests of other processes at loadAt.
+        std::optional<TimePoint> loadAt;
+        std::uint32_t statedSlots = 0;
+        int failures = 0;        ///< Consecutive ones.
+        double failureShare = 0; ///< Of recent attempts, weighted by age.
+        TimePoint avoidUntil;    ///< After failures and rejections.
+        bool replaced = false;   ///< Another process has its address.
+    };
+    struct Service
+    {
+        std::optional<EngineProfile> engine;
+        double holdSeconds = 0; ///< Mean time for which a request holds its slot.
+    };
+    struct VersionRule
+    {
+        std::uint64_t version = 0;
+        TimePoint deadline;
+    };
+
+    bool serves(const Backend &backend, const BackendQuery &query, const Service *service,
+                TimePoint now) const;
+    std::uint64_t requiredVersion(const ModelId &model, TimePoint now) const;
+    double requests(const Backend &backend, double meanForeign, TimePoint now) const;
+    double meanForeign(const std::vector<const Backend *> &backends) const;
+    Backend *find(const BackendId &id);
+    std::uint32_t slotsOf(const Backend &backend, const Service *service) const;
+    const Service *serviceOf(const std::string &name) const;
+
+    ZoneId m_zone;
+    Random m_random;
+    std::map<BackendId, Backend> m_backends;
+    std::map<std::string, Service> m_services;
+    std::map<ModelId, std::vector<VersionRule>> m_versions;
+};
+
+} // namespace godwit
--- /dev/null
+++ b/modules/gateway/include/godwit/gateway/callerprotocol.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <godwit/base/result.h>
+#include <godwit/gateway/backendload.h>
+#include <godwit/gateway/forwardrequest.h>
+#include <godwit/ports/httpcall.h>
+#include <godwit/ports/httpendpoint.h>
+#include <godwit/ports/httprequest.h>
+
+#include <optional>
+
+namespace godwit {
+
+/// What the gateway decides about one attempt at a backend server.
+struct ForwardTerms
+{
+    HttpEndpoint endpoint;
+    BackendId backend; ///< Another process at the endpoint must not run the request.
+    Duration timeLeft{0};
+    CustomerId customer;                   ///< Empty on routes without keys.
+    std::optional<std::uint32_t> priority; ///< 0 is the most urgent.
+    std::optional<std::string> lastEvent;  ///< Event after which a stream goes on.
+
+    friend bool operator==(const ForwardTerms &, const ForwardTerms &) = default;
+};
+
+/// Status and headers of a backend server's response.
+struct BackendReplyHead
+{
+    int status = 0;
+    bool sealed = false;       ///< It bears the signature of a backend server.
+    bool notRun = false;       ///< The backend server states that it did not run the request.
+    bool otherProcess = false; ///< Not run, because another process has the address.
+    bool isEventStream = false;
+    bool isEncoded = false; ///< The body is not the one that the backend server wrote.
+    std::optional<BackendLoad> load;
+    HttpHeaders headers; ///< That the client gets.
+
+    friend bool operator==(const BackendReplyHead &, const BackendReplyHead &) = default;
+};
+
+/// Translates between the messages of clients and backend servers and the types of the gateway.
+/// Decides nothing.
+class CallerProtocol
+{
+public:
+    CallerProtocol() = default;
+    CallerProtocol(const CallerProtocol &) = delete;
+    CallerProtocol &operator=(const CallerProtocol &) = delete;
+    virtual ~CallerProtocol() = default;
+
+    /// Fails with CallerRequestInvalid.
+    virtual Result<ForwardRequest> readRequest(HttpRequest request) const = 0;
+
+    virtual HttpCall forward(const ForwardRequest &request, const ForwardTerms &terms) const = 0;
+
+    virtual BackendReplyHead readReply(int status, const HttpHeaders &headers) const = 0;
+};
+
+} // namespace godwit
--- /dev/null
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <godwit/base/random.h>
+#include <godwit/gateway/backendpool.h>
+#include <godwit/gateway/callerprotocol.h>
+#include <godwit/gateway/gatewaymetrics.h>
+#include <godwit/gateway/gatewayoptions.h>
+#include <godwit/gateway/retryallowance.h>
+#include <godwit/gateway/routetable.h>
+#include <godwit/ports/callhandle.h>
+#include <godwit/ports/httpcall.h>
+#include <godwit/ports/httpreply.h>
+#include <godwit/ports/httpstreamhandlers.h>
+#include <godwit/ports/scheduler.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace godwit {
+
+class ForwardedRequest;
+
+/// Forwards the requests of clients to backend servers: admission by key, route and predicted
+/// start, choice of the backend server, attempts, resumption of streams and refusals. Used by one
+/// thread. Sockets and time come from outside.
+class Gateway
+{
+public:
+    using Send = std::function<std::shared_ptr<CallHandle>(HttpCall, HttpStreamHandlers)>;
+
+    /// What the gateway uses; the references outlive it.
+    struct Environment
+    {
+        Scheduler &scheduler;
+        const CallerProtocol &protocol;
+        GatewayMetrics &metrics;
+        Send send; ///< HttpClient::stream() or a stand-in.
+    };
+
+    Gateway(const GatewayOptions &options, Environment environment, Random random);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    /// Puts a configuration in force unless it is older than the present one. Requests in progress
+    /// go on with theirs.
+    void setConfiguration(std::shared_ptr<const RouteTable> table);
+
+    /// Everything that the store had accepted at \a asked is known here.
+    void configurationConfirmed(TimePoint asked);
+
+    void handle(HttpRequest request, std::shared_ptr<HttpReply> reply);
+
+    /// Whether requests can be served: a configuration and at least one backend server are known.
+    bool isReady() const;
+
+    std::size_t inProgress() const { return m_requests.size(); }
+
+    BackendPool &backends() { return m_backends; }
+    RetryAllowance &retries() { return m_retries; }
+
+private:
+    friend class ForwardedRequest;
+
+    /// How long ago the configuration was known to be the newest.
+    Duration configurationAge() const;
+    std::optional<Error> refuseByAccess(const ForwardRequest &request, const Route &route,
+                                        CustomerId &customer,
+                                        std::optional<std::uint32_t> &priority) const;
+    /// Refuses a request before any attempt.
+    void refuse(HttpReply &reply, const RequestId &id, int status, const Error &error,
+                Duration retryAfter);
+    Duration spread(Duration span);
+
+    GatewayOptions m_options;
+    Environment m_environment;
+    Random m_random;
+    BackendPool m_backends;
+    RetryAllowance m_retries;
+    std::shared_ptr<const RouteTable> m_table;
+    std::optional<TimePoint> m_confirmedAt;
+    std::set<std::shared_ptr<ForwardedRequest>> m_requests;
+};
+
+} // namespace godwit
--- /dev/null
+++ b/modules/gateway/include/godwit/gateway/routetable.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <godwit/gateway/gatewayconfiguration.h>
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace godwit {
+
+/// Index of one version of the configuration for the path of requests. Immutable; requests keep the
+/// table with which they began.
+class RouteTable
+{
+public:
+    explicit RouteTable(GatewayConfiguration configuration);
+    RouteTable(const RouteTable &) = delete;
+    RouteTable &operator=(const RouteTable &) = delete;
+
+    std::uint64_t version() const { return m_configuration.version; }
+    const GatewayConfiguration &configuration() const { return m_configuration; }
+
+    /// The route of \a host with the longest prefix that begins \a path, or null.
+    const Route *find(std::string_view host, std::string_view path) const;
+
+    /// The holder of \a key, or null.
+    const CustomerAccess *customerOf(std::string_view key) const;
+
+    /// Null if the configuration does not name the service.
+    const ServiceDescription *service(std::string_view name) const;
+
+    /// Whether requests need a key, unless their route is anonymous.
+    bool needsKeys() const { return !m_configuration.customers.empty(); }
+
+private:
+    GatewayConfiguration m_configuration;
+    /// Routes by host, longest prefix first.
+    std::unordered_map<std::string_view, std::vector<const Route *>> m_routes;
+    std::unordered_map<std::string_view, const CustomerAccess *> m_keys;
+    std::unordered_map<std::string_view, const ServiceDescription *> m_services;
+};
+
+/// Position of the target of \a route that takes the request, for \a point uniform in [0, 1).
+/// The targets must not be empty.
+std::size_t selectTarget(const Route &route, double point);
+
+} // namespace godwit
--- /dev/null
+++ b/modules/gateway/src/backendpool.cpp
@@ -0,0 +1,286 @@
+#include <godwit/gateway/backendpool.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace godwit {
+
+namespace {
+
+/// Hold time of a request before any has completed, in seconds.
+constexpr double AssumedHoldSeconds = 0.5;
+/// Weight of the newest hold time in the mean.
+constexpr double HoldWeight = 0.05;
+/// Weight of the newest attempt in the share of failures.
+constexpr double FailureWeight = 0.1;
+/// Slots that are assumed if neither the record nor a response states them.
+constexpr std::uint32_t AssumedSlots = 4;
+/// Age at which a stated load has lost all but 37% of its weight.
+constexpr double LoadTrustSeconds = 2.0;
+/// Price of an entirely full backend server against an idle one, in seconds. It spreads requests
+/// while there are free slots; a busy engine is slower at each token.
+constexpr double FullPenaltySeconds = 0.2;
+/// Price of another availability zone, in seconds: delay, and traffic that costs.
+constexpr double ZonePenaltySeconds = 0.03;
+/// Price of a backend server whose recent attempts all failed, in seconds.
+constexpr double FailurePenaltySeconds = 2.0;
+/// Spread of the random part, in seconds, so that entry processes with the same view do not all
+/// choose the same backend server.
+constexpr double JitterSeconds = 0.005;
+constexpr Duration FirstAvoidance = std::chrono::milliseconds(300);
+constexpr Duration LongestAvoidance = std::chrono::seconds(4);
+/// After a rejection; an engine that loads weights rejects for about as long.
+constexpr Duration RejectionPause = std::chrono::milliseconds(200);
+constexpr int MostDoublings = 8;
+
+Duration avoidance(int failures)
+{
+    const int doublings = std::min(failures - 1, MostDoublings);
+    return std::min(FirstAvoidance * (1 << doublings), LongestAvoidance);
+}
+
+bool holdsAllLayers(const BackendRecord &record, std::uint64_t version, std::uint32_t layers)
+{
+    if (record.layers.empty())
+        return true; // The service does not split its models.
+    std::uint32_t next = 0;
+    auto parts = record.layers;
+    std::ranges::sort(parts);
+    for (const HeldLayers &it : parts) {
+        if (it.version == version && it.first <= next)
+            next = std::max(next, it.end);
+    }
+    return next >= layers;
+}
+
+} // namespace
+
+BackendPool::BackendPool(ZoneId zone, Random random)
+    : m_zone(std::move(zone))
+    , m_random(random)
+{}
+
+void BackendPool::update(const BackendRecord &record, TimePoint now)
+{
+    Backend &backend = m_backends[record.id];
+    const bool isOtherProcess =
+            backend.record.bornMs != record.bornMs || backend.record.endpoint != record.endpoint;
+    backend.record = record;
+    if (!isOtherProcess)
+        return;
+    backend.failures = 0;
+    backend.failureShare = 0;
+    backend.avoidUntil = now;
+    backend.replaced = false;
+    backend.loadAt.reset();
+    backend.foreign = 0;
+}
+
+void BackendPool::remove(const BackendId &id)
+{
+    m_backends.erase(id);
+}
+
+const std::map<BackendId, BackendRecord> BackendPool::records() const
+{
+    std::map<BackendId, BackendRecord> result;
+    for (const auto &[id, backend] : m_backends)
+        result.emplace(id, backend.record);
+    return result;
+}
+
+void BackendPool::setServices(const std::vector<ServiceDescription> &services)
+{
+    for (const ServiceDescription &it : services)
+        m_services[it.name].engine = it.engine;
+}
+
+void BackendPool::requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline)
+{
+    auto &rules = m_versions[model];
+    for (const VersionRule &rule : rules) {
+        if (rule.version >= version)
+            return;
+    }
+    rules.push_back({version, deadline});
+}
+
+std::uint64_t BackendPool::requiredVersion(const ModelId &model, TimePoint now) const
+{
+    const auto it = m_versions.find(model);
+    std::uint64_t version = 0;
+    if (it == m_versions.end())
+        return version;
+    for (const VersionRule &rule : it->second) {
+        if (now >= rule.deadline)
+            version = std::max(version, rule.version);
+    }
+    return version;
+}
+
+bool BackendPool::serves(const Backend &backend, const BackendQuery &query, const Service *service,
+                         TimePoint now) const
+{
+    const BackendRecord &record = backend.record;
+    if (record.service != query.service || record.draining || backend.replaced
+        || query.excluded.contains(record.id))
+        return false;
+    if (query.model.empty() || !service || !service->engine)
+        return true;
+    const auto served = std::ranges::find(record.models, query.model, &ServedModel::model);
+    return served != record.models.end() && served->version >= requiredVersion(query.model, now)
+           && holdsAllLayers(record, served->version, service->engine->layers);
+}
+
+double BackendPool::meanForeign(const std::vector<const Backend *> &backends) const
+{
+    double sum = 0;
+    std::size_t n = 0;
+    for (const Backend *it : backends) {
+        if (it->loadAt) {
+            sum += it->foreign;
+            ++n;
+        }
+    }
+    return n > 0 ? sum / static_cast<double>(n) : 0;
+}
+
+double BackendPool::requests(const Backend &backend, double meanForeign, TimePoint now) const
+{
+    if (!backend.loadAt)
+        return backend.own + meanForeign;
+    const double trust = std::exp(-toSeconds(now - *backend.loadAt) / LoadTrustSeconds);
+    return backend.own + trust * backend.foreign + (1 - trust) * meanForeign;
+}
+
+std::uint32_t BackendPool::slotsOf(const Backend &backend, const Service *service) const
+{
+    if (backend.statedSlots > 0)
+        return backend.statedSlots;
+    if (backend.record.slots > 0)
+        return backend.record.slots;
+    return service && service->engine ? service->engine->slots : AssumedSlots;
+}
+
+const BackendPool::Service *BackendPool::serviceOf(const std::string &name) const
+{
+    const auto it = m_services.find(name);
+    return it == m_services.end() ? nullptr : &it->second;
+}
+
+std::variant<BackendChoice, NoBackend> BackendPool::choose(const BackendQuery &query, TimePoint now)
+{
+    const Service *service = serviceOf(query.service);
+    std::vector<const Backend *> serving;
+    for (const auto &[id, backend] : m_backends) {
+        if (serves(backend, query, service, now))
+            serving.push_back(&backend);
+    }
+    if (serving.empty())
+        return NoBackend{};
+    const bool allAvoided =
+            std::ranges::all_of(serving, [now](const Backend *it) { return it->avoidUntil > now; });
+    const double hold =
+            service && service->holdSeconds > 0 ? service->holdSeconds : AssumedHoldSeconds;
+    const double foreign = meanForeign(serving);
+    const EngineProfile *engine = service && service->engine ? &*service->engine : nullptr;
+    const double read = engine && engine->promptTokensPerSecond > 0
+                                ? query.promptTokens / engine->promptTokensPerSecond
+                                : 0;
+    std::optional<BackendChoice> best;
+    double bestCost = 0;
+    double shortest = std::numeric_limits<double>::max();
+    for (const Backend *it : serving) {
+        if (it->avoidUntil > now && !allAvoided)
+            continue;
+        const double slots = slotsOf(*it, service);
+        const double load = requests(*it, foreign, now);
+        const double wait = std::max(0.0, load + 1 - slots) * hold / slots;
+        shortest = std::min(shortest, wait);
+        const double start = wait + read;
+        if (fromSeconds(start) > query.startLimit)
+            continue;
+        const double cost = start + load / slots * FullPenaltySeconds
+                            + (it->record.zone == m_zone ? 0 : ZonePenaltySeconds)
+                            + it->failureShare * FailurePenaltySeconds
+                            + m_random.uniform() * JitterSeconds;
+        if (!best || cost < bestCost) {
+            best = BackendChoice{it->record.id, it->record.endpoint, fromSeconds(start)};
+            bestCost = cost;
+        }
+    }
+    if (best)
+        return *best;
+    return NoBackend{NoBackend::Reason::AllFull, fromSeconds(std::min(shortest, 60.0))};
+}
+
+BackendPool::Backend *BackendPool::find(const BackendId &id)
+{
+    const auto it = m_backends.find(id);
+    return it == m_backends.end() ? nullptr : &it->second;
+}
+
+void BackendPool::started(const BackendId &id, TimePoint)
+{
+    if (Backend *backend = find(id))
+        ++backend->own;
+}
+
+void BackendPool::finished(const BackendId &id, AttemptEnd end, Duration held, TimePoint now)
+{
+    Backend *backend = find(id);
+    if (!backend)
+        return;
+    if (backend->own > 0)
+        --backend->own;
+    switch (end) {
+    case AttemptEnd::Abandoned:
+        return;
+    case AttemptEnd::Complete: {
+        Service &service = m_services[backend->record.service];
+        const double seconds = toSeconds(held);
+        service.holdSeconds =
+                service.holdSeconds > 0
+                        ? service.holdSeconds + HoldWeight * (seconds - service.holdSeconds)
+                        : seconds;
+        backend->failures = 0;
+        backend->failureShare *= 1 - FailureWeight;
+        return;
+    }
+    case AttemptEnd::Failed:
+        backend->failureShare += FailureWeight * (1 - backend->failureShare);
+        return;
+    case AttemptEnd::Rejected:
+        backend->avoidUntil = now + RejectionPause;
+        return;
+    case AttemptEnd::OtherProcess:
+        backend->replaced = true;
+        return;
+    case AttemptEnd::Unreachable:
+    case AttemptEnd::Broken:
+    case AttemptEnd::Silent:
+        ++backend->failures;
+        backend->failureShare += FailureWeight * (1 - backend->failureShare);
+        backend->avoidUntil = now + avoidance(backend->failures);
+        return;
+    }
+}
+
+void BackendPool::loadStated(const BackendId &id, const BackendLoad &load, TimePoint now)
+{
+    Backend *backend = find(id);
+    if (!backend)
+        return;
+    backend->statedSlots = load.slots;
+    backend->foreign = std::max(0.0, static_cast<double>(load.running) + load.waiting
+                                             - static_cast<double>(backend->own));
+    backend->loadAt = now;
+}
+
+std::uint32_t BackendPool::inProgress(const BackendId &id) const
+{
+    const auto it = m_backends.find(id);
+    return it == m_backends.end() ? 0 : it->second.own;
+}
+
+} // namespace godwit
--- /dev/null
+++ b/modules/gateway/src/decisionlog.cpp
@@ -0,0 +1,50 @@
+#include "decisionlog.h"
+
+#include <godwit/observe/log.h>
+
+#include <algorithm>
+#include <array>
+
+namespace godwit {
+
+namespace {
+
+/// Lines per second. Answers are sampled; failures are written unless they come in masses.
+constexpr std::array<double, 2> LinesPerSecond{5, 40};
+constexpr std::array<std::string_view, 2> Events{"request_answered", "request_failed"};
+
+struct LineBudget
+{
+    double lines = 1;
+    std::uint64_t omitted = 0;
+    TimePoint refilledAt;
+};
+
+bool take(LineBudget &budget, double rate, TimePoint now)
+{
+    budget.lines = std::min(rate, budget.lines + rate * toSeconds(now - budget.refilledAt));
+    budget.refilledAt = now;
+    if (budget.lines < 1) {
+        ++budget.omitted;
+        return false;
+    }
+    budget.lines -= 1;
+    return true;
+}
+
+} // namespace
+
+void logRequest(RequestLog kind, boost::json::object fields, TimePoint now)
+{
+    // Requests are handled on one thread.
+    thread_local std::array<LineBudget, 2> budgets;
+    const auto index = static_cast<std::size_t>(kind);
+    LineBudget &budget = budgets[index];
+    if (!take(budget, LinesPerSecond[index], now))
+        return;
+    if (budget.omitted > 0)
+        fields["omitted_lines"] = std::exchange(budget.omitted, 0);
+    logStateChange(Events[index], fields);
+}
+
+} // namespace godwit
--- /dev/null
+++ b/modules/gateway/src/decisionlog.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <godwit/base/time.h>
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+
+namespace godwit {
+
+/// Kinds of log lines about requests, with separate budgets.
+enum class RequestLog { Answer, Failure };
+
+/// Writes a line about the end of a request. The number of lines per second is bounded for each
+/// kind; a later line of the same kind states how many were left out.
+void logRequest(RequestLog kind, boost::json::object fields, TimePoint now);
+
+/// Whole milliseconds of \a span.
+inline std::int64_t toMilliseconds(Duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+} // namespace godwit
--- /dev/null
+++ b/modules/gateway/src/gatewaymetrics.cpp
@@ -0,0 +1,69 @@
+#include <godwit/gateway/gatewaymetrics.h>
+
+#include <array>
+
+namespace godwit {
+
+namespace {
+
+constexpr std::array<std::string_view, 8> EndNames{"complete",      "failed",      "rejected",
+                                                   "other_process", "unreachable", "broken",
+                                                   "silent",        "abandoned"};
+
+} // namespace
+
+std::string_view toString(AttemptEnd end)
+{
+    return EndNames[static_cast<std::size_t>(end)];
+}
+
+GatewayMetrics::GatewayMetrics(MetricsRegistry &registry)
+    : m_registry(registry)
+    , m_requests(registry.counter("godwit_requests_total", "Requests of clients."))
+    , m_clientsLeft(registry.counter("godwit_clients_left_total",
+                                     "Clients that closed their connection before the answer."))
+    , m_answerTime(registry.summary("godwit_answer_seconds",
+                                    "Time from a request to the end of its answer."))
+    , m_firstEventTime(registry.summary("godwit_first_event_seconds",
+                                        "Time from a request to the first event of its stream."))
+{}
+
+void GatewayMetrics::answered(int status, Duration span)
+{
+    m_registry
+            .counter("godwit_answers_total", "Answers of backend servers by status.",
+                     {{"status", std::to_string(status)}})
+            .add();
+    m_answerTime.observe(toSeconds(span));
+}
+
+void GatewayMetrics::streamBegan(Duration span)
+{
+    m_firstEventTime.observe(toSeconds(span));
+}
+
+void GatewayMetrics::refused(ResultCode reason, Duration)
+{
+    m_registry
+            .counter("godwit_refusals_total", "Requests that got no answer of a backend server.",
+                     {{"code", std::to_string(static_cast<int>(reason))}})
+            .add();
+}
+
+void GatewayMetrics::attemptEnded(AttemptEnd end)
+{
+    m_registry
+            .counter("godwit_attempts_total", "Attempts at backend servers by their end.",
+                     {{"end", std::string(toString(end))}})
+            .add();
+}
+
+void GatewayMetrics::retried(std::string_view reason)
+{
+    m_registry
+            .counter("godwit_retries_total", "Attempts beyond the first of a request.",
+                     {{"reason", std::string(reason)}})
+            .add();
+}
+
+} // namespace godwit
--- /dev/null
+++ b/modules/gateway/src/refusal.cpp
@@ -0,0 +1,32 @@
+#include "refusal.h"
+
+#include <boost/json.hpp>
+
+#include <cstdio>
+
+namespace godwit {
+
+namespace {
+
+constexpr int ServiceUnavailable = 503;
+
+std::string secondsText(Duration span)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.2f", toSeconds(span));
+    return text;
+}
+
+} // namespace
+
+HttpResponse refusal(int status, const Error &error, Duration retryAfter)
+{
+    const boost::json::object body{
+            {"error", {{"code", static_cast<int>(error.code)}, {"message", error.detail}}}};
+    HttpResponse response = HttpResponse::json(status, boost::json::serialize(body));
+    if (status == ServiceUnavailable)
+        response.headers.add("Retry-After", secondsText(retryAfter));
+    return response;
+}
+
+} // namespace godwit
--- /dev/null
+++ b/modules/mirror/include/godwit/mirror/prefixmirror.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <godwit/base/random.h>
+#include <godwit/ports/callhandle.h>
+#include <godwit/ports/keyvalueport.h>
+#include <godwit/ports/scheduler.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace godwit {
+
+/// What a PrefixMirror reports, on the thread of its port.
+struct MirrorHandlers
+{
+    std::function<void(const KeyValueEntry &)> onPut;
+    std::function<void(const std::string &key)> onRemoved;
+    /// All writes that the service had accepted at \a asked have been reported.
+    std::function<void(TimePoint asked)> onConfirmed;
+    /// The service became reachable, or unreachable because of \a problem.
+    std::function<void(bool reachable, const std::string &problem)> onReachable;
+};
+
+/// Keeps up with all keys of the key-value service that begin with a prefix: lists them once,
+/// watches from there, and lists again only if the history that it needs is gone. Failed calls are
+/// repeated with backoff and jitter.
+class PrefixMirror
+{
+public:
+    static constexpr Duration ShortestBackoff = std::chrono::milliseconds(30);
+    static constexpr Duration LongestBackoff = std::chrono::milliseconds(1000);
+
+    PrefixMirror(KeyValuePort &store, Scheduler &scheduler, Random random, std::string prefix,
+                 MirrorHandlers handlers);
+    ~PrefixMirror();
+    PrefixMirror(const PrefixMirror &) = delete;
+    PrefixMirror &operator=(const PrefixMirror &) = delete;
+
+    void start() { list(); }
+
+private:
+    void list();
+    void listed(TimePoint asked, const Outcome<KeyValueList> &outcome);
+    void watch();
+    void watched(const std::vector<WatchEvent> &events);
+    void confirmed(StoreRevision current, TimePoint asked);
+    void watchEnded(const Outcome<Done> &outcome);
+    void apply(const KeyValueEntry &entry);
+    void remove(const std::string &key, StoreRevision revision);
+    void failed(const Error &error, void (PrefixMirror::*again)());
+    void reached();
+
+    KeyValuePort &m_store;
+    Scheduler &m_scheduler;
+    Random m_random;
+    std::string m_prefix;
+    MirrorHandlers m_handlers;
+    std::map<std::string, StoreRevision> m_keys; ///< With the revision of their last write.
+    StoreRevision m_revision;                    ///< All writes up to it have been reported.
+    Duration m_backoff = ShortestBackoff;
+    bool m_reachable = true;
+    std::shared_ptr<CallHandle> m_watch;
+    std::unique_ptr<Timer> m_retry;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+} // namespace godwit
--- a/modules/platform/include/godwit/platform/enginecall.h
+++ b/modules/ports/include/godwit/ports/enginecall.h
@@ -2,7 +2,7 @@
 
 #include <godwit/base/ids.h>
 #include <godwit/base/time.h>
-#include <godwit/platform/modelpin.h>
+#include <godwit/ports/modelpin.h>
 
 #include <cstdint>
 #include <string>
--- a/modules/platform/include/godwit/platform/engineorder.h
+++ b/modules/ports/include/godwit/ports/engineorder.h
@@ -3,7 +3,7 @@
 #include <godwit/base/digest.h>
 #include <godwit/base/ids.h>
 #include <godwit/base/json.h>
-#include <godwit/platform/modelpin.h>
+#include <godwit/ports/modelpin.h>
 
 #include <array>
 #include <cstdint>
--- a/modules/platform/include/godwit/platform/engineport.h
+++ b/modules/ports/include/godwit/ports/engineport.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <godwit/platform/cacheevent.h>
-#include <godwit/platform/callhandle.h>
-#include <godwit/platform/completion.h>
-#include <godwit/platform/enginecall.h>
-#include <godwit/platform/engineload.h>
-#include <godwit/platform/engineorder.h>
-#include <godwit/platform/enginestate.h>
-#include <godwit/platform/enginestreamhandlers.h>
+#include <godwit/ports/cacheevent.h>
+#include <godwit/ports/callhandle.h>
+#include <godwit/ports/completion.h>
+#include <godwit/ports/enginecall.h>
+#include <godwit/ports/engineload.h>
+#include <godwit/ports/engineorder.h>
+#include <godwit/ports/enginestate.h>
+#include <godwit/ports/enginestreamhandlers.h>
 
 #include <cstdint>
 #include <memory>
--- a/modules/platform/include/godwit/platform/enginestreamhandlers.h
+++ b/modules/ports/include/godwit/ports/enginestreamhandlers.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <godwit/platform/completion.h>
-#include <godwit/platform/engineevent.h>
-#include <godwit/platform/engineusage.h>
+#include <godwit/ports/completion.h>
+#include <godwit/ports/engineevent.h>
+#include <godwit/ports/engineusage.h>
 
 #include <functional>
 
--- a/modules/platform/include/godwit/platform/hostlistport.h
+++ b/modules/ports/include/godwit/ports/hostlistport.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <godwit/platform/completion.h>
-#include <godwit/platform/hostlist.h>
+#include <godwit/ports/completion.h>
+#include <godwit/ports/hostlist.h>
 
 namespace godwit {
 
--- a/modules/platform/include/godwit/platform/httpclient.h
+++ b/modules/ports/include/godwit/ports/httpclient.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <godwit/platform/callhandle.h>
-#include <godwit/platform/httpcall.h>
-#include <godwit/platform/httpclientoptions.h>
-#include <godwit/platform/httpresponse.h>
-#include <godwit/platform/httpstreamhandlers.h>
+#include <godwit/ports/callhandle.h>
+#include <godwit/ports/httpcall.h>
+#include <godwit/ports/httpclientoptions.h>
+#include <godwit/ports/httpresponse.h>
+#include <godwit/ports/httpstreamhandlers.h>
 
 #include <boost/asio/io_context.hpp>
 
--- a/modules/platform/include/godwit/platform/httporigin.h
+++ b/modules/ports/include/godwit/ports/httporigin.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <godwit/platform/httpclient.h>
-#include <godwit/platform/originport.h>
-#include <godwit/platform/serviceoptions.h>
+#include <godwit/ports/httpclient.h>
+#include <godwit/ports/originport.h>
+#include <godwit/ports/serviceoptions.h>
 
 namespace godwit {
 
--- a/modules/platform/include/godwit/platform/httpreply.h
+++ b/modules/ports/include/godwit/ports/httpreply.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <godwit/platform/httpresponse.h>
+#include <godwit/ports/httpresponse.h>
 
 #include <cstddef>
 #include <functional>
--- a/modules/platform/include/godwit/platform/httpresponse.h
+++ b/modules/ports/include/godwit/ports/httpresponse.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <godwit/platform/httpheaders.h>
+#include <godwit/ports/httpheaders.h>
 
 #include <string>
 
--- a/modules/platform/include/godwit/platform/httpserver.h
+++ b/modules/ports/include/godwit/ports/httpserver.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <godwit/base/result.h>
-#include <godwit/platform/httpreply.h>
-#include <godwit/platform/httprequest.h>
-#include <godwit/platform/httpserveroptions.h>
+#include <godwit/ports/httpreply.h>
+#include <godwit/ports/httprequest.h>
+#include <godwit/ports/httpserveroptions.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -40,6 +40,13 @@
     HttpEndpoint endpoint() const;
     std::size_t openConnections() const;
 
+    /// Replaces the limits and timers for requests that begin from now on. The address and the
+    /// number of connections stay as they are.
+    void setOptions(const HttpServerOptions &options);
+
+    /// Connections, new ones included, close after their next reply. Idle ones stay open.
+    void closeAfterReplies();
+
     /// Closes the listening socket and idle connections; others close after their current reply.
     void stopAccepting();
 
--- a/modules/platform/include/godwit/platform/httpstreamhandlers.h
+++ b/modules/ports/include/godwit/ports/httpstreamhandlers.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <godwit/base/result.h>
-#include <godwit/platform/httpheaders.h>
+#include <godwit/ports/httpheaders.h>
 
 #include <functional>
 #include <string_view>
--- a/modules/platform/include/godwit/platform/keyvaluelist.h
+++ b/modules/ports/include/godwit/ports/keyvaluelist.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <godwit/platform/keyvalueentry.h>
+#include <godwit/ports/keyvalueentry.h>
 
 #include <compare>
 #include <vector>
--- a/modules/platform/include/godwit/platform/keyvalueport.h
+++ b/modules/ports/include/godwit/ports/keyvalueport.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <godwit/base/time.h>
-#include <godwit/platform/callhandle.h>
-#include <godwit/platform/completion.h>
-#include <godwit/platform/keyvaluelist.h>
-#include <godwit/platform/watchhandlers.h>
+#include <godwit/ports/callhandle.h>
+#include <godwit/ports/completion.h>
+#include <godwit/ports/keyvaluelist.h>
+#include <godwit/ports/watchhandlers.h>
 
 #include <memory>
 #include <optional>
--- a/modules/platform/include/godwit/platform/originport.h
+++ b/modules/ports/include/godwit/ports/originport.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <godwit/platform/callhandle.h>
-#include <godwit/platform/completion.h>
+#include <godwit/ports/callhandle.h>
+#include <godwit/ports/completion.h>
 
 #include <cstdint>
 #include <memory>
--- a/modules/platform/include/godwit/platform/plaincall.h
+++ b/modules/ports/include/godwit/ports/plaincall.h
@@ -2,7 +2,7 @@
 
 #include <godwit/base/ids.h>
 #include <godwit/base/time.h>
-#include <godwit/platform/httpheaders.h>
+#include <godwit/ports/httpheaders.h>
 
 #include <string>
 
--- a/modules/platform/include/godwit/platform/plainserviceport.h
+++ b/modules/ports/include/godwit/ports/plainserviceport.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <godwit/platform/callhandle.h>
-#include <godwit/platform/completion.h>
-#include <godwit/platform/httpresponse.h>
-#include <godwit/platform/plaincall.h>
+#include <godwit/ports/callhandle.h>
+#include <godwit/ports/completion.h>
+#include <godwit/ports/httpresponse.h>
+#include <godwit/ports/plaincall.h>
 
 #include <memory>
 
--- a/modules/platform/include/godwit/platform/watchhandlers.h
+++ b/modules/ports/include/godwit/ports/watchhandlers.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <godwit/platform/completion.h>
-#include <godwit/platform/watchevent.h>
+#include <godwit/base/time.h>
+#include <godwit/ports/completion.h>
+#include <godwit/ports/watchevent.h>
 
 #include <functional>
 #include <vector>
@@ -16,6 +17,9 @@
     /// Events ascending by revision. The writes of one transaction arrive together.
     std::function<void(const std::vector<WatchEvent> &events)> onEvents;
 
+    /// All writes that the service had accepted at \a asked have been reported. Adapters of
+    /// services that do not confirm their watches leave it out.
+    std::function<void(StoreRevision current, TimePoint asked)> onConfirmed;
     Completion<Done> onEnd;
 };
 
--- a/modules/platform/include/godwit/platform/weightstoreport.h
+++ b/modules/ports/include/godwit/ports/weightstoreport.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <godwit/platform/callhandle.h>
-#include <godwit/platform/completion.h>
-#include <godwit/platform/modelpin.h>
+#include <godwit/ports/callhandle.h>
+#include <godwit/ports/completion.h>
+#include <godwit/ports/modelpin.h>
 
 #include <memory>
 #include <string>
--- a/modules/platform/src/cacheblocks.cpp
+++ b/modules/ports/src/cacheblocks.cpp
@@ -1,5 +1,5 @@
 #include <godwit/base/digest.h>
-#include <godwit/platform/cacheblocks.h>
+#include <godwit/ports/cacheblocks.h>
 
 #include <boost/json.hpp>
 
--- a/modules/platform/src/etcdkeyvalue.cpp
+++ b/modules/ports/src/etcdkeyvalue.cpp
@@ -1,7 +1,7 @@
 #include "servicecall.h"
 
-#include <godwit/platform/base64.h>
-#include <godwit/platform/etcdkeyvalue.h>
+#include <godwit/ports/base64.h>
+#include <godwit/ports/etcdkeyvalue.h>
 
 #include <boost/asio/post.hpp>
 
--- a/modules/platform/src/httpclient.cpp
+++ b/modules/ports/src/httpclient.cpp
@@ -1,7 +1,7 @@
 #include "deadlinetimer.h"
 #include "httpparser.h"
 
-#include <godwit/platform/httpclient.h>
+#include <godwit/ports/httpclient.h>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/dispatch.hpp>
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <charconv>
 #include <map>
 #include <optional>
 #include <set>
@@ -32,6 +33,11 @@
 /// large reads, and a slow stream holds a small buffer.
 constexpr std::size_t SmallestRead = 1024;
 constexpr std::size_t LargestRead = 64UL * 1024;
+/// A connection that delivers more responses of earlier calls is out of step and closed.
+constexpr int MostStrayResponses = 4;
+/// A connection is given up this long before the time at which its server says it will close it,
+/// so that a request does not cross the close.
+constexpr Duration KeepAliveMargin = std::chrono::milliseconds(500);
 
 class Connection;
 
@@ -66,7 +72,7 @@
 std::string requestText(const HttpCall &call)
 {
     std::string text = call.method + ' ' + call.target + " HTTP/1.1\r\n";
-    text += "Host: " + toString(call.endpoint) + "\r\n";
+    text += "Host: " + (call.host.empty() ? toString(call.endpoint) : call.host) + "\r\n";
     for (const auto &[name, value] : call.headers)
         text += name + ": " + value + "\r\n";
     if (!call.body.empty() || call.method == "POST" || call.method == "PUT")
@@ -74,6 +80,21 @@
     return text + "\r\n";
 }
 
+/// Time in "timeout=N" of a Keep-Alive header, in whole seconds; none if there is none.
+std::optional<Duration> keepAliveTime(std::string_view value)
+{
+    constexpr std::string_view Key = "timeout=";
+    const auto at = value.find(Key);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    value.remove_prefix(at + Key.size());
+    unsigned seconds = 0;
+    const auto [end, ec] = std::from_chars(value.data(), value.data() + value.size(), seconds);
+    if (ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 } // namespace
 
 class HttpClient::Private : public std::enable_shared_from_this<HttpClient::Private>
@@ -127,6 +148,12 @@
 
     const HttpEndpoint &endpoint() const { return m_endpoint; }
 
+    /// How long the connection may be kept idle, at most \a limit.
+    Duration idleLimit(Duration limit) const
+    {
+        return m_keepAlive ? std::min(limit, *m_keepAlive - KeepAliveMargin) : limit;
+    }
+
     void connect(const CallPointer &call)
     {
         m_call = call;
@@ -242,11 +269,11 @@
         m_parser->eager(true);
         m_parser->body_limit(m_call->request.bodyLimit);
         m_parser->skip(m_call->request.method == "HEAD");
-        m_parser->onHeader = [this] {
-            if (m_parser->status >= 200 && m_call && m_call->handlers.onHeader)
-                m_call->handlers.onHeader(m_parser->status, m_parser->headers);
-        };
+        m_stray = false;
+        m_parser->onHeader = [this] { onHeader(); };
         m_parser->onBody = [this](std::string_view data) {
+            if (m_stray)
+                return;
             if (!std::exchange(m_gotBody, true) && m_call && !m_call->paused)
                 m_timer.set(silenceLimit());
             if (m_call && m_call->handlers.onData)
@@ -254,6 +281,20 @@
         };
     }
 
+    void onHeader()
+    {
+        if (m_parser->status < 200 || !m_call)
+            return;
+        const auto &expected = m_call->request.correlation;
+        const std::string *found = expected ? m_parser->headers.find(expected->header) : nullptr;
+        m_stray = found && *found != expected->value;
+        if (m_stray)
+            return;
+        m_keepAlive = keepAliveTime(m_parser->headers.value("Keep-Alive"));
+        if (m_call->handlers.onHeader)
+            m_call->handlers.onHeader(m_parser->status, m_parser->headers);
+    }
+
     void onWritten(const CallPointer &call, const ErrorCode &ec, std::size_t n)
     {
         m_writing = false;
@@ -322,7 +363,7 @@
         ErrorCode parseError;
         if (ec == asio::error::eof && m_parser->got_some()) {
             m_parser->put_eof(parseError);
-            if (!parseError && m_parser->is_done()) {
+            if (!parseError && m_parser->is_done() && !m_stray) {
                 complete();
                 return;
             }
@@ -348,7 +389,11 @@
                 endWith(ResultCode::PlatformBadReply, ec.message());
                 return;
             }
-            if (m_parser->is_done() && m_parser->status < 200)
+            if (m_parser->is_done() && m_stray && ++m_strayResponses > MostStrayResponses) {
+                endWith(ResultCode::PlatformBadReply, "responses belong to other calls");
+                return;
+            }
+            if (m_parser->is_done() && (m_parser->status < 200 || m_stray))
                 resetParser();
         }
         if (!m_call || m_closed)
@@ -417,6 +462,9 @@
     boost::beast::flat_buffer m_buffer;
     std::size_t m_readSize = SmallestRead;
     std::optional<HttpParser<false>> m_parser;
+    std::optional<Duration> m_keepAlive; ///< Idle time that the server grants.
+    int m_strayResponses = 0;
+    bool m_stray = false; ///< The present response belongs to an earlier call.
     bool m_idle = false;
     bool m_connecting = false;
     bool m_reused = false; ///< Has completed a call before.
@@ -512,13 +560,14 @@
 {
     m_busy.erase(connection);
     auto &idle = m_idle[connection->endpoint()];
-    if (idle.size() >= m_options.idlePerEndpoint) {
+    const Duration limit = connection->idleLimit(m_options.poolTimeout);
+    if (idle.size() >= m_options.idlePerEndpoint || limit <= Duration::zero()) {
         connection->drop();
         return;
     }
     idle.push_back(connection);
     ++m_idleCount;
-    connection->setIdle(m_options.poolTimeout);
+    connection->setIdle(limit);
 }
 
 void HttpClient::Private::forget(const std::shared_ptr<Connection> &connection)
--- a/modules/platform/src/httpengine.cpp
+++ b/modules/ports/src/httpengine.cpp
@@ -1,8 +1,8 @@
 #include "servicecall.h"
 
-#include <godwit/platform/httpengine.h>
-#include <godwit/platform/httprequest.h>
-#include <godwit/platform/sseparser.h>
+#include <godwit/ports/httpengine.h>
+#include <godwit/ports/httprequest.h>
+#include <godwit/ports/sseparser.h>
 
 #include <boost/asio/post.hpp>
 
--- a/modules/platform/src/httpheaders.cpp
+++ b/modules/ports/src/httpheaders.cpp
@@ -1,4 +1,4 @@
-#include <godwit/platform/httpheaders.h>
+#include <godwit/ports/httpheaders.h>
 
 #include <algorithm>
 
--- a/modules/platform/src/httpmessage.cpp
+++ b/modules/ports/src/httpmessage.cpp
@@ -1,7 +1,7 @@
-#include <godwit/platform/calleffect.h>
-#include <godwit/platform/httpendpoint.h>
-#include <godwit/platform/httprequest.h>
-#include <godwit/platform/httpresponse.h>
+#include <godwit/ports/calleffect.h>
+#include <godwit/ports/httpendpoint.h>
+#include <godwit/ports/httprequest.h>
+#include <godwit/ports/httpresponse.h>
 
 #include <boost/asio/ip/address.hpp>
 
--- a/modules/platform/src/httpserver.cpp
+++ b/modules/ports/src/httpserver.cpp
@@ -1,7 +1,7 @@
 #include "deadlinetimer.h"
 #include "httpparser.h"
 
-#include <godwit/platform/httpserver.h>
+#include <godwit/ports/httpserver.h>
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -47,6 +47,7 @@
     HttpServer::Handler handler;
     std::set<std::shared_ptr<Connection>> connections;
     bool accepting = true;
+    bool keepingAlive = true;
 };
 
 std::string headerText(int status, const HttpHeaders &headers)
@@ -527,7 +528,7 @@
     m_phase = Phase::Handling;
     m_timer.clear();
     ++m_serial;
-    m_keepAlive = m_parser->keep_alive() && m_shared->accepting;
+    m_keepAlive = m_parser->keep_alive() && m_shared->accepting && m_shared->keepingAlive;
     m_headRequest = m_parser->method == "HEAD";
     HttpRequest request{std::move(m_parser->method), std::move(m_parser->target),
                         std::move(m_parser->headers), std::move(m_body), m_peer};
@@ -593,6 +594,17 @@
         });
     }
 
+    void setOptions(const HttpServerOptions &options)
+    {
+        const HttpServerOptions previous = m_shared->options;
+        m_shared->options = options;
+        m_shared->options.listen = previous.listen;
+        m_shared->options.reusePort = previous.reusePort;
+        m_shared->options.connectionLimit = previous.connectionLimit;
+    }
+
+    void closeAfterReplies() { m_shared->keepingAlive = false; }
+
     void stop()
     {
         m_shared->accepting = false;
@@ -669,6 +681,16 @@
     return m_private->shared().connections.size();
 }
 
+void HttpServer::setOptions(const HttpServerOptions &options)
+{
+    m_private->setOptions(options);
+}
+
+void HttpServer::closeAfterReplies()
+{
+    m_private->closeAfterReplies();
+}
+
 void HttpServer::stopAccepting()
 {
     m_private->stop();
--- a/modules/platform/src/httpservices.cpp
+++ b/modules/ports/src/httpservices.cpp
@@ -1,10 +1,10 @@
 #include "servicecall.h"
 
-#include <godwit/platform/httphostlist.h>
-#include <godwit/platform/httporigin.h>
-#include <godwit/platform/httpplainservice.h>
-#include <godwit/platform/httprequest.h>
-#include <godwit/platform/httpweightstore.h>
+#include <godwit/ports/httphostlist.h>
+#include <godwit/ports/httporigin.h>
+#include <godwit/ports/httpplainservice.h>
+#include <godwit/ports/httprequest.h>
+#include <godwit/ports/httpweightstore.h>
 
 #include <algorithm>
 
--- a/modules/platform/src/servicecall.h
+++ b/modules/ports/src/servicecall.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <godwit/base/json.h>
-#include <godwit/platform/completion.h>
-#include <godwit/platform/httpclient.h>
-#include <godwit/platform/serviceoptions.h>
+#include <godwit/ports/completion.h>
+#include <godwit/ports/httpclient.h>
+#include <godwit/ports/serviceoptions.h>
 
 #include <optional>
 #include <string>
--- a/modules/platform/src/sseparser.cpp
+++ b/modules/ports/src/sseparser.cpp
@@ -1,4 +1,4 @@
-#include <godwit/platform/sseparser.h>
+#include <godwit/ports/sseparser.h>
 
 #include <utility>
 
--- a/modules/platform/tests/httptest.cpp
+++ b/modules/ports/tests/httptest.cpp
@@ -1,8 +1,8 @@
 #include "loopback.h"
 
-#include <godwit/platform/calleffect.h>
-#include <godwit/platform/httpclient.h>
-#include <godwit/platform/httpserver.h>
+#include <godwit/ports/calleffect.h>
+#include <godwit/ports/httpclient.h>
+#include <godwit/ports/httpserver.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
--- a/modules/routing/include/godwit/routing/backend.h
+++ b/modules/routing/include/godwit/routing/backend.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <godwit/base/ids.h>
-#include <godwit/platform/modelpin.h>
+#include <godwit/ports/modelpin.h>
 
 #include <set>
 #include <vector>
--- a/modules/settings/include/godwit/settings/settingsparser.h
+++ b/modules/settings/include/godwit/settings/settingsparser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/settings/daemonsettings.h>
+#include <godwit/settings/fleetsettings.h>
 #include <godwit/settings/settingsproblem.h>
 
 #include <string>
@@ -20,4 +21,9 @@
 /// Reads and parses \a file.
 ParsedSettings loadDaemonSettings(const std::string &file);
 
+/// Likewise for FleetSettings.
+using ParsedFleetSettings = std::variant<FleetSettings, std::vector<SettingsProblem>>;
+ParsedFleetSettings parseFleetSettings(std::string_view text, const std::string &file);
+ParsedFleetSettings loadFleetSettings(const std::string &file);
+
 } // namespace godwit
--- a/modules/settings/src/settingsparser.cpp
+++ b/modules/settings/src/settingsparser.cpp
@@ -161,27 +161,73 @@
     reader.unknownKeys();
 }
 
-} // namespace
+void readFleetListen(SettingsReader &reader, FleetListenSettings &listen)
+{
+    reader.endpoint("callers", listen.callers, Presence::Optional);
+    reader.endpoint("readiness", listen.readiness, Presence::Optional);
+    reader.endpoint("peers", listen.peers, Presence::Required);
+    reader.endpoint("metrics", listen.metrics, Presence::Optional);
+}
 
-std::string toString(const Endpoint &endpoint)
+void readBounds(SettingsReader &reader, FleetBounds &bounds)
 {
-    return endpoint.address + ':' + std::to_string(endpoint.port);
+    constexpr std::int64_t LongestMs = 3'600'000;
+    constexpr double LongestSeconds = 3600;
+    reader.seconds("leave_s", bounds.leave, 0, LongestSeconds);
+    reader.milliseconds("key_revocation_ms", bounds.keyRevocation, 0, LongestMs);
+    reader.flag("strict_revocation", bounds.strictRevocation);
+    reader.milliseconds("version_change_ms", bounds.versionChange, 0, LongestMs);
+    reader.number("retry_share", bounds.retryShare, 0, 1);
+    reader.number("retry_slack", bounds.retrySlack, 0, 1e9);
+    reader.seconds("retry_window_s", bounds.retryWindow, 0, LongestSeconds);
 }
 
-std::string toString(const SettingsProblem &problem)
+void readLocalEngine(SettingsReader &reader, std::optional<LocalEngineSettings> &engine)
 {
-    return problem.file + ": " + problem.key + ": found " + problem.found
-           + ", allowed: " + problem.allowed;
+    engine.emplace();
+    reader.endpoint("endpoint", engine->endpoint, Presence::Required);
+    reader.text("service", engine->service, Presence::Optional);
 }
 
-ParsedSettings parseDaemonSettings(std::string_view text, const std::string &file)
+void checkFleetRole(SettingsReader &reader, const FleetSettings &settings)
+{
+    const bool isHost = settings.role == DaemonRole::Host;
+    if (isHost && !settings.engine)
+        reader.problem("engine", "nothing", "a table for the role host");
+    if (!isHost && settings.engine)
+        reader.problem("engine", "a table", "nothing for the role entry");
+    if (!isHost && settings.listen.callers.port == 0)
+        reader.problem("listen.callers", "nothing", "an endpoint for the role entry");
+}
+
+void readFleet(SettingsReader &reader, FleetSettings &settings)
+{
+    const bool hasRole = reader.choice("role", settings.role, RoleNames, Presence::Required);
+    reader.id("host", settings.host, Presence::Required);
+    reader.id("zone", settings.zone, Presence::Required);
+    reader.id("region", settings.region, Presence::Required);
+    reader.sections("zones", [&](SettingsReader &it) { readZone(it, settings.zones); });
+    reader.endpoint("store", settings.store, Presence::Required);
+    reader.number("link_bits_per_second", settings.linkBitsPerSecond, 0, 1e12);
+    reader.section("listen", [&](SettingsReader &it) { readFleetListen(it, settings.listen); });
+    reader.section("bounds", [&](SettingsReader &it) { readBounds(it, settings.bounds); });
+    reader.section("engine", [&](SettingsReader &it) { readLocalEngine(it, settings.engine); });
+    if (hasRole)
+        checkFleetRole(reader, settings);
+    reader.unknownKeys();
+}
+
+/// Parses \a text into a T by \a read, with all problems at once.
+template <typename T>
+std::variant<T, std::vector<SettingsProblem>>
+parseSettings(std::string_view text, const std::string &file, void (*read)(SettingsReader &, T &))
 {
     std::vector<SettingsProblem> problems;
-    DaemonSettings settings;
+    T settings;
     try {
         const toml::table table = toml::parse(text);
         SettingsReader reader(table, file, {}, problems);
-        readDaemon(reader, settings);
+        read(reader, settings);
     } catch (const toml::parse_error &error) {
         const auto line = std::to_string(error.source().begin.line);
         problems.push_back({file, "line " + line, std::string(error.description()), "valid TOML"});
@@ -191,14 +237,49 @@
     return settings;
 }
 
-ParsedSettings loadDaemonSettings(const std::string &file)
+template <typename T>
+std::variant<T, std::vector<SettingsProblem>> loadSettings(const std::string &file,
+                                                           void (*read)(SettingsReader &, T &))
 {
     std::ifstream in(file, std::ios::binary);
     std::ostringstream text;
     text << in.rdbuf();
     if (!in)
         return std::vector{SettingsProblem{file, "file", "nothing", "a readable TOML file"}};
-    return parseDaemonSettings(text.str(), file);
+    return parseSettings<T>(text.str(), file, read);
+}
+
+} // namespace
+
+std::string toString(const Endpoint &endpoint)
+{
+    return endpoint.address + ':' + std::to_string(endpoint.port);
+}
+
+std::string toString(const SettingsProblem &problem)
+{
+    return problem.file + ": " + problem.key + ": found " + problem.found
+           + ", allowed: " + problem.allowed;
+}
+
+ParsedSettings parseDaemonSettings(std::string_view text, const std::string &file)
+{
+    return parseSettings<DaemonSettings>(text, file, readDaemon);
+}
+
+ParsedSettings loadDaemonSettings(const std::string &file)
+{
+    return loadSettings<DaemonSettings>(file, readDaemon);
+}
+
+ParsedFleetSettings parseFleetSettings(std::string_view text, const std::string &file)
+{
+    return parseSettings<FleetSettings>(text, file, readFleet);
+}
+
+ParsedFleetSettings loadFleetSettings(const std::string &file)
+{
+    return loadSettings<FleetSettings>(file, readFleet);
 }
 
 } // namespace godwit
--- a/modules/settings/src/settingsreader.cpp
+++ b/modules/settings/src/settingsreader.cpp
@@ -76,6 +76,13 @@
     target = std::chrono::milliseconds(count);
 }
 
+void SettingsReader::seconds(const char *key, Duration &target, double min, double max)
+{
+    double value = toSeconds(target);
+    number(key, value, min, max);
+    target = fromSeconds(value);
+}
+
 void SettingsReader::flag(const char *key, bool &target)
 {
     const auto *node = find(key, Presence::Optional, "true or false");
--- a/modules/settings/src/settingsreader.h
+++ b/modules/settings/src/settingsreader.h
@@ -60,6 +60,9 @@
     /// Reads a span given in milliseconds, in [\a min, \a max].
     void milliseconds(const char *key, Duration &target, std::int64_t min, std::int64_t max);
 
+    /// Reads a span given in seconds, which may have a fraction, in [\a min, \a max].
+    void seconds(const char *key, Duration &target, double min, double max);
+
     void flag(const char *key, bool &target);
     void text(const char *key, std::string &target, Presence presence);
 
--- a/standins/include/godwit/standin/engineconfig.h
+++ b/standins/include/godwit/standin/engineconfig.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <godwit/platform/modelpin.h>
+#include <godwit/ports/modelpin.h>
 #include <godwit/standin/standinconfig.h>
 
 namespace godwit::standin {
--- a/standins/include/godwit/standin/engineledger.h
+++ b/standins/include/godwit/standin/engineledger.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <godwit/base/digest.h>
-#include <godwit/platform/engineorder.h>
-#include <godwit/platform/modelpin.h>
+#include <godwit/ports/engineorder.h>
+#include <godwit/ports/modelpin.h>
 
 #include <array>
 #include <vector>
--- a/standins/include/godwit/standin/enginestandin.h
+++ b/standins/include/godwit/standin/enginestandin.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <godwit/platform/cacheevent.h>
-#include <godwit/platform/engineload.h>
-#include <godwit/platform/engineorder.h>
-#include <godwit/platform/enginestate.h>
+#include <godwit/ports/cacheevent.h>
+#include <godwit/ports/engineload.h>
+#include <godwit/ports/engineorder.h>
+#include <godwit/ports/enginestate.h>
 #include <godwit/standin/engineconfig.h>
 #include <godwit/standin/engineledger.h>
 #include <godwit/standin/prefixcache.h>
--- a/standins/include/godwit/standin/hostliststandin.h
+++ b/standins/include/godwit/standin/hostliststandin.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <godwit/platform/hostlist.h>
+#include <godwit/ports/hostlist.h>
 #include <godwit/standin/standin.h>
 
 #include <deque>
--- a/standins/include/godwit/standin/prefixcache.h
+++ b/standins/include/godwit/standin/prefixcache.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <godwit/base/time.h>
-#include <godwit/platform/cacheevent.h>
+#include <godwit/ports/cacheevent.h>
 
 #include <cstdint>
 #include <list>
--- a/standins/include/godwit/standin/standin.h
+++ b/standins/include/godwit/standin/standin.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <godwit/base/time.h>
-#include <godwit/platform/httpserver.h>
+#include <godwit/ports/httpserver.h>
 #include <godwit/standin/faulttable.h>
 #include <godwit/standin/standinconfig.h>
 #include <godwit/standin/tokenbucket.h>
--- a/standins/include/godwit/standin/standinset.h
+++ b/standins/include/godwit/standin/standinset.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <godwit/base/result.h>
-#include <godwit/platform/httpendpoint.h>
+#include <godwit/ports/httpendpoint.h>
 #include <godwit/standin/scenario.h>
 
 #include <boost/asio/io_context.hpp>
--- a/standins/src/engineorders.cpp
+++ b/standins/src/engineorders.cpp
@@ -1,6 +1,6 @@
 #include "enginerun.h"
 
-#include <godwit/platform/httprequest.h>
+#include <godwit/ports/httprequest.h>
 
 #include <algorithm>
 #include <charconv>
--- a/standins/src/enginestandin.cpp
+++ b/standins/src/enginestandin.cpp
@@ -1,8 +1,8 @@
 #include "enginerun.h"
 
 #include <godwit/base/rendezvous.h>
-#include <godwit/platform/cacheblocks.h>
-#include <godwit/platform/httprequest.h>
+#include <godwit/ports/cacheblocks.h>
+#include <godwit/ports/httprequest.h>
 #include <godwit/standin/enginestandin.h>
 
 #include <algorithm>
--- a/standins/src/keyvaluestandin.cpp
+++ b/standins/src/keyvaluestandin.cpp
@@ -1,4 +1,4 @@
-#include <godwit/platform/base64.h>
+#include <godwit/ports/base64.h>
 #include <godwit/standin/keyvaluestandin.h>
 
 #include <algorithm>
--- a/standins/src/objectstandin.cpp
+++ b/standins/src/objectstandin.cpp
@@ -1,4 +1,4 @@
-#include <godwit/platform/httprequest.h>
+#include <godwit/ports/httprequest.h>
 #include <godwit/standin/objectstandin.h>
 
 #include <charconv>
--- a/standins/tests/contract.h
+++ b/standins/tests/contract.h
@@ -2,9 +2,9 @@
 
 #include "loopback.h"
 
-#include <godwit/platform/completion.h>
-#include <godwit/platform/httpclient.h>
-#include <godwit/platform/serviceoptions.h>
+#include <godwit/ports/completion.h>
+#include <godwit/ports/httpclient.h>
+#include <godwit/ports/serviceoptions.h>
 #include <godwit/standin/standin.h>
 
 #include <memory>
--- a/standins/tests/enginetest.cpp
+++ b/standins/tests/enginetest.cpp
@@ -1,8 +1,8 @@
 #include "contract.h"
 
-#include <godwit/platform/cacheblocks.h>
-#include <godwit/platform/httpengine.h>
-#include <godwit/platform/sseparser.h>
+#include <godwit/ports/cacheblocks.h>
+#include <godwit/ports/httpengine.h>
+#include <godwit/ports/sseparser.h>
 #include <godwit/standin/enginestandin.h>
 
 using namespace godwit;
--- a/standins/tests/faulttest.cpp
+++ b/standins/tests/faulttest.cpp
@@ -1,12 +1,12 @@
 #include "contract.h"
 
-#include <godwit/platform/calleffect.h>
-#include <godwit/platform/etcdkeyvalue.h>
-#include <godwit/platform/httpengine.h>
-#include <godwit/platform/httphostlist.h>
-#include <godwit/platform/httporigin.h>
-#include <godwit/platform/httpplainservice.h>
-#include <godwit/platform/httpweightstore.h>
+#include <godwit/ports/calleffect.h>
+#include <godwit/ports/etcdkeyvalue.h>
+#include <godwit/ports/httpengine.h>
+#include <godwit/ports/httphostlist.h>
+#include <godwit/ports/httporigin.h>
+#include <godwit/ports/httpplainservice.h>
+#include <godwit/ports/httpweightstore.h>
 #include <godwit/standin/enginestandin.h>
 #include <godwit/standin/hostliststandin.h>
 #include <godwit/standin/keyvaluestandin.h>
--- a/standins/tests/keyvaluetest.cpp
+++ b/standins/tests/keyvaluetest.cpp
@@ -1,8 +1,8 @@
 #include "contract.h"
 
-#include <godwit/platform/base64.h>
-#include <godwit/platform/calleffect.h>
-#include <godwit/platform/etcdkeyvalue.h>
+#include <godwit/ports/base64.h>
+#include <godwit/ports/calleffect.h>
+#include <godwit/ports/etcdkeyvalue.h>
 #include <godwit/standin/keyvaluestandin.h>
 
 using namespace godwit;
--- a/standins/tests/scenariotest.cpp
+++ b/standins/tests/scenariotest.cpp
@@ -1,6 +1,6 @@
 #include "contract.h"
 
-#include <godwit/platform/httpplainservice.h>
+#include <godwit/ports/httpplainservice.h>
 #include <godwit/standin/enginestandin.h>
 #include <godwit/standin/standinset.h>
 
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -4,6 +4,8 @@
 # Usage: tools/test.sh [plain|address|thread]...   (default: all three)
 set -euo pipefail
 cd "$(dirname "$0")/.."
+# Lets clones in other folders share the compiler cache.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 
 run() { # run BUILD_FOLDER SANITIZERS BUILD_TYPE TEST_FILTER [TARGET]...
     local build=$1 sanitize=$2 type=$3 filter=$4
