--- a/modules/gateway/include/godwit/gateway/backendrecord.h
+++ b/modules/gateway/include/godwit/gateway/backendrecord.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace godwit {
@@ -39,7 +40,7 @@
     bool draining = false;    ///< It finishes its requests and leaves.
     std::uint64_t bornMs = 0; ///< Unix time of its start; another value is another process.
     std::vector<ServedModel> models;
-    std::vector<HeldLayers> layers;
+    std::optional<HeldLayers> layers; ///< None if it does not load its model by layers.
 
     friend bool operator==(const BackendRecord &, const BackendRecord &) = default;
 };
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -41,16 +41,10 @@
 
 bool holdsAllLayers(const BackendRecord &record, std::uint64_t version, std::uint32_t layers)
 {
-    if (record.layers.empty())
-        return true; // The service does not split its models.
-    std::uint32_t next = 0;
-    auto parts = record.layers;
-    std::ranges::sort(parts);
-    for (const HeldLayers &it : parts) {
-        if (it.version == version && it.first <= next)
-            next = std::max(next, it.end);
-    }
-    return next >= layers;
+    if (!record.layers)
+        return true;
+    const HeldLayers &held = *record.layers;
+    return held.version == version && held.first == 0 && held.end >= layers;
 }
 
 } // namespace
--- a/modules/rollout/include/godwit/rollout/modelengineport.h
+++ b/modules/rollout/include/godwit/rollout/modelengineport.h
@@ -6,6 +6,7 @@
 #include <godwit/weights/manifest.h>
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,7 +20,7 @@
     bool busy = false;        ///< It carries out an order.
     std::uint64_t orders = 0; ///< Accepted since its start.
     std::vector<ServedModel> models;
-    std::vector<HeldLayers> layers;
+    std::optional<HeldLayers> layers;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
 
