Require a version of unknown age at once after a start

The operator feed now says when the version was last known not to be wanted; without that it is required at once, and the process says ready only when engines serve it. Ruled out: late version changes of the engines themselves, which this rule does not excuse.

--- a/modules/fleet/include/godwit/fleet/operatorfeed.h
+++ b/modules/fleet/include/godwit/fleet/operatorfeed.h
@@ -4,6 +4,7 @@
 #include <godwit/mirror/prefixmirror.h>
 
 #include <functional>
+#include <optional>
 
 namespace godwit {
 
@@ -14,7 +15,9 @@
     struct Handlers
     {
         std::function<void(GatewayConfiguration)> onConfiguration;
-        std::function<void(const WantedVersion &)> onVersion;
+        /// \a namedAfter is the last time at which the version was known not to be wanted yet; none
+        /// if it was wanted when the feed started.
+        std::function<void(const WantedVersion &, std::optional<TimePoint> namedAfter)> onVersion;
         /// Everything that the operator had written at \a asked has been reported.
         std::function<void(TimePoint asked)> onConfirmed;
     };
@@ -29,6 +32,7 @@
 
     const FleetPlatform &m_platform;
     Handlers m_handlers;
+    std::optional<TimePoint> m_confirmedAt;
     PrefixMirror m_mirror;
 };
 
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -79,7 +79,9 @@
                  {[this](GatewayConfiguration configuration) {
                       configurationChanged(std::move(configuration));
                   },
-                  [this](const WantedVersion &wanted) { versionWanted(wanted); },
+                  [this](const WantedVersion &wanted, std::optional<TimePoint> namedAfter) {
+                      versionWanted(wanted, namedAfter);
+                  },
                   [this](TimePoint asked) { m_gateway.configurationConfirmed(asked); }})
     , m_backends(m_platform, *m_backendStore, m_scheduler, newRandom(),
                  {[this](const BackendRecord &record) {
@@ -134,10 +136,13 @@
     m_gateway.setConfiguration(std::make_shared<const RouteTable>(std::move(configuration)));
 }
 
-void EntryProcess::versionWanted(const WantedVersion &wanted)
+void EntryProcess::versionWanted(const WantedVersion &wanted, std::optional<TimePoint> namedAfter)
 {
+    const TimePoint now = m_scheduler.now();
     const Duration time = m_settings.bounds.versionChange - VersionMargin;
-    m_gateway.backends().requireVersion(wanted.model, wanted.version, m_scheduler.now() + time);
+    // A version that was wanted before this process started may have been wanted for long.
+    const TimePoint deadline = namedAfter ? std::max(now, *namedAfter + time) : now;
+    m_gateway.backends().requireVersion(wanted.model, wanted.version, deadline);
 }
 
 void EntryProcess::leave()
--- a/modules/fleet/src/entryprocess.h
+++ b/modules/fleet/src/entryprocess.h
@@ -22,7 +22,7 @@
 private:
     Result<void> openReadiness();
     void configurationChanged(GatewayConfiguration configuration);
-    void versionWanted(const WantedVersion &wanted);
+    void versionWanted(const WantedVersion &wanted, std::optional<TimePoint> namedAfter);
     void awaitRequests();
 
     HttpClient m_backendClient;
--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -78,7 +78,7 @@
                  {[this](const GatewayConfiguration &configuration) {
                       configurationChanged(configuration);
                   },
-                  [this](const WantedVersion &wanted) {
+                  [this](const WantedVersion &wanted, std::optional<TimePoint>) {
                       m_rollout.want(wanted.model, wanted.version);
                   },
                   [](TimePoint) {}})
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -82,6 +82,9 @@
     /// Engines with older versions of \a model get nothing new from \a deadline on.
     void requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline);
 
+    /// Whether each model of the services has a backend server.
+    bool serveAllModels(TimePoint now) const;
+
     std::variant<BackendChoice, NoBackend> choose(const BackendQuery &query, TimePoint now);
 
     /// An attempt was sent to \a id.
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -53,8 +53,9 @@
 
     void handle(HttpRequest request, std::shared_ptr<HttpReply> reply);
 
-    /// Whether requests can be served: a configuration and at least one backend server are known.
-    bool isReady() const;
+    /// Whether requests can be served: a configuration is known, and backend servers for each model
+    /// of it. Once that was so, a lack of backend servers is no reason to send clients elsewhere.
+    bool isReady();
 
     std::size_t inProgress() const { return m_requests.size(); }
 
@@ -81,6 +82,7 @@
     RetryAllowance m_retries;
     std::shared_ptr<const RouteTable> m_table;
     std::optional<TimePoint> m_confirmedAt;
+    bool m_wasReady = false;
     std::set<std::shared_ptr<ForwardedRequest>> m_requests;
 };
 
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -162,6 +162,27 @@
     return it == m_services.end() ? nullptr : &it->second;
 }
 
+bool BackendPool::serveAllModels(TimePoint now) const
+{
+    if (m_backends.empty())
+        return false;
+    for (const auto &[name, service] : m_services) {
+        if (!service.engine)
+            continue;
+        for (const ModelId &model : service.engine->models) {
+            BackendQuery query;
+            query.service = name;
+            query.model = model;
+            const auto serving = [&, &service = service](const auto &entry) {
+                return serves(entry.second, query, &service, now);
+            };
+            if (std::ranges::none_of(m_backends, serving))
+                return false;
+        }
+    }
+    return true;
+}
+
 std::variant<BackendChoice, NoBackend> BackendPool::choose(const BackendQuery &query, TimePoint now)
 {
     const Service *service = serviceOf(query.service);
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -45,9 +45,11 @@
     m_confirmedAt = std::max(m_confirmedAt.value_or(asked), asked);
 }
 
-bool Gateway::isReady() const
+bool Gateway::isReady()
 {
-    return m_table && m_confirmedAt && m_backends.size() > 0;
+    if (!m_wasReady && m_table && m_confirmedAt)
+        m_wasReady = m_backends.serveAllModels(m_environment.scheduler.now());
+    return m_wasReady;
 }
 
 Duration Gateway::configurationAge() const
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -12,6 +12,11 @@
 constexpr Duration ManifestRetry = std::chrono::milliseconds(300);
 constexpr Duration ShortestTick = std::chrono::milliseconds(2);
 
+std::int64_t milliseconds(Duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 ResultCode sourceCode(ResultCode code)
 {
     switch (code) {
@@ -239,10 +244,10 @@
 {
     Rollout &rollout = m_rollouts.at(model);
     rollout.serving = true;
-    const auto took =
-            std::chrono::duration_cast<std::chrono::milliseconds>(now() - rollout.wantedAt);
-    logStateChange("version_served",
-                   {{"model", model.value()}, {"version", rollout.version}, {"ms", took.count()}});
+
+    logStateChange("version_served", {{"model", model.value()},
+                                      {"version", rollout.version},
+                                      {"ms", milliseconds(now() - rollout.wantedAt)}});
     run(m_planner.engineLoaded(now(), rollout.transfer));
     for (const Digest &transfer : std::exchange(m_outdated, {}))
         run(m_planner.cancel(now(), transfer));
@@ -423,8 +428,21 @@
 
 void VersionRollout::execute(const FinishLoad &action)
 {
-    if (auto *found = find(action.transfer))
-        found->second.stager->finish(orderTime(found->second));
+    auto *found = find(action.transfer);
+    if (!found)
+        return;
+    const Rollout &rollout = found->second;
+    const TimePoint orderAt = orderTime(rollout);
+    logStateChange("pieces_staged", {{"model", found->first.value()},
+                                     {"version", rollout.version},
+                                     {"ms", milliseconds(now() - rollout.wantedAt)},
+                                     {"order_in_ms", milliseconds(orderAt - now())},
+                                     {"bytes_from_origin", counters().bytesFromOrigin},
+                                     {"bytes_from_other_regions", counters().bytesFromOtherRegions},
+                                     {"bytes_from_region_peers", counters().bytesFromRegionPeers},
+                                     {"requests_failed", counters().requestsFailed},
+                                     {"requests_stalled", counters().requestsStalled}});
+    rollout.stager->finish(orderAt);
 }
 
 void VersionRollout::execute(const ReportFailed &action)
