Read own copies of pieces at once, ask peers again, and load a staged version first

Now staged copies are handed to the planner without a request (chunkFound), views of peers are refreshed when nothing arrives, and a staged version is loaded before the next one takes the staging area.

--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -19,7 +19,7 @@
 constexpr std::uint64_t FirstVersion = 1;
 /// Memory for the pieces of the present and the next version.
 /// Bytes per second of a link between two regions that weights may take; the rest is for requests.
-constexpr double RegionLinkRate = 1.25e6;
+constexpr double RegionLinkRate = 1.6e6;
 constexpr std::uint64_t WindowBytes = 24UL * 1024 * 1024;
 
 /// The tokens of the engine share the host's link with the weights, and are late after a tenth of a
@@ -27,7 +27,7 @@
 UploadLinks uploadLinks(const FleetSettings &settings)
 {
     constexpr std::uint32_t LeastPiece = 4096; // 4.5 ms at 7.3 Mbit/s
-    constexpr double LinkShare = 0.8;
+    constexpr double LinkShare = 0.9;
     UploadLinks links;
     links.hostRate = settings.linkBitsPerSecond / BitsPerByte;
     links.hostShare = LinkShare;
@@ -44,6 +44,10 @@
     transfer.originRate = transfer.hostRate;
     transfer.regionLinkRate = RegionLinkRate;
     transfer.windowBytes = WindowBytes;
+    // A chunk takes as long on a slow host link as several on the link between the regions.
+    transfer.regionWindow = 10;
+    transfer.regionUploadSlots = 6;
+    transfer.regionDownloads = 3;
     transfer.startGrace = std::chrono::milliseconds(20);
     transfer.stallTimeout = std::chrono::milliseconds(800);
     transfer.peerBackoff = std::chrono::milliseconds(100);
@@ -56,7 +60,6 @@
 {
     RolloutOptions options;
     options.self = HostId(settings.listen.peers.address);
-    options.versionTime = settings.bounds.versionChange;
     options.transfer = transferSettings(settings);
     return options;
 }
@@ -120,6 +123,7 @@
 void HostProcess::maintain()
 {
     m_peers.closeIdle();
+    m_rollout.logProgress();
     m_maintenance = m_scheduler.after(MaintenanceInterval, [this] { maintain(); });
 }
 
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -5,6 +5,7 @@
 #include <godwit/gateway/backendload.h>
 #include <godwit/gateway/backendrecord.h>
 #include <godwit/gateway/gatewayconfiguration.h>
+#include <godwit/gateway/loadturn.h>
 
 #include <map>
 #include <optional>
@@ -31,7 +32,8 @@
 struct BackendQuery
 {
     std::string service;
-    ModelId model; ///< Empty for a service without models.
+    ModelId model;                        ///< Empty for a service without models.
+    std::optional<std::uint64_t> version; ///< Of the weights; a stream must not mix two.
     std::uint32_t promptTokens = 0;
     std::set<BackendId> excluded; ///< That were tried before.
     /// A backend server is used only if the response is expected to begin within this time.
@@ -82,6 +84,9 @@
     /// Engines with older versions of \a model get nothing new from \a deadline on.
     void requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline);
 
+    /// \a version of \a model was named at \a namedAt; its engines take turns in loading it.
+    void versionNamed(const ModelId &model, std::uint64_t version, TimePoint namedAt);
+
     /// Whether each model of the services has a backend server.
     bool serveAllModels(TimePoint now) const;
 
@@ -120,12 +125,25 @@
     struct VersionRule
     {
         std::uint64_t version = 0;
-        TimePoint deadline;
+        TimePoint at;
+    };
+
+    struct NamedVersion
+    {
+        std::uint64_t version = 0;
+        TimePoint namedAt;
+        std::map<std::string, Duration> turns; ///< By address.
     };
 
     bool serves(const Backend &backend, const BackendQuery &query, const Service *service,
                 TimePoint now) const;
     std::uint64_t requiredVersion(const ModelId &model, TimePoint now) const;
+    void updateTurns();
+    /// Price, in seconds, of an engine that loads a newer version soon.
+    double loadPenalty(const BackendRecord &record, const ModelId &model, TimePoint now) const;
+    std::optional<BackendChoice> cheapest(const std::vector<const Backend *> &candidates,
+                                          const BackendQuery &query, TimePoint now,
+                                          double &shortestWait);
     double requests(const Backend &backend, double meanForeign, TimePoint now) const;
     double meanForeign(const std::vector<const Backend *> &backends) const;
     Backend *find(const BackendId &id);
@@ -137,6 +155,8 @@
     std::map<BackendId, Backend> m_backends;
     std::map<std::string, Service> m_services;
     std::map<ModelId, std::vector<VersionRule>> m_versions;
+    std::map<ModelId, NamedVersion> m_named; ///< Newest version of each model.
+    bool m_turnsChanged = false;             ///< NamedVersion::turns are out of date.
 };
 
 } // namespace godwit
--- a/modules/gateway/include/godwit/gateway/callerprotocol.h
+++ b/modules/gateway/include/godwit/gateway/callerprotocol.h
@@ -34,7 +34,8 @@
     bool isEventStream = false;
     bool isEncoded = false; ///< The body is not the one that the backend server wrote.
     std::optional<BackendLoad> load;
-    HttpHeaders headers; ///< That the client gets.
+    std::optional<std::uint64_t> weightsVersion; ///< Of the model that answers.
+    HttpHeaders headers;                         ///< That the client gets.
 
     friend bool operator==(const BackendReplyHead &, const BackendReplyHead &) = default;
 };
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -1,4 +1,5 @@
 #include <godwit/gateway/backendpool.h>
+#include <godwit/gateway/loadturn.h>
 
 #include <algorithm>
 #include <cmath>
@@ -33,6 +34,15 @@
 constexpr Duration RejectionPause = std::chrono::milliseconds(200);
 constexpr int MostDoublings = 8;
 
+/// An engine that loads new weights should have few requests by then; it is preferred less from
+/// this time before on.
+constexpr Duration LoadHorizon = std::chrono::milliseconds(1200);
+constexpr Duration LongestLoad = std::chrono::milliseconds(2500);
+constexpr double LoadPenaltyPerSecond = 0.12;
+constexpr double LargestLoadPenalty = 0.25;
+/// Prediction for a service without any room.
+constexpr double LongestWaitSeconds = 60;
+
 Duration avoidance(int failures)
 {
     const int doublings = std::min(failures - 1, MostDoublings);
@@ -60,6 +70,7 @@
     const bool isOtherProcess =
             backend.record.bornMs != record.bornMs || backend.record.endpoint != record.endpoint;
     backend.record = record;
+    m_turnsChanged = true;
     if (!isOtherProcess)
         return;
     backend.failures = 0;
@@ -73,6 +84,7 @@
 void BackendPool::remove(const BackendId &id)
 {
     m_backends.erase(id);
+    m_turnsChanged = true;
 }
 
 const std::map<BackendId, BackendRecord> BackendPool::records() const
@@ -106,7 +118,7 @@
     if (it == m_versions.end())
         return version;
     for (const VersionRule &rule : it->second) {
-        if (now >= rule.deadline)
+        if (now >= rule.at)
             version = std::max(version, rule.version);
     }
     return version;
@@ -183,8 +195,49 @@
     return true;
 }
 
+void BackendPool::versionNamed(const ModelId &model, std::uint64_t version, TimePoint namedAt)
+{
+    m_named[model] = {version, namedAt, {}};
+    m_turnsChanged = true;
+}
+
+void BackendPool::updateTurns()
+{
+    if (!std::exchange(m_turnsChanged, false))
+        return;
+    for (auto &[model, named] : m_named) {
+        std::vector<std::string> addresses;
+        for (const auto &[id, backend] : m_backends) {
+            const BackendRecord &record = backend.record;
+            const auto served = std::ranges::find(record.models, model, &ServedModel::model);
+            if (served != record.models.end() && !record.draining)
+                addresses.push_back(record.endpoint.address);
+        }
+        named.turns = loadTurns(named.version, addresses);
+    }
+}
+
+double BackendPool::loadPenalty(const BackendRecord &record, const ModelId &model,
+                                TimePoint now) const
+{
+    const auto named = m_named.find(model);
+    const auto served = std::ranges::find(record.models, model, &ServedModel::model);
+    if (named == m_named.end() || served == record.models.end())
+        return 0;
+    const NamedVersion &version = named->second;
+    const auto turn = version.turns.find(record.endpoint.address);
+    if (served->version >= version.version || turn == version.turns.end())
+        return 0;
+    const Duration left = version.namedAt + turn->second - now;
+    // An engine that has not loaded long after its turn will not do so soon.
+    if (left > LoadHorizon || left < -LongestLoad)
+        return 0;
+    return std::min(LoadPenaltyPerSecond * toSeconds(LoadHorizon - left), LargestLoadPenalty);
+}
+
 std::variant<BackendChoice, NoBackend> BackendPool::choose(const BackendQuery &query, TimePoint now)
 {
+    updateTurns();
     const Service *service = serviceOf(query.service);
     std::vector<const Backend *> serving;
     for (const auto &[id, backend] : m_backends) {
@@ -193,40 +246,49 @@
     }
     if (serving.empty())
         return NoBackend{};
-    const bool allAvoided =
-            std::ranges::all_of(serving, [now](const Backend *it) { return it->avoidUntil > now; });
+    double shortestWait = LongestWaitSeconds;
+    if (const auto choice = cheapest(serving, query, now, shortestWait))
+        return *choice;
+    return NoBackend{NoBackend::Reason::AllFull, fromSeconds(shortestWait)};
+}
+
+std::optional<BackendChoice> BackendPool::cheapest(const std::vector<const Backend *> &candidates,
+                                                   const BackendQuery &query, TimePoint now,
+                                                   double &shortestWait)
+{
+    const Service *service = serviceOf(query.service);
+    const bool allAvoided = std::ranges::all_of(
+            candidates, [now](const Backend *it) { return it->avoidUntil > now; });
     const double hold =
             service && service->holdSeconds > 0 ? service->holdSeconds : AssumedHoldSeconds;
-    const double foreign = meanForeign(serving);
+    const double foreign = meanForeign(candidates);
     const EngineProfile *engine = service && service->engine ? &*service->engine : nullptr;
     const double read = engine && engine->promptTokensPerSecond > 0
                                 ? query.promptTokens / engine->promptTokensPerSecond
                                 : 0;
     std::optional<BackendChoice> best;
     double bestCost = 0;
-    double shortest = std::numeric_limits<double>::max();
-    for (const Backend *it : serving) {
+    for (const Backend *it : candidates) {
         if (it->avoidUntil > now && !allAvoided)
             continue;
         const double slots = slotsOf(*it, service);
         const double load = requests(*it, foreign, now);
         const double wait = std::max(0.0, load + 1 - slots) * hold / slots;
-        shortest = std::min(shortest, wait);
+        shortestWait = std::min(shortestWait, wait);
         const double start = wait + read;
         if (fromSeconds(start) > query.startLimit)
             continue;
         const double cost = start + load / slots * FullPenaltySeconds
                             + (it->record.zone == m_zone ? 0 : ZonePenaltySeconds)
                             + it->failureShare * FailurePenaltySeconds
+                            + loadPenalty(it->record, query.model, now)
                             + m_random.uniform() * JitterSeconds;
         if (!best || cost < bestCost) {
             best = BackendChoice{it->record.id, it->record.endpoint, fromSeconds(start)};
             bestCost = cost;
         }
     }
-    if (best)
-        return *best;
-    return NoBackend{NoBackend::Reason::AllFull, fromSeconds(std::min(shortest, 60.0))};
+    return best;
 }
 
 BackendPool::Backend *BackendPool::find(const BackendId &id)
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -112,6 +112,7 @@
     query.service = m_terms.service;
     query.model = m_request.model;
     query.promptTokens = m_request.promptTokens;
+    query.version = m_weightsVersion;
     query.startLimit = startLimit();
     for (const PastAttempt &it : m_attempts)
         query.excluded.insert(it.backend);
@@ -191,8 +192,8 @@
         m_body = Body::Rejection;
     else if (isSuccess(status) && (!m_head.sealed || m_head.isEncoded))
         m_body = Body::Unusable;
-    else if (m_streaming && !isSuccess(status))
-        m_body = Body::Unusable; // A failure cannot go on with a stream.
+    else if (m_streaming && (!isSuccess(status) || m_head.weightsVersion != m_weightsVersion))
+        m_body = Body::Unusable; // Neither a failure nor other weights can go on with a stream.
     else if (isSuccess(status) && m_head.isEventStream)
         m_body = Body::Events;
     else
@@ -218,6 +219,7 @@
         return;
     if (!m_streaming) {
         m_streaming = true;
+        m_weightsVersion = m_head.weightsVersion;
         m_gateway.m_environment.metrics.streamBegan(now() - m_arrivedAt);
         m_reply->start(m_head.status, m_head.headers);
     }
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -84,6 +84,7 @@
     std::shared_ptr<CallHandle> m_call;
     std::uint64_t m_serial = 0; ///< Of the present attempt; callbacks of earlier ones are ignored.
     BackendReplyHead m_head;
+    std::optional<std::uint64_t> m_weightsVersion; ///< With which the stream began.
     Body m_body = Body::None;
     std::string m_whole;
     EventSplitter m_events;
--- a/modules/rollout/include/godwit/rollout/enginestager.h
+++ b/modules/rollout/include/godwit/rollout/enginestager.h
@@ -25,6 +25,8 @@
     {
         /// A piece from memory, verified; null if it is not held.
         std::function<ChunkBytes(ChunkIndex)> piece;
+        /// The engine has accepted the order to load; it reads the staged pieces no more.
+        std::function<void()> onOrdered;
         /// The engine serves the version.
         std::function<void()> onServing;
         /// A piece is neither staged nor in memory; the pieces must be fetched again.
@@ -73,9 +75,9 @@
     std::shared_ptr<const Manifest> m_manifest;
     std::uint64_t m_version;
     Handlers m_handlers;
-    TimePoint m_orderAt;
-    std::uint64_t m_orders = 0; ///< Of the report on which the order is decided.
-    std::uint64_t m_bornMs = 0; ///< Of the engine that was checked.
+    std::uint64_t m_orders = 0;  ///< Of the report on which the order is decided.
+    std::uint32_t m_running = 0; ///< Requests of that report.
+    std::uint64_t m_bornMs = 0;  ///< Of the engine that was checked.
     std::unique_ptr<Timer> m_timer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/modules/rollout/include/godwit/rollout/modelengineport.h
+++ b/modules/rollout/include/godwit/rollout/modelengineport.h
@@ -27,13 +27,12 @@
     friend bool operator==(const EngineReport &, const EngineReport &) = default;
 };
 
-/// Order to load the staged pieces of a version.
+/// Order to load the staged pieces of a version, after the requests that run have ended.
 struct LoadOrder
 {
     ModelId model;
     std::uint64_t version = 0;
     std::uint64_t expectedOrders = 0; ///< EngineReport::orders on which it was decided.
-    bool cancelRunning = false;       ///< Does not wait for the requests that run.
 
     friend bool operator==(const LoadOrder &, const LoadOrder &) = default;
 };
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/base/random.h>
+#include <godwit/gateway/loadturn.h>
 #include <godwit/rollout/enginestager.h>
 #include <godwit/rollout/modelengineport.h>
 #include <godwit/rollout/peertransport.h>
@@ -8,6 +9,7 @@
 #include <godwit/rollout/rolloutoptions.h>
 #include <godwit/weights/transferplanner.h>
 
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -42,7 +44,9 @@
     /// The hosts whose engines get the same weights, with this one.
     void setParticipants(std::vector<Participant> participants);
 
-    /// \a version of \a model is wanted from now on. Older ones are ignored.
+    /// \a version of \a model is wanted from now on. Older ones are ignored. A version whose pieces
+    /// are all staged is loaded first, because its time runs out earlier; one that is still on its
+    /// way is dropped.
     void want(const ModelId &model, std::uint64_t version);
 
     /// Reads the engine's report and restores what it should hold but does not.
@@ -52,48 +56,73 @@
     void chunkRequested(const HostId &peer, const Digest &chunk, UploadId upload);
     void uploadFailed(UploadId upload);
 
+    /// Writes a line for each transfer that is not complete.
+    void logProgress() const;
+
     const TransferCounters &counters() const { return m_planner.counters(); }
 
 private:
     /// A version on its way to the engine, or on it.
     struct Rollout
     {
+        ModelId model;
         std::uint64_t version = 0;
         TimePoint wantedAt;
         std::shared_ptr<const Manifest> manifest; ///< Null until it has been read.
         Digest transfer;
-        std::unique_ptr<EngineStager> stager;
-        std::set<ChunkIndex> staged; ///< Held by the engine from before, not yet read.
-        bool reading = false;        ///< The manifest is being read.
+        std::unique_ptr<EngineStager> stager; ///< Null until the transfer has begun.
+        std::set<ChunkIndex> ownCopies;       ///< Staged in the engine before, not yet read.
+        std::vector<ChunkIndex> held;         ///< Not staged while an older version uses the area.
+        bool reading = false;                 ///< The manifest is being read.
+        bool staged = false; ///< All pieces are staged, and the order has not been accepted.
         bool serving = false;
         std::unique_ptr<Timer> retry;
     };
+    /// The rollouts of one model, oldest first. The first one uses the engine's staging area.
+    using Rollouts = std::list<Rollout>;
 
-    struct Download
+    /// Names a rollout in callbacks, which may come after it has ended.
+    struct Key
     {
         ModelId model;
-        ChunkIndex piece = 0;
+        std::uint64_t version = 0;
+    };
+
+    struct Download
+    {
+        Key rollout;
         RequestChunk request;
         std::shared_ptr<CallHandle> call;
     };
 
+    Rollout *find(const Key &key);
+    Rollout *find(const Digest &transfer);
+    static Key keyOf(const Rollout &rollout) { return {rollout.model, rollout.version}; }
+
     void engineReported(const Outcome<EngineReport> &outcome);
-    bool isServing(const EngineReport &report, const ModelId &model, std::uint64_t version) const;
-    void begin(const ModelId &model);
-    void readManifest(const ModelId &model);
-    void manifestRead(const ModelId &model, std::uint64_t version,
-                      const Outcome<Manifest> &outcome);
-    void stagedListed(const ModelId &model, std::uint64_t version,
-                      const Outcome<std::set<ChunkIndex>> &outcome);
-    void startTransfer(const ModelId &model);
+    void compare(const EngineReport &report, Rollout &rollout);
+    void begin(Rollout &rollout);
+    void readManifest(Rollout &rollout);
+    void manifestRead(const Key &key, const Outcome<Manifest> &outcome);
+    void stagedListed(const Key &key, const Outcome<std::set<ChunkIndex>> &outcome);
+    void startTransfer(Rollout &rollout);
     /// Gets the pieces again, most of them from the engine's staging area.
-    void restart(const ModelId &model);
+    void restart(Rollout &rollout);
     /// A peer needs pieces. A host whose engine had its version from the start holds them only in
     /// the engine's staging area; it takes them from there.
     void seed();
+    /// Ends the rollouts before \a rollout. Their pieces are still served to peers.
+    void endOlder(const Rollout &rollout);
+    bool usesStagingArea(const Rollout &rollout) const;
+    void stage(Rollout &rollout, ChunkIndex piece);
+    void stageHeld(Rollout &rollout);
     TimePoint orderTime(const Rollout &rollout) const;
-    void served(const ModelId &model);
-    void incomplete(const ModelId &model, std::uint64_t version);
+    void ordered(const Key &key);
+    void endRollout(Rollout &rollout);
+    void restartNow(Rollout &rollout);
+    void served(const Key &key);
+    void incomplete(const Key &key);
+    void later(Rollout &rollout, Duration delay, void (VersionRollout::*step)(Rollout &));
 
     void run(const TransferActions &actions);
     void execute(const RequestChunk &action);
@@ -106,12 +135,12 @@
     void execute(const ReportServable &) {}
     void execute(const ReportFailed &action);
 
-    void readOwnCopy(Download &download);
+    /// Reads the pieces that the engine has staged, one after the other.
+    void readOwnCopies(const Key &key);
     void fetch(Download &download);
     void arrived(ChunkRequestId request, Outcome<std::string> outcome);
     void scheduleTick();
     TimePoint now() const { return m_environment.scheduler.now(); }
-    std::pair<const ModelId, Rollout> *find(const Digest &transfer);
 
     /// \a function with the outcome, unless this object is gone by then.
     template <typename T, typename Function>
@@ -130,7 +159,7 @@
     std::shared_ptr<PieceOriginPort> m_origin;
     RegionId m_originRegion;
     std::vector<Participant> m_participants;
-    std::map<ModelId, Rollout> m_rollouts;
+    std::map<ModelId, Rollouts> m_rollouts;
     std::vector<Digest> m_outdated; ///< Transfers of earlier versions, still served to peers.
     std::map<ChunkRequestId, Download> m_downloads;
     std::unique_ptr<Timer> m_tick;
--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -31,7 +31,6 @@
 
 void EngineStager::finish(TimePoint orderAt)
 {
-    m_orderAt = orderAt;
     const Duration wait = std::max(Duration::zero(), orderAt - m_scheduler.now());
     retryLater(&EngineStager::awaitOrder, wait);
 }
@@ -75,6 +74,7 @@
     // Not busy and not serving: the order has not begun, or the engine has restarted since.
     m_orders = report->orders;
     m_bornMs = report->bornMs;
+    m_running = report->running;
     startCheck();
 }
 
@@ -134,6 +134,8 @@
     logStateChange("load_ordered", {{"model", order.model.value()},
                                     {"version", m_version},
                                     {"orders_before", m_orders},
+                                    {"running", m_running},
+
                                     {"engine_born_ms", m_bornMs}});
     m_engine.load(order, guarded<Done>([this](const Outcome<Done> &outcome) { ordered(outcome); }));
 }
@@ -151,6 +153,7 @@
         return;
     }
     retryLater(&EngineStager::awaitServing, ReportInterval);
+    m_handlers.onOrdered();
 }
 
 } // namespace godwit
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -1,6 +1,5 @@
 #include <godwit/rollout/versionrollout.h>
 
-#include <godwit/base/rendezvous.h>
 #include <godwit/observe/log.h>
 
 #include <algorithm>
@@ -41,13 +40,33 @@
 
 VersionRollout::~VersionRollout() = default;
 
+VersionRollout::Rollout *VersionRollout::find(const Key &key)
+{
+    const auto rollouts = m_rollouts.find(key.model);
+    if (rollouts == m_rollouts.end())
+        return nullptr;
+    const auto it = std::ranges::find(rollouts->second, key.version, &Rollout::version);
+    return it == rollouts->second.end() ? nullptr : &*it;
+}
+
+VersionRollout::Rollout *VersionRollout::find(const Digest &transfer)
+{
+    for (auto &[model, rollouts] : m_rollouts) {
+        for (Rollout &it : rollouts) {
+            if (it.stager && it.transfer == transfer)
+                return &it;
+        }
+    }
+    return nullptr;
+}
+
 void VersionRollout::setOrigin(std::shared_ptr<PieceOriginPort> origin, RegionId region)
 {
     m_origin = std::move(origin);
     m_originRegion = std::move(region);
-    for (auto &[model, rollout] : m_rollouts) {
-        if (!rollout.manifest && !rollout.reading)
-            begin(model);
+    for (auto &[model, rollouts] : m_rollouts) {
+        for (Rollout &it : rollouts)
+            begin(it);
     }
 }
 
@@ -63,31 +82,44 @@
     for (const Participant &it : m_participants) {
         if (std::ranges::find(previous, it) != previous.end())
             continue;
-        for (const auto &[model, rollout] : m_rollouts) {
-            if (rollout.stager)
-                run(m_planner.peerJoined(now(), rollout.transfer, it));
+        for (const auto &[model, rollouts] : m_rollouts) {
+            for (const Rollout &rollout : rollouts) {
+                if (rollout.stager)
+                    run(m_planner.peerJoined(now(), rollout.transfer, it));
+            }
         }
     }
 }
 
 void VersionRollout::want(const ModelId &model, std::uint64_t version)
 {
-    Rollout &rollout = m_rollouts[model];
-    if (version <= rollout.version)
+    Rollouts &rollouts = m_rollouts[model];
+    const std::uint64_t previous = rollouts.empty() ? 0 : rollouts.back().version;
+    if (version <= previous)
         return;
-    const std::uint64_t previous = rollout.version;
-    // The planner goes on serving the pieces of the previous version until the new one is in use;
-    // an unfinished transfer of it is abandoned when the next one starts.
-    if (rollout.stager)
-        m_outdated.push_back(rollout.transfer);
-    rollout = Rollout();
+    rollouts.emplace_back();
+    Rollout &rollout = rollouts.back();
+    rollout.model = model;
     rollout.version = version;
     rollout.wantedAt = now();
     logStateChange("rollout_begun",
                    {{"model", model.value()}, {"version", version}, {"previous", previous}});
+    if (!rollouts.front().staged)
+        endOlder(rollout);
     checkEngine();
 }
 
+void VersionRollout::endOlder(const Rollout &rollout)
+{
+    Rollouts &rollouts = m_rollouts.at(rollout.model);
+    while (rollouts.front().version < rollout.version) {
+        if (rollouts.front().stager)
+            m_outdated.push_back(rollouts.front().transfer);
+        rollouts.pop_front();
+    }
+    stageHeld(rollouts.front());
+}
+
 void VersionRollout::checkEngine()
 {
     m_engineCheck.reset();
@@ -104,168 +136,243 @@
     const auto *report = std::get_if<EngineReport>(&outcome);
     if (!report)
         return;
-    for (auto &[model, rollout] : m_rollouts) {
-        const bool serving = isServing(*report, model, rollout.version);
-        if (serving && !rollout.serving && !rollout.stager) {
-            // It had the version before this process began.
-            rollout.serving = true;
-        } else if (!serving && rollout.serving && !report->busy) {
-            logStateChange("engine_lost_weights",
-                           {{"model", model.value()},
-                            {"version", rollout.version},
-                            {"engine_born_ms", report->bornMs}},
-                           LogLevel::Warning);
-            rollout.serving = false;
-            restart(model);
-        }
-        if (!rollout.serving && !rollout.manifest && !rollout.reading && !rollout.retry)
-            begin(model);
+    for (auto &[model, rollouts] : m_rollouts) {
+        for (Rollout &it : rollouts)
+            compare(*report, it);
+    }
+}
+
+void VersionRollout::compare(const EngineReport &report, Rollout &rollout)
+{
+    const ServedModel wanted{rollout.model, rollout.version};
+    const bool serving = std::ranges::find(report.models, wanted) != report.models.end();
+    if (serving && !rollout.serving && !rollout.stager) {
+        // It had the version before this process began.
+        rollout.serving = true;
+    } else if (!serving && rollout.serving && !report.busy) {
+        logStateChange("engine_lost_weights",
+                       {{"model", rollout.model.value()},
+                        {"version", rollout.version},
+                        {"engine_born_ms", report.bornMs}},
+                       LogLevel::Warning);
+        rollout.serving = false;
+        restart(rollout);
     }
+    begin(rollout);
 }
 
-void VersionRollout::restart(const ModelId &model)
+void VersionRollout::begin(Rollout &rollout)
+{
+    const bool begun = rollout.manifest || rollout.reading || rollout.retry;
+    if (m_origin && !rollout.serving && !begun)
+        readManifest(rollout);
+}
+
+void VersionRollout::restart(Rollout &rollout)
 {
-    Rollout &rollout = m_rollouts.at(model);
     if (rollout.stager) {
         rollout.stager.reset();
         run(m_planner.cancel(now(), rollout.transfer));
     }
     rollout.manifest.reset();
+    rollout.held.clear();
+    rollout.staged = false;
     rollout.reading = false;
 }
 
 void VersionRollout::seed()
 {
-    for (auto &[model, rollout] : m_rollouts) {
-        if (rollout.serving && !rollout.manifest && !rollout.reading && !rollout.retry && m_origin)
-            readManifest(model);
+    for (auto &[model, rollouts] : m_rollouts) {
+        for (Rollout &it : rollouts) {
+            if (m_origin && it.serving && !it.manifest && !it.reading && !it.retry)
+                readManifest(it);
+        }
     }
 }
 
-bool VersionRollout::isServing(const EngineReport &report, const ModelId &model,
-                               std::uint64_t version) const
+void VersionRollout::readManifest(Rollout &rollout)
 {
-    return std::ranges::find(report.models, ServedModel{model, version}) != report.models.end();
-}
-
-void VersionRollout::begin(const ModelId &model)
-{
-    const Rollout &rollout = m_rollouts.at(model);
-    if (m_origin && rollout.version > 0 && !rollout.serving && !rollout.reading)
-        readManifest(model);
-}
-
-void VersionRollout::readManifest(const ModelId &model)
-{
-    Rollout &rollout = m_rollouts.at(model);
     rollout.reading = true;
-    rollout.retry.reset();
-    m_origin->readManifest(model, rollout.version,
-                           guarded<Manifest>([this, model, version = rollout.version](
-                                                     const Outcome<Manifest> &outcome) {
-                               manifestRead(model, version, outcome);
-                           }));
+    m_origin->readManifest(
+            rollout.model, rollout.version,
+            guarded<Manifest>([this, key = keyOf(rollout)](const Outcome<Manifest> &outcome) {
+                manifestRead(key, outcome);
+            }));
 }
 
-void VersionRollout::manifestRead(const ModelId &model, std::uint64_t version,
-                                  const Outcome<Manifest> &outcome)
+void VersionRollout::manifestRead(const Key &key, const Outcome<Manifest> &outcome)
 {
-    Rollout &rollout = m_rollouts.at(model);
-    if (rollout.version != version)
+    Rollout *rollout = find(key);
+    if (!rollout || !rollout->reading)
         return;
     if (const auto *error = std::get_if<Error>(&outcome)) {
-        logStateChange(
-                "manifest_failed",
-                {{"model", model.value()}, {"version", version}, {"problem", toString(*error)}},
-                LogLevel::Warning);
-        const auto delay =
-                std::chrono::duration_cast<Duration>(ManifestRetry * (0.5 + m_random.uniform()));
-        rollout.reading = false;
-        rollout.retry = m_environment.scheduler.after(delay, [this, model] {
-            const auto timer = std::move(m_rollouts.at(model).retry);
-            begin(model);
-        });
+        logStateChange("manifest_failed",
+                       {{"model", key.model.value()},
+                        {"version", key.version},
+                        {"problem", toString(*error)}},
+                       LogLevel::Warning);
+        rollout->reading = false;
+        later(*rollout, ManifestRetry, &VersionRollout::begin);
         return;
     }
-    rollout.manifest = std::make_shared<const Manifest>(std::get<0>(outcome));
+    rollout->manifest = std::make_shared<const Manifest>(std::get<0>(outcome));
     m_environment.engine.listStaged(
-            model, guarded<std::set<ChunkIndex>>(
-                           [this, model, version](const Outcome<std::set<ChunkIndex>> &staged) {
-                               stagedListed(model, version, staged);
-                           }));
+            key.model,
+            guarded<std::set<ChunkIndex>>([this, key](const Outcome<std::set<ChunkIndex>> &staged) {
+                stagedListed(key, staged);
+            }));
 }
 
-void VersionRollout::stagedListed(const ModelId &model, std::uint64_t version,
-                                  const Outcome<std::set<ChunkIndex>> &outcome)
+void VersionRollout::later(Rollout &rollout, Duration delay,
+                           void (VersionRollout::*step)(Rollout &))
 {
-    Rollout &rollout = m_rollouts.at(model);
-    if (rollout.version != version)
+    const auto jittered = std::chrono::duration_cast<Duration>(delay * (0.5 + m_random.uniform()));
+    rollout.retry = m_environment.scheduler.after(jittered, [this, key = keyOf(rollout), step] {
+        Rollout *found = find(key);
+        if (!found)
+            return;
+        const auto timer = std::move(found->retry);
+        (this->*step)(*found);
+    });
+}
+
+void VersionRollout::stagedListed(const Key &key, const Outcome<std::set<ChunkIndex>> &outcome)
+{
+    Rollout *rollout = find(key);
+    if (!rollout || !rollout->reading)
         return;
-    rollout.reading = false;
+    rollout->reading = false;
     if (const auto *staged = std::get_if<std::set<ChunkIndex>>(&outcome))
-        rollout.staged = *staged;
-    startTransfer(model);
+        rollout->ownCopies = *staged;
+    startTransfer(*rollout);
 }
 
-void VersionRollout::startTransfer(const ModelId &model)
+void VersionRollout::startTransfer(Rollout &rollout)
 {
-    Rollout &rollout = m_rollouts.at(model);
     const auto manifest = rollout.manifest;
+    const Key key = keyOf(rollout);
     rollout.transfer = manifest->digest();
     rollout.stager = std::make_unique<EngineStager>(
             m_environment.engine, m_environment.scheduler, manifest, rollout.version,
-            EngineStager::Handlers{
-                    [this, manifest](ChunkIndex piece) {
-                        return m_planner.store().find(manifest->chunks[piece]);
-                    },
-                    [this, model] { served(model); },
-                    [this, model, version = rollout.version] { incomplete(model, version); }});
+            EngineStager::Handlers{[this, manifest](ChunkIndex piece) {
+                                       return m_planner.store().find(manifest->chunks[piece]);
+                                   },
+                                   [this, key] { ordered(key); }, [this, key] { served(key); },
+                                   [this, key] { incomplete(key); }});
+    logStateChange("transfer_begun", {{"model", rollout.model.value()},
+                                      {"version", rollout.version},
+                                      {"own_copies", rollout.ownCopies.size()},
+                                      {"hosts", m_participants.size()},
+                                      {"engine_has_version", rollout.serving}});
     TransferOrder order;
     order.manifest = *manifest;
     order.originRegion = m_originRegion;
     order.participants = m_participants;
+    order.keepsOthers = true;
     run(m_planner.start(now(), std::move(order)));
+    readOwnCopies(key);
 }
 
-void VersionRollout::incomplete(const ModelId &model, std::uint64_t version)
+void VersionRollout::readOwnCopies(const Key &key)
 {
-    // Not at once: the stager that reports this must not be destroyed by its own call.
-    Rollout &rollout = m_rollouts.at(model);
-    rollout.retry = m_environment.scheduler.after(Duration::zero(), [this, model, version] {
-        const auto timer = std::move(m_rollouts.at(model).retry);
-        if (m_rollouts.at(model).version != version)
-            return;
-        restart(model);
-        begin(model);
+    Rollout *rollout = find(key);
+    if (!rollout || !rollout->stager || rollout->ownCopies.empty())
+        return;
+    const ChunkIndex piece = *rollout->ownCopies.begin();
+    rollout->ownCopies.erase(piece);
+    m_environment.engine.readStaged(
+            key.model, piece,
+            guarded<std::string>(
+                    [this, key, piece, transfer = rollout->transfer](Outcome<std::string> outcome) {
+                        // Staged bytes may be of another version, or rotten; the planner checks
+                        // them.
+                        if (auto *bytes = std::get_if<std::string>(&outcome))
+                            run(m_planner.chunkFound(
+                                    now(), transfer, piece,
+                                    std::make_shared<const std::string>(std::move(*bytes))));
+                        readOwnCopies(key);
+                    }));
+}
+
+bool VersionRollout::usesStagingArea(const Rollout &rollout) const
+{
+    return m_rollouts.at(rollout.model).front().version == rollout.version;
+}
+
+void VersionRollout::stage(Rollout &rollout, ChunkIndex piece)
+{
+    rollout.stager->stage(piece, [this, transfer = rollout.transfer, piece](bool) {
+        // A piece that the engine did not take is put again by the check before the order.
+        run(m_planner.engineAccepted(now(), transfer, piece));
     });
 }
 
-void VersionRollout::served(const ModelId &model)
+void VersionRollout::stageHeld(Rollout &rollout)
 {
-    Rollout &rollout = m_rollouts.at(model);
-    rollout.serving = true;
+    for (const ChunkIndex piece : std::exchange(rollout.held, {})) {
+        if (rollout.stager)
+            stage(rollout, piece);
+    }
+}
 
-    logStateChange("version_served", {{"model", model.value()},
-                                      {"version", rollout.version},
-                                      {"ms", milliseconds(now() - rollout.wantedAt)}});
-    run(m_planner.engineLoaded(now(), rollout.transfer));
+TimePoint VersionRollout::orderTime(const Rollout &rollout) const
+{
+    std::vector<std::string> addresses;
+    for (const Participant &it : m_participants)
+        addresses.push_back(it.host.value());
+    const auto turns = loadTurns(rollout.version, addresses);
+    const auto own = turns.find(m_options.self.value());
+    return own == turns.end() ? now() : rollout.wantedAt + own->second;
+}
+
+void VersionRollout::ordered(const Key &key)
+{
+    Rollout *rollout = find(key);
+    if (!rollout)
+        return;
+    rollout->staged = false;
+    if (m_rollouts.at(key.model).back().version == key.version)
+        return;
+    // The engine reads the staged pieces when it accepts the order; the area is free for the next
+    // version. Not at once: the stager that reports this must not be destroyed by its own call.
+    later(*rollout, Duration::zero(), &VersionRollout::endRollout);
+}
+
+void VersionRollout::endRollout(Rollout &rollout)
+{
+    const auto &rollouts = m_rollouts.at(rollout.model);
+    const auto next = std::ranges::find_if(
+            rollouts, [&](const Rollout &it) { return it.version > rollout.version; });
+    if (next != rollouts.end())
+        endOlder(*next);
+}
+
+void VersionRollout::served(const Key &key)
+{
+    Rollout *rollout = find(key);
+    if (!rollout)
+        return;
+    rollout->serving = true;
+    rollout->staged = false;
+    logStateChange("version_served", {{"model", key.model.value()},
+                                      {"version", key.version},
+                                      {"ms", milliseconds(now() - rollout->wantedAt)}});
+    run(m_planner.engineLoaded(now(), rollout->transfer));
     for (const Digest &transfer : std::exchange(m_outdated, {}))
         run(m_planner.cancel(now(), transfer));
 }
 
-TimePoint VersionRollout::orderTime(const Rollout &rollout) const
+void VersionRollout::incomplete(const Key &key)
 {
-    // Engines that load take no requests, so they take turns within the time that is left.
-    std::size_t rank = 0;
-    const auto weight = [&rollout](const HostId &host) {
-        return rendezvousWeight(std::to_string(rollout.version), host.value());
-    };
-    for (const Participant &it : m_participants)
-        rank += weight(it.host) < weight(m_options.self) ? 1 : 0;
-    const TimePoint latest = rollout.wantedAt + m_options.versionTime - m_options.loadTime;
-    const Duration span = std::max(Duration::zero(), latest - now());
-    const auto n = static_cast<std::int64_t>(std::max<std::size_t>(1, m_participants.size()));
-    return now() + span * static_cast<std::int64_t>(rank) / n;
+    // Not at once: the stager that reports this must not be destroyed by its own call.
+    if (Rollout *rollout = find(key))
+        later(*rollout, Duration::zero(), &VersionRollout::restartNow);
+}
+
+void VersionRollout::restartNow(Rollout &rollout)
+{
+    restart(rollout);
+    begin(rollout);
 }
 
 void VersionRollout::haveArrived(const HostId &peer, const HaveUpdate &update)
@@ -280,17 +387,24 @@
     run(m_planner.chunkRequested(now(), peer, chunk, upload));
 }
 
-void VersionRollout::uploadFailed(UploadId upload)
+void VersionRollout::logProgress() const
 {
-    run(m_planner.uploadFinished(now(), upload, false));
+    for (const TransferStatus &it : m_planner.status()) {
+        if (it.verified == it.chunks)
+            continue;
+        logStateChange("transfer_progress", {{"transfer", it.transfer.toHex().substr(0, 12)},
+                                             {"pieces", it.chunks},
+                                             {"verified", it.verified},
+                                             {"outstanding", it.outstanding},
+                                             {"requests_failed", counters().requestsFailed},
+                                             {"requests_stalled", counters().requestsStalled},
+                                             {"pieces_corrupt", counters().chunksCorrupt}});
+    }
 }
 
-std::pair<const ModelId, VersionRollout::Rollout> *VersionRollout::find(const Digest &transfer)
+void VersionRollout::uploadFailed(UploadId upload)
 {
-    const auto it = std::ranges::find_if(m_rollouts, [&transfer](const auto &entry) {
-        return entry.second.stager && entry.second.transfer == transfer;
-    });
-    return it == m_rollouts.end() ? nullptr : &*it;
+    run(m_planner.uploadFinished(now(), upload, false));
 }
 
 void VersionRollout::run(const TransferActions &actions)
@@ -315,36 +429,13 @@
 
 void VersionRollout::execute(const RequestChunk &action)
 {
-    auto *found = find(action.transfer);
-    if (!found)
+    Rollout *rollout = find(action.transfer);
+    if (!rollout)
         return;
     Download &download = m_downloads[action.request];
-    download.model = found->first;
-    download.piece = action.chunk;
+    download.rollout = keyOf(*rollout);
     download.request = action;
-    if (found->second.staged.erase(action.chunk) > 0)
-        readOwnCopy(download);
-    else
-        fetch(download);
-}
-
-void VersionRollout::readOwnCopy(Download &download)
-{
-    const ChunkRequestId id = download.request.request;
-    m_environment.engine.readStaged(
-            download.model, download.piece,
-            guarded<std::string>(
-                    [this, id, digest = download.request.digest](Outcome<std::string> outcome) {
-                        const auto it = m_downloads.find(id);
-                        if (it == m_downloads.end())
-                            return;
-                        const auto *bytes = std::get_if<std::string>(&outcome);
-                        // Staged bytes may be of another version, or rotten.
-                        if (bytes && Digest::of(*bytes) == digest)
-                            arrived(id, std::move(outcome));
-                        else
-                            fetch(it->second);
-                    }));
+    fetch(download);
 }
 
 void VersionRollout::fetch(Download &download)
@@ -354,12 +445,8 @@
         arrived(id, std::move(outcome));
     });
     if (!request.source) {
-        if (m_origin)
-            download.call =
-                    m_origin->readPiece(download.model, m_rollouts.at(download.model).version,
-                                        download.piece, std::move(done));
-        else
-            done(Error{ResultCode::PlatformUnreachable, "no origin is known"});
+        download.call = m_origin->readPiece(download.rollout.model, download.rollout.version,
+                                            request.chunk, std::move(done));
         return;
     }
     download.call = m_environment.peers.fetch(
@@ -415,50 +502,48 @@
 
 void VersionRollout::execute(const DeliverToEngine &action)
 {
-    auto *found = find(action.transfer);
-    if (!found)
+    Rollout *rollout = find(action.transfer);
+    if (!rollout)
         return;
-    found->second.stager->stage(action.chunk,
-                                [this, transfer = action.transfer, piece = action.chunk](bool) {
-                                    // A piece that the engine did not take is put again by the
-                                    // check before the order.
-                                    run(m_planner.engineAccepted(now(), transfer, piece));
-                                });
+    if (usesStagingArea(*rollout))
+        stage(*rollout, action.chunk);
+    else
+        rollout->held.push_back(action.chunk);
 }
 
 void VersionRollout::execute(const FinishLoad &action)
 {
-    auto *found = find(action.transfer);
-    if (!found)
+    Rollout *rollout = find(action.transfer);
+    if (!rollout)
         return;
-    const Rollout &rollout = found->second;
-    const TimePoint orderAt = orderTime(rollout);
-    logStateChange("pieces_staged", {{"model", found->first.value()},
-                                     {"version", rollout.version},
-                                     {"ms", milliseconds(now() - rollout.wantedAt)},
+    rollout->staged = !rollout->serving;
+    const TimePoint orderAt = orderTime(*rollout);
+    logStateChange("pieces_staged", {{"model", rollout->model.value()},
+                                     {"version", rollout->version},
+                                     {"ms", milliseconds(now() - rollout->wantedAt)},
                                      {"order_in_ms", milliseconds(orderAt - now())},
                                      {"bytes_from_origin", counters().bytesFromOrigin},
                                      {"bytes_from_other_regions", counters().bytesFromOtherRegions},
                                      {"bytes_from_region_peers", counters().bytesFromRegionPeers},
                                      {"requests_failed", counters().requestsFailed},
                                      {"requests_stalled", counters().requestsStalled}});
-    rollout.stager->finish(orderAt);
+    rollout->stager->finish(orderAt);
 }
 
 void VersionRollout::execute(const ReportFailed &action)
 {
-    auto *found = find(action.transfer);
-    if (!found)
+    Rollout *rollout = find(action.transfer);
+    if (!rollout)
         return;
-    Rollout &rollout = found->second;
     logStateChange("transfer_failed",
-                   {{"model", found->first.value()},
-                    {"version", rollout.version},
+                   {{"model", rollout->model.value()},
+                    {"version", rollout->version},
                     {"problem", toString(action.error)}},
                    LogLevel::Warning);
     // Begins anew with the next look at the engine.
-    rollout.manifest.reset();
-    rollout.serving = false;
+    rollout->stager.reset();
+    rollout->manifest.reset();
+    rollout->serving = false;
 }
 
 } // namespace godwit
--- a/modules/weights/include/godwit/weights/transferplanner.h
+++ b/modules/weights/include/godwit/weights/transferplanner.h
@@ -72,6 +72,11 @@
     /// The complete reply to a request.
     TransferActions chunkArrived(TimePoint now, ChunkRequestId request, ChunkBytes bytes);
 
+    /// The host has found \a bytes of a chunk without a request, for example in the engine's
+    /// staging area. Bytes that do not match the digest are dropped.
+    TransferActions chunkFound(TimePoint now, const Digest &transfer, ChunkIndex chunk,
+                               ChunkBytes bytes);
+
     /// A request failed with \a code; \a retryAfter is the wait that the source asked for.
     TransferActions chunkFailed(TimePoint now, ChunkRequestId request, ResultCode code,
                                 Duration retryAfter = Duration::zero());
--- a/modules/weights/src/plannerevents.cpp
+++ b/modules/weights/src/plannerevents.cpp
@@ -80,7 +80,8 @@
     auto transfer = std::make_unique<Transfer>(m_self, std::move(order), m_now);
     ++counters.transfersStarted;
     reuseStoredChunks(*transfer);
-    abandonOtherVersions(transfer->manifest(), *transfer);
+    if (!transfer->order.keepsOthers)
+        abandonOtherVersions(transfer->manifest(), *transfer);
     updateKeeping(*transfer);
     rebuildChecks(*transfer);
     for (const HostId &peer : transfer->regionMembers) {
@@ -293,10 +294,54 @@
     (request.path == Path::Origin        ? counters.bytesFromOrigin
      : request.path == Path::OtherRegion ? counters.bytesFromOtherRegions
                                          : counters.bytesFromRegionPeers) += request.bytes;
-    cancelRequestsFor(transfer, request.chunk);
-    addVerified(transfer, request.chunk);
-    transfer.pendingAdded.push_back(request.chunk);
-    announceToDesignated(transfer, request.chunk);
+    hold(transfer, request.chunk);
+}
+
+void TransferPlanner::Impl::hold(Transfer &transfer, ChunkIndex chunk)
+{
+    cancelRequestsFor(transfer, chunk);
+    addVerified(transfer, chunk);
+    transfer.pendingAdded.push_back(chunk);
+    transfer.refreshAt.reset();
+    announceToDesignated(transfer, chunk);
+}
+
+void TransferPlanner::Impl::refreshViews(Transfer &transfer)
+{
+    constexpr std::size_t MostAsked = 8;
+    if (transfer.verified.full()) {
+        transfer.refreshAt.reset();
+        return;
+    }
+    if (!transfer.refreshAt)
+        transfer.refreshAt = m_now + jittered(m_settings.viewRefresh, m_random);
+    if (m_now < *transfer.refreshAt)
+        return;
+    transfer.refreshAt = m_now + jittered(m_settings.viewRefresh, m_random);
+    const std::size_t n = transfer.regionMembers.size();
+    const std::size_t first = n > 0 ? m_random.below(n) : 0;
+    for (std::size_t i = 0; i < std::min(n, MostAsked); ++i) {
+        const HostId &peer = transfer.regionMembers[(first + i) % n];
+        if (peer != m_self)
+            sendFull(transfer, peer, true);
+    }
+}
+
+void TransferPlanner::Impl::chunkFound(const Digest &id, ChunkIndex chunk, ChunkBytes bytes)
+{
+    Transfer *transfer = find(id);
+    if (!transfer || chunk >= transfer->chunkCount() || !transfer->missing(chunk))
+        return;
+    const Manifest &manifest = transfer->manifest();
+    const auto stored = capture([&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(
+                store.put(id, manifest.chunks[chunk], manifest.chunkSize(chunk), std::move(bytes)));
+        return true;
+    });
+    if (!succeeded(stored))
+        return;
+    counters.bytesReused += manifest.chunkSize(chunk);
+    hold(*transfer, chunk);
 }
 
 void TransferPlanner::Impl::badChunk(Request request, ResultCode code)
--- a/modules/weights/src/plannerfetch.cpp
+++ b/modules/weights/src/plannerfetch.cpp
@@ -472,6 +472,7 @@
         deliver(*transfer);
         runChecks(*transfer);
         freeOthers(*transfer);
+        refreshViews(*transfer);
     }
     fillAll();
     startUploads();
@@ -492,6 +493,8 @@
             consider(transfer->lastAnnounce + m_settings.announceInterval);
         if (transfer->freeAt)
             consider(*transfer->freeAt);
+        if (transfer->refreshAt)
+            consider(*transfer->refreshAt);
     }
     return next ? std::optional(std::max(*next, m_now) + m_skipped) : std::nullopt;
 }
--- a/modules/weights/src/plannerimpl.h
+++ b/modules/weights/src/plannerimpl.h
@@ -29,6 +29,9 @@
     void uploadFinished(UploadId upload, bool delivered);
     void chunkProgress(ChunkRequestId request);
     void chunkArrived(ChunkRequestId request, ChunkBytes bytes);
+    void chunkFound(const Digest &id, ChunkIndex chunk, ChunkBytes bytes);
+    void hold(Transfer &transfer, ChunkIndex chunk);
+    void refreshViews(Transfer &transfer);
     void chunkFailed(ChunkRequestId request, ResultCode code, Duration retryAfter);
     void engineAccepted(const Digest &id, ChunkIndex chunk);
     void engineLoaded(const Digest &id);
--- a/modules/weights/src/transfer.h
+++ b/modules/weights/src/transfer.h
@@ -115,7 +115,8 @@
     TimePoint lastAnnounce{};
     bool finishing = false;
     bool servable = false;
-    std::optional<TimePoint> freeAt; ///< After the load: when chunks of others are freed.
+    std::optional<TimePoint> freeAt;    ///< After the load: when chunks of others are freed.
+    std::optional<TimePoint> refreshAt; ///< When peers are asked again what they hold.
 
 private:
     std::size_t path(ChunkIndex chunk) const;
--- a/modules/weights/src/transferplanner.cpp
+++ b/modules/weights/src/transferplanner.cpp
@@ -84,6 +84,15 @@
     return m_impl->takeActions();
 }
 
+TransferActions TransferPlanner::chunkFound(TimePoint now, const Digest &transfer, ChunkIndex chunk,
+                                            ChunkBytes bytes)
+{
+    m_impl->advance(now);
+    m_impl->chunkFound(transfer, chunk, std::move(bytes));
+    m_impl->run();
+    return m_impl->takeActions();
+}
+
 TransferActions TransferPlanner::chunkFailed(TimePoint now, ChunkRequestId request, ResultCode code,
                                              Duration retryAfter)
 {
