--- a/modules/fleet/include/godwit/fleet/operatorfeed.h
+++ b/modules/fleet/include/godwit/fleet/operatorfeed.h
@@ -28,11 +28,10 @@
     void start() { m_mirror.start(); }
 
 private:
-    void put(const KeyValueEntry &entry);
+    void put(const KeyValueEntry &entry, std::optional<TimePoint> notBefore);
 
     const FleetPlatform &m_platform;
     Handlers m_handlers;
-    std::optional<TimePoint> m_confirmedAt;
     PrefixMirror m_mirror;
 };
 
--- a/modules/fleet/src/backendfeed.cpp
+++ b/modules/fleet/src/backendfeed.cpp
@@ -10,7 +10,7 @@
     , m_scheduler(scheduler)
     , m_handlers(std::move(handlers))
     , m_mirror(store, scheduler, random, std::string(platform.backendPrefix()),
-               {[this](const KeyValueEntry &entry) { put(entry); },
+               {[this](const KeyValueEntry &entry, std::optional<TimePoint>) { put(entry); },
                 [this](const std::string &key) { removed(key); }, [](TimePoint) {},
                 [this](bool isReachable, const std::string &problem) {
                     reachable(isReachable, problem);
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -17,7 +17,7 @@
 /// Between the last confirmation that lets a request pass and the end of the revocation time.
 constexpr Duration RevocationMargin = std::chrono::milliseconds(400);
 /// A request may wait for its first token in an engine; it must begin before the time is over.
-constexpr Duration VersionMargin = std::chrono::milliseconds(800);
+constexpr Duration VersionMargin = std::chrono::milliseconds(500);
 /// The balancer asks once a second and takes a process out after two misses; requests that it still
 /// sends meanwhile are served.
 constexpr Duration BalancerNotice = std::chrono::milliseconds(3000);
--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -81,8 +81,8 @@
                  {[this](const GatewayConfiguration &configuration) {
                       configurationChanged(configuration);
                   },
-                  [this](const WantedVersion &wanted, std::optional<TimePoint>) {
-                      m_rollout.want(wanted.model, wanted.version);
+                  [this](const WantedVersion &wanted, std::optional<TimePoint> namedAfter) {
+                      m_rollout.want(wanted.model, wanted.version, namedAfter.has_value());
                   },
                   [](TimePoint) {}})
     , m_backends(m_platform, *m_backendStore, m_scheduler, newRandom(),
@@ -143,7 +143,7 @@
         if (it.name != m_settings.engine->service || !it.engine)
             continue;
         for (const ModelId &model : it.engine->models)
-            m_rollout.want(model, FirstVersion);
+            m_rollout.want(model, FirstVersion, false);
     }
 }
 
--- a/modules/fleet/src/operatorfeed.cpp
+++ b/modules/fleet/src/operatorfeed.cpp
@@ -9,11 +9,11 @@
     : m_platform(platform)
     , m_handlers(std::move(handlers))
     , m_mirror(store, scheduler, random, std::string(platform.operatorPrefix()),
-               {[this](const KeyValueEntry &entry) { put(entry); }, [](const std::string &) {},
-                [this](TimePoint asked) {
-                    m_confirmedAt = asked;
-                    m_handlers.onConfirmed(asked);
+               {[this](const KeyValueEntry &entry, std::optional<TimePoint> notBefore) {
+                    put(entry, notBefore);
                 },
+                [](const std::string &) {},
+                [this](TimePoint asked) { m_handlers.onConfirmed(asked); },
                 [&platform](bool reachable, const std::string &problem) {
                     logStateChange(reachable ? "store_regained" : "store_lost",
                                    {{"keys", std::string(platform.operatorPrefix())},
@@ -22,7 +22,7 @@
                 }})
 {}
 
-void OperatorFeed::put(const KeyValueEntry &entry)
+void OperatorFeed::put(const KeyValueEntry &entry, std::optional<TimePoint> notBefore)
 {
     auto decoded = capture([&] { return m_platform.decodeOperatorRecord(entry); });
     if (const auto *error = std::get_if<Error>(&decoded)) {
@@ -37,7 +37,7 @@
         logStateChange("version_wanted", {{"model", wanted->model.value()},
                                           {"version", wanted->version},
                                           {"revision", entry.modified.value}});
-        m_handlers.onVersion(*wanted, m_confirmedAt);
+        m_handlers.onVersion(*wanted, notBefore);
     }
 }
 
--- a/modules/mirror/include/godwit/mirror/prefixmirror.h
+++ b/modules/mirror/include/godwit/mirror/prefixmirror.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace godwit {
@@ -15,7 +16,9 @@
 /// What a PrefixMirror reports, on the thread of its port.
 struct MirrorHandlers
 {
-    std::function<void(const KeyValueEntry &)> onPut;
+    /// \a notBefore is the last time at which the service is known not to have had the write; none
+    /// if the key was there when the mirror started.
+    std::function<void(const KeyValueEntry &, std::optional<TimePoint> notBefore)> onPut;
     std::function<void(const std::string &key)> onRemoved;
     /// All writes that the service had accepted at \a asked have been reported.
     std::function<void(TimePoint asked)> onConfirmed;
@@ -31,6 +34,9 @@
 public:
     static constexpr Duration ShortestBackoff = std::chrono::milliseconds(30);
     static constexpr Duration LongestBackoff = std::chrono::milliseconds(1000);
+    /// An event that ends a call of the watch later than this after its begin is news of that
+    /// moment; an earlier one may have been there before the call.
+    static constexpr Duration LongestReport = std::chrono::milliseconds(150);
 
     PrefixMirror(KeyValuePort &store, Scheduler &scheduler, Random random, std::string prefix,
                  MirrorHandlers handlers);
@@ -47,7 +53,8 @@
     void watched(const std::vector<WatchEvent> &events);
     void confirmed(StoreRevision current, TimePoint asked);
     void watchEnded(const Outcome<Done> &outcome);
-    void apply(const KeyValueEntry &entry);
+    void apply(const KeyValueEntry &entry, std::optional<TimePoint> notBefore);
+    std::optional<TimePoint> earliestOfEvents() const;
     void remove(const std::string &key, StoreRevision revision);
     void failed(const Error &error, void (PrefixMirror::*again)());
     void reached();
@@ -59,6 +66,8 @@
     MirrorHandlers m_handlers;
     std::map<std::string, StoreRevision> m_keys; ///< With the revision of their last write.
     StoreRevision m_revision;                    ///< All writes up to it have been reported.
+    TimePoint m_askedAt;                         ///< When the present call of the watch began.
+    std::optional<TimePoint> m_confirmedAt;
     Duration m_backoff = ShortestBackoff;
     bool m_reachable = true;
     std::shared_ptr<CallHandle> m_watch;
--- a/modules/mirror/src/prefixmirror.cpp
+++ b/modules/mirror/src/prefixmirror.cpp
@@ -41,13 +41,14 @@
     std::set<std::string> present;
     for (const KeyValueEntry &entry : found.entries) {
         present.insert(entry.key);
-        apply(entry);
+        apply(entry, m_confirmedAt);
     }
     for (const auto &[key, revision] : std::map(m_keys)) {
         if (!present.contains(key))
             remove(key, found.revision);
     }
     m_revision = std::max(m_revision, found.revision);
+    m_confirmedAt = asked;
     m_handlers.onConfirmed(asked);
     watch();
 }
@@ -57,6 +58,10 @@
     const auto guard = [alive = std::weak_ptr(m_alive)] { return !alive.expired(); };
     WatchHandlers handlers;
     handlers.onStarted = [](StoreRevision) {};
+    handlers.onAsked = [this, guard] {
+        if (guard())
+            m_askedAt = m_scheduler.now();
+    };
     handlers.onEvents = [this, guard](const std::vector<WatchEvent> &events) {
         if (guard())
             watched(events);
@@ -75,11 +80,12 @@
 void PrefixMirror::watched(const std::vector<WatchEvent> &events)
 {
     reached();
+    const auto notBefore = earliestOfEvents();
     for (const WatchEvent &event : events) {
         if (event.deleted)
             remove(event.entry.key, event.entry.modified);
         else
-            apply(event.entry);
+            apply(event.entry, notBefore);
         m_revision = std::max(m_revision, event.entry.modified);
     }
 }
@@ -88,6 +94,7 @@
 {
     reached();
     m_revision = std::max(m_revision, current);
+    m_confirmedAt = asked;
     m_handlers.onConfirmed(asked);
 }
 
@@ -104,13 +111,19 @@
     }
 }
 
-void PrefixMirror::apply(const KeyValueEntry &entry)
+std::optional<TimePoint> PrefixMirror::earliestOfEvents() const
+{
+    const TimePoint now = m_scheduler.now();
+    return now - m_askedAt > LongestReport ? now - LongestReport : m_confirmedAt;
+}
+
+void PrefixMirror::apply(const KeyValueEntry &entry, std::optional<TimePoint> notBefore)
 {
     StoreRevision &known = m_keys[entry.key];
     if (entry.modified <= known)
         return;
     known = entry.modified;
-    m_handlers.onPut(entry);
+    m_handlers.onPut(entry, notBefore);
 }
 
 void PrefixMirror::remove(const std::string &key, StoreRevision revision)
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -47,7 +47,9 @@
     /// \a version of \a model is wanted from now on. Older ones are ignored. A version whose pieces
     /// are all staged is loaded first, because its time runs out earlier; one that is still on its
     /// way is dropped.
-    void want(const ModelId &model, std::uint64_t version);
+    /// Without \a isNew the version may have been wanted for long, and the engine loads it as soon
+    /// as it can.
+    void want(const ModelId &model, std::uint64_t version, bool isNew);
 
     /// Reads the engine's report and restores what it should hold but does not.
     void checkEngine();
@@ -68,12 +70,14 @@
         ModelId model;
         std::uint64_t version = 0;
         TimePoint wantedAt;
+        bool isNew = false;                       ///< It was named at wantedAt, not earlier.
         std::shared_ptr<const Manifest> manifest; ///< Null until it has been read.
         Digest transfer;
         std::unique_ptr<EngineStager> stager; ///< Null until the transfer has begun.
         std::set<ChunkIndex> ownCopies;       ///< Staged in the engine before, not yet read.
         std::vector<ChunkIndex> held;         ///< Not staged while an older version uses the area.
         bool reading = false;                 ///< The manifest is being read.
+        bool complete = false;                ///< All pieces have been staged.
         bool staged = false; ///< All pieces are staged, and the order has not been accepted.
         bool serving = false;
         std::unique_ptr<Timer> retry;
@@ -159,6 +163,7 @@
     std::shared_ptr<PieceOriginPort> m_origin;
     RegionId m_originRegion;
     std::vector<Participant> m_participants;
+    EngineReport m_report; ///< The last one.
     std::map<ModelId, Rollouts> m_rollouts;
     std::vector<Digest> m_outdated; ///< Transfers of earlier versions, still served to peers.
     std::map<ChunkRequestId, Download> m_downloads;
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -91,7 +91,7 @@
     }
 }
 
-void VersionRollout::want(const ModelId &model, std::uint64_t version)
+void VersionRollout::want(const ModelId &model, std::uint64_t version, bool isNew)
 {
     Rollouts &rollouts = m_rollouts[model];
     const std::uint64_t previous = rollouts.empty() ? 0 : rollouts.back().version;
@@ -102,6 +102,7 @@
     rollout.model = model;
     rollout.version = version;
     rollout.wantedAt = now();
+    rollout.isNew = isNew;
     logStateChange("rollout_begun",
                    {{"model", model.value()}, {"version", version}, {"previous", previous}});
     if (!rollouts.front().staged)
@@ -113,9 +114,14 @@
 {
     Rollouts &rollouts = m_rollouts.at(rollout.model);
     while (rollouts.front().version < rollout.version) {
-        if (rollouts.front().stager)
-            m_outdated.push_back(rollouts.front().transfer);
+        const Rollout ended = std::move(rollouts.front());
         rollouts.pop_front();
+        if (!ended.stager)
+            continue;
+        if (ended.complete)
+            m_outdated.push_back(ended.transfer);
+        else
+            run(m_planner.cancel(now(), ended.transfer));
     }
     stageHeld(rollouts.front());
 }
@@ -136,6 +142,7 @@
     const auto *report = std::get_if<EngineReport>(&outcome);
     if (!report)
         return;
+    m_report = *report;
     for (auto &[model, rollouts] : m_rollouts) {
         for (Rollout &it : rollouts)
             compare(*report, it);
@@ -176,6 +183,7 @@
     }
     rollout.manifest.reset();
     rollout.held.clear();
+    rollout.complete = false;
     rollout.staged = false;
     rollout.reading = false;
 }
@@ -317,6 +325,11 @@
 
 TimePoint VersionRollout::orderTime(const Rollout &rollout) const
 {
+    const bool isUseful = std::ranges::find(m_report.models, rollout.model, &ServedModel::model)
+                          != m_report.models.end();
+    // An engine that cannot answer requests until it has loaded needs no turn.
+    if (!rollout.isNew || !isUseful)
+        return now();
     std::vector<std::string> addresses;
     for (const Participant &it : m_participants)
         addresses.push_back(it.host.value());
@@ -516,6 +529,7 @@
     Rollout *rollout = find(action.transfer);
     if (!rollout)
         return;
+    rollout->complete = true;
     rollout->staged = !rollout->serving;
     const TimePoint orderAt = orderTime(*rollout);
     logStateChange("pieces_staged", {{"model", rollout->model.value()},
--- a/modules/weights/src/plannerevents.cpp
+++ b/modules/weights/src/plannerevents.cpp
@@ -79,6 +79,7 @@
     order.participants.push_back(Participant{m_self, {}, order.originRegion});
     auto transfer = std::make_unique<Transfer>(m_self, std::move(order), m_now);
     ++counters.transfersStarted;
+    m_uploads.noteDelivered();
     reuseStoredChunks(*transfer);
     if (!transfer->order.keepsOthers)
         abandonOtherVersions(transfer->manifest(), *transfer);
@@ -133,6 +134,8 @@
     if (!find(id))
         return;
     ++counters.transfersCancelled;
+    // Peers that cancel it too break off uploads of this host, which says nothing about its links.
+    m_uploads.noteDelivered();
     end(id, ResultCode::TransferCancelled, "cancelled");
 }
 
