--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -99,6 +99,9 @@
     /// A response stated the load, counting the request that it answers.
     void loadStated(const BackendId &id, const BackendLoad &load, TimePoint now);
 
+    /// A stream of \a id paused for \a pause between two deliveries of events.
+    void pauseSeen(const BackendId &id, Duration pause, TimePoint now);
+
     std::size_t size() const { return m_backends.size(); }
 
     /// Requests of this process in progress at \a id.
@@ -113,6 +116,8 @@
         std::optional<TimePoint> loadAt;
         std::uint32_t statedSlots = 0;
         int failures = 0;        ///< Consecutive ones.
+        double pauseSeconds = 0; ///< Mean pause within streams; 0 if not known.
+        TimePoint pauseAt;       ///< When it was last measured.
         double failureShare = 0; ///< Of recent attempts, weighted by age.
         TimePoint avoidUntil;    ///< After failures and rejections.
         bool replaced = false;   ///< Another process has its address.
@@ -138,6 +143,8 @@
     bool serves(const Backend &backend, const BackendQuery &query, const Service *service,
                 TimePoint now) const;
     std::uint64_t requiredVersion(const ModelId &model, TimePoint now) const;
+    /// Price, in seconds, of a backend server whose streams pause longer than those of the others.
+    double pausePenalty(const Backend &backend, double meanPause, TimePoint now) const;
     void updateTurns();
     /// Price, in seconds, of an engine that loads a newer version soon.
     double loadPenalty(const BackendRecord &record, const ModelId &model, TimePoint now) const;
@@ -146,6 +153,7 @@
                                           double &shortestWait);
     double requests(const Backend &backend, double meanForeign, TimePoint now) const;
     double meanForeign(const std::vector<const Backend *> &backends) const;
+    double medianPause(const std::vector<const Backend *> &backends) const;
     Backend *find(const BackendId &id);
     std::uint32_t slotsOf(const Backend &backend, const Service *service) const;
     const Service *serviceOf(const std::string &name) const;
--- a/modules/gateway/include/godwit/gateway/retryallowance.h
+++ b/modules/gateway/include/godwit/gateway/retryallowance.h
@@ -3,6 +3,8 @@
 #include <godwit/base/time.h>
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -11,18 +13,16 @@
 /// Bound on the attempts beyond the first of each request, for all entry processes together.
 struct RetryBound
 {
-    double share = 0; ///< Of the requests of a service.
+    double share = 0; ///< Of the requests of a service in a window.
     double slack = 0; ///< Attempts that are allowed besides in each window.
     Duration window{0};
 
     friend bool operator==(const RetryBound &, const RetryBound &) = default;
 };
 
-/// The part of the RetryBound that this process may use, kept without talking to the others: the
-/// share follows the process's own requests, and the slack is divided by the number of processes.
-///
-/// Both are token buckets that hold at most half of what the bound allows in a window and refill at
-/// half of its rate, so that no window of any position can exceed the bound.
+/// The part of the RetryBound that this process may use, kept without talking to the others: in
+/// each window, its attempts beyond the first are at most the share of its own requests in that
+/// window and its part of the slack. The sum over all processes then keeps the bound.
 class RetryAllowance
 {
 public:
@@ -38,21 +38,26 @@
     bool take(const std::string &service, TimePoint now);
 
 private:
-    struct Bucket
+    /// Counts of one slice of time.
+    struct Slice
     {
-        double slack = 0;
-        double shared = 0;
-        TimePoint refilledAt;
-        bool used = false;
+        std::int64_t number = 0; ///< Start divided by the length of a slice.
+        std::uint32_t requests = 0;
+        std::uint32_t retries = 0;
+    };
+    struct Service
+    {
+        std::deque<Slice> slices; ///< Those of the last window, oldest first.
+        std::uint32_t requests = 0;
+        std::uint32_t retries = 0;
     };
 
-    Bucket &refilled(const std::string &service, TimePoint now);
-    double slackLimit() const;
+    Slice &present(Service &service, TimePoint now) const;
 
     RetryBound m_bound;
     /// Assumed until the number is known. Too many costs retries, too few would break the bound.
     std::size_t m_processes = 16;
-    std::map<std::string, Bucket> m_buckets;
+    std::map<std::string, Service> m_services;
 };
 
 } // namespace godwit
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -28,6 +28,16 @@
 /// Spread of the random part, in seconds, so that entry processes with the same view do not all
 /// choose the same backend server.
 constexpr double JitterSeconds = 0.005;
+/// Weight of the newest pause in the mean of a backend server.
+constexpr double PauseWeight = 0.03;
+/// A mean pause of up to this many times the median of all is usual.
+constexpr double UsualPauseRatio = 1.5;
+/// Price of one more median of pause, in seconds.
+constexpr double PausePenaltySeconds = 0.15;
+constexpr double LargestPausePenalty = 0.4;
+/// Age at which a measured pause has lost all but 37% of its weight, so that a backend server that
+/// was slow is tried again.
+constexpr double PauseTrustSeconds = 3.0;
 constexpr Duration FirstAvoidance = std::chrono::milliseconds(300);
 constexpr Duration LongestAvoidance = std::chrono::seconds(4);
 /// After a rejection; an engine that loads weights rejects for about as long.
@@ -151,6 +161,42 @@
     return n > 0 ? sum / static_cast<double>(n) : 0;
 }
 
+double BackendPool::medianPause(const std::vector<const Backend *> &backends) const
+{
+    std::vector<double> pauses;
+    for (const Backend *it : backends) {
+        if (it->pauseSeconds > 0)
+            pauses.push_back(it->pauseSeconds);
+    }
+    if (pauses.empty())
+        return 0;
+    const auto middle = pauses.begin() + static_cast<std::ptrdiff_t>(pauses.size() / 2);
+    std::ranges::nth_element(pauses, middle);
+    return *middle;
+}
+
+double BackendPool::pausePenalty(const Backend &backend, double meanPause, TimePoint now) const
+{
+    if (meanPause <= 0 || backend.pauseSeconds <= meanPause * UsualPauseRatio)
+        return 0;
+    const double trust = std::exp(-toSeconds(now - backend.pauseAt) / PauseTrustSeconds);
+    const double excess = backend.pauseSeconds / meanPause - UsualPauseRatio;
+    return trust * std::min(LargestPausePenalty, excess * PausePenaltySeconds);
+}
+
+void BackendPool::pauseSeen(const BackendId &id, Duration pause, TimePoint now)
+{
+    Backend *backend = find(id);
+    if (!backend)
+        return;
+    const double seconds = toSeconds(pause);
+    backend->pauseSeconds =
+            backend->pauseSeconds > 0
+                    ? backend->pauseSeconds + PauseWeight * (seconds - backend->pauseSeconds)
+                    : seconds;
+    backend->pauseAt = now;
+}
+
 double BackendPool::requests(const Backend &backend, double meanForeign, TimePoint now) const
 {
     if (!backend.loadAt)
@@ -262,6 +308,7 @@
     const double hold =
             service && service->holdSeconds > 0 ? service->holdSeconds : AssumedHoldSeconds;
     const double foreign = meanForeign(candidates);
+    const double pause = medianPause(candidates);
     const EngineProfile *engine = service && service->engine ? &*service->engine : nullptr;
     const double read = engine && engine->promptTokensPerSecond > 0
                                 ? query.promptTokens / engine->promptTokensPerSecond
@@ -278,11 +325,11 @@
         const double start = wait + read;
         if (fromSeconds(start) > query.startLimit)
             continue;
-        const double cost = start + load / slots * FullPenaltySeconds
-                            + (it->record.zone == m_zone ? 0 : ZonePenaltySeconds)
-                            + it->failureShare * FailurePenaltySeconds
-                            + loadPenalty(it->record, query.model, now)
-                            + m_random.uniform() * JitterSeconds;
+        const double cost =
+                start + load / slots * FullPenaltySeconds
+                + (it->record.zone == m_zone ? 0 : ZonePenaltySeconds)
+                + it->failureShare * FailurePenaltySeconds + pausePenalty(*it, pause, now)
+                + loadPenalty(it->record, query.model, now) + m_random.uniform() * JitterSeconds;
         if (!best || cost < bestCost) {
             best = BackendChoice{it->record.id, it->record.endpoint, fromSeconds(start)};
             bestCost = cost;
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -128,7 +128,7 @@
         return;
     }
     const auto &choice = std::get<BackendChoice>(found);
-    m_attempts.push_back({choice.id, choice.predictedStart, now(), std::nullopt});
+    m_attempts.push_back({choice.id, choice.predictedStart, now(), std::nullopt, std::nullopt});
     m_body = Body::None;
     m_whole.clear();
     m_attempting = true;
@@ -223,9 +223,19 @@
         m_gateway.m_environment.metrics.streamBegan(now() - m_arrivedAt);
         m_reply->start(m_head.status, m_head.headers);
     }
+    notePace();
     m_reply->write(std::move(events));
 }
 
+void ForwardedRequest::notePace()
+{
+    const TimePoint arrived = now();
+    PastAttempt &attempt = m_attempts.back();
+    if (attempt.lastEventsAt)
+        m_gateway.m_backends.pauseSeen(attempt.backend, arrived - *attempt.lastEventsAt, arrived);
+    attempt.lastEventsAt = arrived;
+}
+
 void ForwardedRequest::onEnd(const Outcome<std::monostate> &outcome)
 {
     if (const auto *error = std::get_if<Error>(&outcome))
@@ -257,11 +267,22 @@
         end(m_head.status, ResultCode::Ok, {});
         return;
     case Body::Whole:
-        sendWhole();
+        if (m_head.status >= FirstServerError && mayTryAfterFailure())
+            fail(AttemptEnd::Failed, "status " + std::to_string(m_head.status));
+        else
+            sendWhole();
         return;
     }
 }
 
+bool ForwardedRequest::mayTryAfterFailure()
+{
+    if (m_terms.route->kind != RouteKind::Safe || m_runs + 1 >= m_terms.route->attempts)
+        return false;
+    // The answer at hand is sent unless another backend server can be asked.
+    return now() < m_endAt && m_gateway.m_retries.take(m_terms.service, now());
+}
+
 void ForwardedRequest::sendWhole()
 {
     endAttempt(m_head.status >= FirstServerError ? AttemptEnd::Failed : AttemptEnd::Complete);
@@ -307,8 +328,10 @@
         giveUp(end, detail);
         return;
     }
-    // An attempt that reached no backend server costs none of the budget.
-    if (end != AttemptEnd::Unreachable && !m_gateway.m_retries.take(m_terms.service, now())) {
+    // An attempt that reached no backend server costs none of the budget, and one after a failure
+    // has been paid for.
+    if (end != AttemptEnd::Unreachable && end != AttemptEnd::Failed
+        && !m_gateway.m_retries.take(m_terms.service, now())) {
         giveUp(end, detail + "; the retry budget is spent");
         return;
     }
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -46,6 +46,7 @@
         BackendId backend;
         Duration predictedStart{0};
         TimePoint sentAt;
+        std::optional<TimePoint> lastEventsAt;
         std::optional<AttemptEnd> end;
     };
 
@@ -59,6 +60,10 @@
     void onEnd(const Outcome<std::monostate> &outcome);
     void onComplete();
     void onEvents(std::string_view data);
+    /// Tells the pool how long the backend server paused before its last events.
+    void notePace();
+    /// Whether a safe request that its backend server failed is tried at another one.
+    bool mayTryAfterFailure();
     void onClientLeft();
     void onDeadline();
 
--- a/modules/gateway/src/retryallowance.cpp
+++ b/modules/gateway/src/retryallowance.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-/// Part of the bound that the buckets hold, and that flows in during one window.
-constexpr double HalfOfBound = 0.5;
-/// Attempts that the share may save up, in windows of requests.
-constexpr double LargestShare = 1e4;
+/// Slices of a window. The window that is kept is one slice longer than the bound's, so that no
+/// position of the bound's window is missed.
+constexpr std::int64_t SlicesPerWindow = 50;
+/// Attempts count where they arrive, a little later than they are sent.
+constexpr double SafeShare = 0.9;
 
 } // namespace
 
@@ -22,39 +23,38 @@
     m_processes = std::max<std::size_t>(1, n);
 }
 
-double RetryAllowance::slackLimit() const
+RetryAllowance::Slice &RetryAllowance::present(Service &service, TimePoint now) const
 {
-    return HalfOfBound * m_bound.slack / static_cast<double>(m_processes);
-}
-
-RetryAllowance::Bucket &RetryAllowance::refilled(const std::string &service, TimePoint now)
-{
-    Bucket &bucket = m_buckets[service];
-    if (!bucket.used) {
-        bucket.used = true;
-        bucket.slack = slackLimit();
-    } else if (m_bound.window > Duration::zero()) {
-        const double windows = toSeconds(now - bucket.refilledAt) / toSeconds(m_bound.window);
-        bucket.slack = std::min(slackLimit(), bucket.slack + windows * slackLimit());
-        // Requests of earlier windows do not count for the present one.
-        bucket.shared = std::clamp(bucket.shared * (1 - windows), 0.0, LargestShare);
+    const Duration length = std::max(Duration(1), m_bound.window / SlicesPerWindow);
+    const std::int64_t number = now.time_since_epoch() / length;
+    while (!service.slices.empty() && service.slices.front().number < number - SlicesPerWindow) {
+        service.requests -= service.slices.front().requests;
+        service.retries -= service.slices.front().retries;
+        service.slices.pop_front();
     }
-    bucket.refilledAt = now;
-    return bucket;
+    if (service.slices.empty() || service.slices.back().number < number)
+        service.slices.push_back({number, 0, 0});
+    return service.slices.back();
 }
 
 void RetryAllowance::request(const std::string &service, TimePoint now)
 {
-    refilled(service, now).shared += HalfOfBound * m_bound.share;
+    Service &counts = m_services[service];
+    ++present(counts, now).requests;
+    ++counts.requests;
 }
 
 bool RetryAllowance::take(const std::string &service, TimePoint now)
 {
-    Bucket &bucket = refilled(service, now);
-    double &source = bucket.shared >= 1 ? bucket.shared : bucket.slack;
-    if (source < 1)
+    Service &counts = m_services[service];
+    Slice &slice = present(counts, now);
+    const double limit =
+            SafeShare
+            * (m_bound.share * counts.requests + m_bound.slack / static_cast<double>(m_processes));
+    if (counts.retries + 1 > limit)
         return false;
-    source -= 1;
+    ++slice.retries;
+    ++counts.retries;
     return true;
 }
 
