Test the modules of the platform, and a stand-in of its store

New tests need no bench: the mirror of a prefix, routes, the choice of engines under load and faults, the retry bound of several processes, at-most-once and resumed streams, staging and turns of a rollout, records and headers of the platform with damaged input, and the store adapter against a small stand-in with lost answers, refused calls, pages and dropped history. Found by them: the version to which a resumed stream is bound was not looked at when its engine was chosen, so that an attempt was spent on an engine whose answer could not be used.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -37,7 +37,9 @@
   endif()
   if(tests)
     add_executable(godwit-${name}-tests ${tests})
-    target_include_directories(godwit-${name}-tests PRIVATE src tests)
+    # The virtual clock of the module ports serves the tests of others too.
+    target_include_directories(godwit-${name}-tests PRIVATE src tests
+      ${CMAKE_SOURCE_DIR}/modules/ports/tests)
     target_link_libraries(godwit-${name}-tests PRIVATE godwit-${name} godwit-test-main)
     # One CTest entry for each test case, so that long cases run in parallel and fail by name.
     catch_discover_tests(godwit-${name}-tests TEST_PREFIX ${name}/ PROPERTIES TIMEOUT 300)
--- /dev/null
+++ b/modules/fleet/tests/fakeplatform.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <godwit/fleet/fleetplatform.h>
+
+namespace godwit {
+
+/// Store with one watch, which the test answers.
+class FakeStore : public KeyValuePort
+{
+public:
+    Completion<KeyValueList> listDone;
+    WatchHandlers handlers;
+
+    void listed(std::uint64_t revision, std::vector<KeyValueEntry> entries)
+    {
+        const auto done = listDone;
+        done(KeyValueList{StoreRevision{revision}, std::move(entries)});
+    }
+
+    void get(std::string, Completion<std::optional<KeyValueEntry>>) override {}
+    void list(std::string, Completion<KeyValueList> done) override { listDone = std::move(done); }
+    void compareAndSwap(std::string, StoreRevision, std::string, LeaseId,
+                        Completion<StoreRevision>) override
+    {}
+    void deleteKey(std::string, StoreRevision, Completion<Done>) override {}
+    void grantLease(Duration, Completion<LeaseId>) override {}
+    void keepLeaseAlive(LeaseId, Completion<Duration>) override {}
+    void revokeLease(LeaseId, Completion<Done>) override {}
+    std::shared_ptr<CallHandle> watch(std::string, StoreRevision, WatchHandlers given) override
+    {
+        handlers = std::move(given);
+        handlers.onAsked();
+        return nullptr;
+    }
+};
+
+/// Platform whose records are the single words "ready" and "draining".
+class FakePlatform : public FleetPlatform
+{
+public:
+    std::unique_ptr<KeyValuePort> store(HttpClient &, Scheduler &,
+                                        const FleetStoreOptions &) const override
+    {
+        return nullptr;
+    }
+    std::string_view operatorPrefix() const override { return "op/"; }
+    Result<OperatorRecord> decodeOperatorRecord(const KeyValueEntry &) const override
+    {
+        return OperatorRecord();
+    }
+    std::string_view backendPrefix() const override { return "servers/"; }
+    BackendId backendOf(std::string_view key) const override
+    {
+        return BackendId(std::string(key.substr(backendPrefix().size())));
+    }
+    Result<BackendRecord> decodeBackend(const KeyValueEntry &entry) const override
+    {
+        if (entry.value != "ready" && entry.value != "draining")
+            return fail(ResultCode::MessageMalformed, "unknown word");
+        BackendRecord record;
+        record.id = backendOf(entry.key);
+        record.draining = entry.value == "draining";
+        return record;
+    }
+    const CallerProtocol &callerProtocol() const override { std::abort(); }
+    std::unique_ptr<ModelEnginePort> engine(HttpClient &, HttpEndpoint) const override
+    {
+        return nullptr;
+    }
+    std::unique_ptr<PieceOriginPort> origin(HttpClient &, HttpEndpoint) const override
+    {
+        return nullptr;
+    }
+};
+
+} // namespace godwit
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -145,6 +145,7 @@
         return true;
     const auto served = std::ranges::find(record.models, query.model, &ServedModel::model);
     return served != record.models.end() && served->version >= requiredVersion(query.model, now)
+           && (!query.version || served->version == *query.version)
            && holdsAllLayers(record, served->version, service->engine->layers);
 }
 
--- /dev/null
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -0,0 +1,247 @@
+#include <godwit/gateway/backendpool.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <vector>
+
+using namespace godwit;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ModelId Model("m");
+
+BackendRecord engine(int number, const std::string &zone, std::uint64_t version = 1)
+{
+    BackendRecord record;
+    record.id = BackendId("e" + std::to_string(number));
+    record.service = "llm";
+    record.endpoint = {"10.0.0." + std::to_string(number), 80};
+    record.zone = ZoneId(zone);
+    record.slots = 16;
+    record.bornMs = 1;
+    record.models = {{Model, version}};
+    record.layers = HeldLayers{0, 16, version};
+    return record;
+}
+
+ServiceDescription service()
+{
+    ServiceDescription it;
+    it.name = "llm";
+    it.engine.emplace();
+    it.engine->slots = 16;
+    it.engine->layers = 16;
+    it.engine->promptTokensPerSecond = 30'000;
+    it.engine->models = {Model};
+    return it;
+}
+
+BackendQuery query()
+{
+    BackendQuery it;
+    it.service = "llm";
+    it.model = Model;
+    it.promptTokens = 900;
+    it.startLimit = 400ms;
+    return it;
+}
+
+struct Fixture
+{
+    TimePoint now{std::chrono::hours(1)};
+    BackendPool pool{ZoneId("here"), Random(3)};
+
+    Fixture()
+    {
+        pool.setServices({service()});
+        for (int i = 1; i <= 4; ++i)
+            pool.update(engine(i, i <= 2 ? "here" : "there"), now);
+    }
+
+    std::string choose(const BackendQuery &it)
+    {
+        const auto found = pool.choose(it, now);
+        const auto *choice = std::get_if<BackendChoice>(&found);
+        return choice ? choice->id.value() : "none";
+    }
+
+    /// Sends \a n requests and returns how many went to each engine.
+    std::map<std::string, int> send(int n)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < n; ++i) {
+            const std::string id = choose(query());
+            ++counts[id];
+            pool.started(BackendId(id), now);
+        }
+        return counts;
+    }
+};
+
+} // namespace
+
+TEST_CASE("BackendPool chooses among engines")
+{
+    Fixture it;
+
+    SECTION("requests fill the engines evenly, those of the own zone first")
+    {
+        const auto counts = it.send(40);
+        CHECK(counts.at("e1") + counts.at("e2") > counts.at("e3") + counts.at("e4"));
+        for (const auto &[id, n] : counts)
+            CHECK(n <= 14);
+    }
+    SECTION("a request that would begin too late is refused, with the time until there is room")
+    {
+        it.send(4 * 16);
+        auto late = query();
+        late.startLimit = 30ms;
+        const auto found = it.pool.choose(late, it.now);
+        const auto *none = std::get_if<NoBackend>(&found);
+        REQUIRE(none);
+        CHECK(none->reason == NoBackend::Reason::AllFull);
+        CHECK(none->shortestWait > 0ms);
+    }
+    SECTION("the load that other entry processes cause counts")
+    {
+        it.pool.loadStated(BackendId("e1"), {16, 8, 16}, it.now);
+        it.pool.loadStated(BackendId("e2"), {2, 0, 16}, it.now);
+        for (int i = 0; i < 10; ++i)
+            CHECK(it.choose(query()) != "e1");
+    }
+    SECTION("processes with the same view do not all choose the same engine")
+    {
+        std::map<std::string, int> firsts;
+        for (std::uint64_t seed = 0; seed < 50; ++seed) {
+            BackendPool other(ZoneId("elsewhere"), Random(seed));
+            other.setServices({service()});
+            for (int i = 1; i <= 4; ++i)
+                other.update(engine(i, "here"), it.now);
+            const auto found = other.choose(query(), it.now);
+            ++firsts[std::get<BackendChoice>(found).id.value()];
+        }
+        CHECK(firsts.size() == 4);
+    }
+    SECTION("an engine that failed is left alone, and longer after each failure")
+    {
+        it.pool.started(BackendId("e1"), it.now);
+        it.pool.finished(BackendId("e1"), AttemptEnd::Unreachable, 0ms, it.now);
+        CHECK(it.send(20).count("e1") == 0);
+        it.now += 5s;
+        it.send(1);
+        // It is tried again with real requests.
+        CHECK(it.send(30).count("e1") == 1);
+    }
+    SECTION("an engine that rejects is left alone for a moment")
+    {
+        it.pool.started(BackendId("e2"), it.now);
+        it.pool.finished(BackendId("e2"), AttemptEnd::Rejected, 0ms, it.now);
+        CHECK(it.send(10).count("e2") == 0);
+    }
+    SECTION("an address that another process has taken is not used until the record changes")
+    {
+        it.pool.finished(BackendId("e1"), AttemptEnd::OtherProcess, 0ms, it.now);
+        it.now += 1h;
+        CHECK(it.send(30).count("e1") == 0);
+        auto reborn = engine(1, "here");
+        reborn.bornMs = 2;
+        it.pool.update(reborn, it.now);
+        CHECK(it.send(30).count("e1") == 1);
+    }
+    SECTION("a leaving engine gets nothing new")
+    {
+        auto leaving = engine(1, "here");
+        leaving.draining = true;
+        it.pool.update(leaving, it.now);
+        CHECK(it.send(40).count("e1") == 0);
+    }
+    SECTION("streams that pause longer than those of the others draw fewer requests")
+    {
+        for (int i = 0; i < 200; ++i) {
+            for (int e = 1; e <= 4; ++e)
+                it.pool.pauseSeen(BackendId("e" + std::to_string(e)), e == 1 ? 400ms : 45ms,
+                                  it.now);
+        }
+        const auto counts = it.send(24);
+        CHECK((counts.contains("e1") ? counts.at("e1") : 0) <= 2);
+    }
+}
+
+TEST_CASE("BackendPool and versions of weights")
+{
+    Fixture it;
+
+    SECTION("engines with old weights get nothing after the time of a version")
+    {
+        it.pool.requireVersion(Model, 2, it.now + 7s);
+        CHECK(it.choose(query()) != "none");
+        it.now += 7s;
+        CHECK(it.choose(query()) == "none");
+        it.pool.update(engine(3, "there", 2), it.now);
+        CHECK(it.choose(query()) == "e3");
+    }
+    SECTION("an engine without all layers gets nothing")
+    {
+        auto partial = engine(1, "here");
+        partial.layers = HeldLayers{0, 8, 1};
+        it.pool.update(partial, it.now);
+        CHECK(it.send(30).count("e1") == 0);
+    }
+    SECTION("a stream goes on only with the weights with which it began")
+    {
+        it.pool.update(engine(1, "here", 2), it.now);
+        auto resumed = query();
+        resumed.version = 2;
+        for (int i = 0; i < 5; ++i)
+            CHECK(it.choose(resumed) == "e1");
+        resumed.excluded = {BackendId("e1")};
+        CHECK(it.choose(resumed) == "none");
+    }
+    SECTION("while a version is loaded in turns, engines that load next get fewer requests")
+    {
+        it.pool.versionNamed(Model, 2, it.now);
+        std::vector<std::string> addresses;
+        for (int i = 1; i <= 4; ++i)
+            addresses.push_back("10.0.0." + std::to_string(i));
+        const auto turns = loadTurns(2, addresses);
+        const auto first =
+                std::ranges::min_element(turns, {}, [](const auto &turn) { return turn.second; });
+        it.now += first->second - 100ms;
+        const auto counts = it.send(20);
+        const std::string id = "e" + first->first.substr(first->first.rfind('.') + 1);
+        for (const auto &[other, n] : counts)
+            CHECK((other == id || n >= (counts.contains(id) ? counts.at(id) : 0)));
+    }
+}
+
+TEST_CASE("loadTurns")
+{
+    std::vector<std::string> addresses;
+    for (int i = 0; i < 20; ++i)
+        addresses.push_back("10.0.1." + std::to_string(i));
+    const auto turns = loadTurns(5, addresses);
+    REQUIRE(turns.size() == addresses.size());
+
+    SECTION("not all engines load at once")
+    {
+        std::vector<Duration> times;
+        for (const auto &[address, time] : turns)
+            times.push_back(time);
+        std::ranges::sort(times);
+        CHECK(std::ranges::adjacent_find(times) == times.end());
+        CHECK(times.back() - times.front() >= 1500ms);
+        CHECK(times.back() <= 5500ms);
+    }
+    SECTION("processes with the records in another order agree")
+    {
+        auto reversed = addresses;
+        std::ranges::reverse(reversed);
+        CHECK(loadTurns(5, reversed) == turns);
+    }
+    SECTION("the order changes with the version, so that no engine is always last")
+    {
+        CHECK(loadTurns(6, addresses) != turns);
+    }
+}
--- /dev/null
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -0,0 +1,380 @@
+#include <godwit/gateway/gateway.h>
+
+#include "virtualscheduler.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace godwit;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Protocol with header names of the test: id, key, patience, last.
+class TestProtocol : public CallerProtocol
+{
+public:
+    Result<ForwardRequest> readRequest(HttpRequest http) const override
+    {
+        ForwardRequest request;
+        request.id = RequestId(std::string(http.headers.value("id")));
+        if (request.id.empty())
+            return fail(ResultCode::CallerRequestInvalid, "no id");
+        request.method = http.method;
+        request.target = http.target;
+        request.host = http.headers.value("Host");
+        request.key = http.headers.value("key");
+        request.patience = 2s;
+        return request;
+    }
+    HttpCall forward(const ForwardRequest &request, const ForwardTerms &terms) const override
+    {
+        HttpCall call;
+        call.endpoint = terms.endpoint;
+        call.target = request.target;
+        call.headers.add("backend", terms.backend.value());
+        call.headers.add("customer", terms.customer.value());
+        call.headers.add("left", std::to_string(terms.timeLeft.count()));
+        if (terms.lastEvent)
+            call.headers.add("last", *terms.lastEvent);
+        return call;
+    }
+    BackendReplyHead readReply(int status, const HttpHeaders &headers) const override
+    {
+        BackendReplyHead head;
+        head.status = status;
+        head.sealed = headers.find("seal") != nullptr;
+        head.notRun = headers.find("not-run") != nullptr || status == 421;
+        head.otherProcess = status == 421;
+        head.isEventStream = headers.find("events") != nullptr;
+        head.isEncoded = headers.find("encoded") != nullptr;
+        if (const std::string *version = headers.find("weights"))
+            head.weightsVersion = std::stoull(*version);
+        return head;
+    }
+};
+
+/// What the client sees.
+class ClientView : public HttpReply
+{
+public:
+    int status = 0;
+    std::string body;
+    HttpHeaders headers;
+    bool finished = false;
+    bool aborted = false;
+    std::function<void()> closed;
+
+    void send(HttpResponse response) override
+    {
+        status = response.status;
+        body = response.body;
+        headers = response.headers;
+        finished = true;
+    }
+    void start(int code, HttpHeaders) override { status = code; }
+    std::size_t write(std::string data) override
+    {
+        body += data;
+        return 0;
+    }
+    void finish() override { finished = true; }
+    void abort() override { aborted = true; }
+    std::size_t queuedBytes() const override { return 0; }
+    void onDrained(std::function<void()>) override {}
+    void onClosed(std::function<void()> callback) override { closed = callback; }
+};
+
+/// An attempt that has reached a backend server.
+struct Arrival : public CallHandle
+{
+    HttpCall call;
+    HttpStreamHandlers handlers;
+    bool cancelled = false;
+
+    void cancel() override { cancelled = true; }
+    std::string backend() const { return std::string(call.headers.value("backend")); }
+    void head(int status, HttpHeaders headers) { handlers.onHeader(status, headers); }
+    void data(std::string_view bytes) { handlers.onData(bytes); }
+    void complete() { handlers.onEnd(std::monostate()); }
+    void fail(ResultCode code) { handlers.onEnd(Error{code, "test"}); }
+    void answer(int status, const std::string &body)
+    {
+        head(status, {{"seal", "s"}});
+        data(body);
+        complete();
+    }
+    void reject(int status)
+    {
+        head(status, {{"not-run", "1"}});
+        complete();
+    }
+};
+
+struct Fixture
+{
+    VirtualScheduler scheduler;
+    TestProtocol protocol;
+    MetricsRegistry registry;
+    GatewayMetrics metrics{registry};
+    std::vector<std::shared_ptr<Arrival>> arrivals;
+    Gateway gateway{options(),
+                    {scheduler, protocol, metrics,
+                     [this](HttpCall call, HttpStreamHandlers handlers) {
+                         auto arrival = std::make_shared<Arrival>();
+                         arrival->call = std::move(call);
+                         arrival->handlers = std::move(handlers);
+                         arrivals.push_back(arrival);
+                         return arrival;
+                     }},
+                    Random(5)};
+
+    static GatewayOptions options()
+    {
+        GatewayOptions it;
+        it.retries = {0.2, 1600, 10s};
+        it.longestKeyAge = 4s;
+        return it;
+    }
+
+    static GatewayConfiguration configuration(std::uint64_t version)
+    {
+        GatewayConfiguration it;
+        it.version = version;
+        it.routes = {route("/safe/", RouteKind::Safe), route("/book/", RouteKind::Unsafe),
+                     route("/stream/", RouteKind::Streaming)};
+        it.routes.back().resumable = true;
+        it.customers = {{CustomerId("dairy"), {"k"}, std::nullopt}};
+        return it;
+    }
+
+    static Route route(const std::string &prefix, RouteKind kind)
+    {
+        Route it;
+        it.host = "h";
+        it.prefix = prefix;
+        it.kind = kind;
+        it.timeout = 2s;
+        it.objective = 200ms;
+        it.longestPause = 300ms;
+        it.attempts = 2;
+        it.targets = {{"desk", 1}};
+        return it;
+    }
+
+    void configure()
+    {
+        gateway.setConfiguration(std::make_shared<const RouteTable>(configuration(1)));
+        gateway.configurationConfirmed(scheduler.now());
+        for (int i = 1; i <= 3; ++i)
+            gateway.backends().update({BackendId("b" + std::to_string(i)),
+                                       "desk",
+                                       {"10.0.0." + std::to_string(i), 80},
+                                       ZoneId("z"),
+                                       6,
+                                       false,
+                                       1,
+                                       {},
+                                       std::nullopt},
+                                      scheduler.now());
+    }
+
+    std::shared_ptr<ClientView> ask(const std::string &target, const std::string &key = "k")
+    {
+        auto view = std::make_shared<ClientView>();
+        HttpRequest request;
+        request.method = "POST";
+        request.target = target;
+        request.headers = {{"id", "r1"}, {"Host", "h"}, {"key", key}};
+        gateway.handle(std::move(request), view);
+        return view;
+    }
+};
+
+} // namespace
+
+TEST_CASE("Gateway admits requests")
+{
+    Fixture it;
+
+    SECTION("without a configuration nothing is denied for good")
+    {
+        const auto view = it.ask("/safe/x");
+        CHECK(view->status == 503);
+        CHECK(view->headers.find("Retry-After"));
+        CHECK_FALSE(it.gateway.isReady());
+    }
+    it.configure();
+    SECTION("a known route and key lead to a backend server, with the customer's name")
+    {
+        const auto view = it.ask("/safe/x");
+        REQUIRE(it.arrivals.size() == 1);
+        CHECK(it.arrivals[0]->call.headers.value("customer") == "dairy");
+        it.arrivals[0]->answer(200, "done");
+        CHECK(view->status == 200);
+        CHECK(view->body == "done");
+        CHECK(it.gateway.inProgress() == 0);
+    }
+    SECTION("unknown routes and keys are denied while the configuration is fresh")
+    {
+        CHECK(it.ask("/none/x")->status == 404);
+        CHECK(it.ask("/safe/x", "stolen")->status == 401);
+    }
+    SECTION("they are put off while it may be out of date")
+    {
+        it.scheduler.advance(2s);
+        CHECK(it.ask("/none/x")->status == 503);
+        CHECK(it.ask("/safe/x", "new")->status == 503);
+        CHECK(it.ask("/safe/x")->status == 0);
+        CHECK(it.arrivals.size() == 1);
+    }
+    SECTION("a key is not honoured longer than it may live after being taken away")
+    {
+        it.scheduler.advance(4100ms);
+        CHECK(it.ask("/safe/x")->status == 503);
+        CHECK(it.arrivals.empty());
+    }
+    SECTION("an older configuration does not replace a newer one")
+    {
+        auto newer = Fixture::configuration(9);
+        newer.routes.clear();
+        it.gateway.setConfiguration(std::make_shared<const RouteTable>(newer));
+        it.gateway.setConfiguration(std::make_shared<const RouteTable>(Fixture::configuration(5)));
+        CHECK(it.ask("/safe/x")->status == 404);
+    }
+}
+
+TEST_CASE("Gateway runs a request that must not be repeated at most once")
+{
+    Fixture it;
+    it.configure();
+    const auto view = it.ask("/book/x");
+    REQUIRE(it.arrivals.size() == 1);
+
+    SECTION("after a lost answer it says neither yes nor not run")
+    {
+        it.arrivals[0]->fail(ResultCode::PlatformReplyLost);
+        CHECK(it.arrivals.size() == 1);
+        CHECK(view->status == 502);
+    }
+    SECTION("after silence it waits until the end and says that it does not know")
+    {
+        it.scheduler.advance(3s);
+        CHECK(it.arrivals.size() == 1);
+        CHECK(view->status == 504);
+        CHECK(it.arrivals[0]->cancelled);
+    }
+    SECTION("a backend server that did not run it is followed by another one")
+    {
+        it.arrivals[0]->reject(503);
+        REQUIRE(it.arrivals.size() == 2);
+        CHECK(it.arrivals[1]->backend() != it.arrivals[0]->backend());
+        it.arrivals[1]->answer(200, "booked");
+        CHECK(view->body == "booked");
+    }
+    SECTION("not run is said only if all backend servers said so")
+    {
+        it.arrivals[0]->reject(503);
+        it.arrivals[1]->reject(421);
+        it.arrivals[2]->fail(ResultCode::PlatformUnreachable);
+        CHECK(view->status == 503);
+        CHECK(view->headers.find("Retry-After"));
+    }
+    SECTION("one that may have run after a rejection is not said to have not run")
+    {
+        it.arrivals[0]->reject(503);
+        it.arrivals[1]->fail(ResultCode::PlatformBadReply);
+        CHECK(view->status == 502);
+    }
+    SECTION("an answer without signature, or with another coding, is no answer")
+    {
+        it.arrivals[0]->head(200, {{"seal", "s"}, {"encoded", "1"}});
+        it.arrivals[0]->data("x");
+        it.arrivals[0]->complete();
+        CHECK(view->status == 502);
+    }
+    SECTION("a failure of the backend server reaches the client unchanged")
+    {
+        it.arrivals[0]->answer(500, "full bin");
+        CHECK(view->status == 500);
+        CHECK(view->body == "full bin");
+    }
+}
+
+TEST_CASE("Gateway lets go of what nobody waits for")
+{
+    Fixture it;
+    it.configure();
+    const auto view = it.ask("/safe/x");
+
+    SECTION("a client that leaves frees its backend server at once")
+    {
+        view->closed();
+        CHECK(it.arrivals[0]->cancelled);
+        CHECK(it.gateway.inProgress() == 0);
+        CHECK(it.gateway.backends().inProgress(BackendId(it.arrivals[0]->backend())) == 0);
+    }
+    SECTION("a late callback of an ended attempt changes nothing")
+    {
+        view->closed();
+        it.arrivals[0]->answer(200, "late");
+        CHECK(view->body.empty());
+    }
+}
+
+TEST_CASE("Gateway goes on with a stream at another engine")
+{
+    Fixture it;
+    it.configure();
+    const auto view = it.ask("/stream/x");
+    it.arrivals[0]->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "4"}});
+    it.arrivals[0]->data("id: 1\ndata: a\n\nid: 2\nda");
+    CHECK(view->body == "id: 1\ndata: a\n\n");
+
+    SECTION("behind the last complete event")
+    {
+        it.arrivals[0]->fail(ResultCode::PlatformReplyLost);
+        REQUIRE(it.arrivals.size() == 2);
+        CHECK(it.arrivals[1]->backend() != it.arrivals[0]->backend());
+        CHECK(it.arrivals[1]->call.headers.value("last") == "1");
+        it.arrivals[1]->head(200, {{"seal", "t"}, {"events", "1"}, {"weights", "4"}});
+        it.arrivals[1]->data("id: 2\ndata: b\n\n");
+        it.arrivals[1]->complete();
+        CHECK(view->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        CHECK(view->finished);
+    }
+    SECTION("but not with other weights")
+    {
+        it.arrivals[0]->fail(ResultCode::PlatformReplyLost);
+        it.arrivals[1]->head(200, {{"seal", "t"}, {"events", "1"}, {"weights", "5"}});
+        it.arrivals[1]->data("id: 2\ndata: b\n\n");
+        it.arrivals[1]->complete();
+        CHECK(view->body == "id: 1\ndata: a\n\n");
+        CHECK(view->aborted);
+        CHECK_FALSE(view->finished);
+    }
+    SECTION("a stream that ends within an event is not complete")
+    {
+        it.arrivals[0]->complete();
+        CHECK_FALSE(view->finished);
+    }
+}
+
+TEST_CASE("Gateway keeps the retry bound when all backend servers reject")
+{
+    Fixture it;
+    it.configure();
+    std::size_t refused = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const std::size_t before = it.arrivals.size();
+        const auto view = it.ask("/book/x");
+        for (std::size_t k = before; k < it.arrivals.size(); ++k)
+            it.arrivals[k]->reject(503);
+        refused += view->status == 503 ? 1 : 0;
+        it.scheduler.advance(9ms);
+    }
+    CHECK(refused == 1000);
+    CHECK(it.arrivals.size() <= 1000 + 0.2 * 1000 + 100);
+}
--- /dev/null
+++ b/modules/gateway/tests/retryallowancetest.cpp
@@ -0,0 +1,66 @@
+#include <godwit/gateway/retryallowance.h>
+
+#include <godwit/base/random.h>
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <vector>
+
+using namespace godwit;
+using namespace std::chrono_literals;
+
+TEST_CASE("RetryAllowance")
+{
+    const RetryBound bound{0.2, 106, 10s};
+    TimePoint now{std::chrono::hours(1)};
+
+    SECTION("an outage of a backend server does not multiply the load by its retries")
+    {
+        RetryAllowance allowance(bound);
+        int taken = 0;
+        for (int i = 0; i < 1000; ++i) {
+            now += 10ms;
+            allowance.request("llm", now);
+            taken += allowance.take("llm", now) ? 1 : 0;
+        }
+        CHECK(taken <= 0.2 * 1000 + 106.0 / 16);
+        CHECK(taken >= 150);
+    }
+    SECTION("services have budgets of their own")
+    {
+        RetryAllowance allowance(bound);
+        while (allowance.take("llm", now)) {
+        }
+        CHECK(allowance.take("booking", now));
+    }
+    SECTION("all processes together keep the bound in every window, at changing loads")
+    {
+        constexpr std::size_t Processes = 5;
+        Random random(11);
+        std::vector<RetryAllowance> processes(Processes, RetryAllowance(bound));
+        for (RetryAllowance &it : processes)
+            it.setProcesses(Processes);
+        std::deque<TimePoint> requests;
+        std::deque<TimePoint> retries;
+        for (int step = 0; step < 60'000; ++step) {
+            now += 1ms;
+            const bool busy = (step / 4000) % 2 == 0;
+            RetryAllowance &process = processes[random.below(Processes)];
+            if (random.chance(busy ? 0.3 : 0.02)) {
+                process.request("llm", now);
+                requests.push_back(now);
+            }
+            if (random.chance(0.2) && process.take("llm", now))
+                retries.push_back(now);
+            while (!requests.empty() && requests.front() < now - 10s)
+                requests.pop_front();
+            while (!retries.empty() && retries.front() < now - 10s)
+                retries.pop_front();
+            // The requests of the slice that has just left the window may still count.
+            const double slack = bound.slack + 0.2 * 0.3 * 400;
+            REQUIRE(static_cast<double>(retries.size())
+                    <= bound.share * static_cast<double>(requests.size()) + slack);
+        }
+    }
+}
--- /dev/null
+++ b/modules/gateway/tests/routetabletest.cpp
@@ -0,0 +1,59 @@
+#include <godwit/gateway/routetable.h>
+
+#include <catch2/catch.hpp>
+
+using namespace godwit;
+
+namespace {
+
+Route route(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    Route it;
+    it.name = name;
+    it.host = host;
+    it.prefix = prefix;
+    it.targets = {{"service", 1}};
+    return it;
+}
+
+} // namespace
+
+TEST_CASE("RouteTable")
+{
+    GatewayConfiguration configuration;
+    configuration.version = 3;
+    configuration.routes = {route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"),
+                            route("other", "b.example", "/x/")};
+    configuration.customers = {{CustomerId("dairy"), {"k1", "k2"}, 1}};
+    const RouteTable table(configuration);
+
+    SECTION("the longest prefix of the host wins")
+    {
+        CHECK(table.find("a.example", "/x/y/z")->name == "long");
+        CHECK(table.find("a.example", "/x/z")->name == "short");
+        CHECK(table.find("b.example", "/x/y/z")->name == "other");
+    }
+    SECTION("a prefix ends at a slash, and hosts do not share routes")
+    {
+        CHECK(table.find("a.example", "/x") == nullptr);
+        CHECK(table.find("a.example", "/xy/") == nullptr);
+        CHECK(table.find("c.example", "/x/") == nullptr);
+    }
+    SECTION("each key leads to its customer")
+    {
+        CHECK(table.customerOf("k2")->customer == CustomerId("dairy"));
+        CHECK(table.customerOf("k3") == nullptr);
+        CHECK(table.customerOf("") == nullptr);
+    }
+}
+
+TEST_CASE("selectTarget follows the weights")
+{
+    Route it = route("split", "a.example", "/");
+    it.targets = {{"a", 90}, {"b", 10}, {"c", 0}};
+    CHECK(selectTarget(it, 0.0) == 0);
+    CHECK(selectTarget(it, 0.89) == 0);
+    CHECK(selectTarget(it, 0.91) == 1);
+    // A service without weight gets nothing, whatever the rounding.
+    CHECK(selectTarget(it, 0.9999999999999999) == 1);
+}
--- /dev/null
+++ b/modules/mirror/tests/prefixmirrortest.cpp
@@ -0,0 +1,148 @@
+#include <godwit/mirror/prefixmirror.h>
+
+#include "virtualscheduler.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace godwit;
+using namespace std::chrono_literals;
+
+namespace {
+
+class FakeWatch : public CallHandle
+{
+public:
+    void cancel() override {}
+};
+
+/// Store that records calls; the test answers them.
+class FakeStore : public KeyValuePort
+{
+public:
+    std::vector<Completion<KeyValueList>> lists;
+    std::vector<std::pair<StoreRevision, WatchHandlers>> watches;
+
+    void get(std::string, Completion<std::optional<KeyValueEntry>>) override {}
+    void list(std::string, Completion<KeyValueList> done) override { lists.push_back(done); }
+    void compareAndSwap(std::string, StoreRevision, std::string, LeaseId,
+                        Completion<StoreRevision>) override
+    {}
+    void deleteKey(std::string, StoreRevision, Completion<Done>) override {}
+    void grantLease(Duration, Completion<LeaseId>) override {}
+    void keepLeaseAlive(LeaseId, Completion<Duration>) override {}
+    void revokeLease(LeaseId, Completion<Done>) override {}
+    std::shared_ptr<CallHandle> watch(std::string, StoreRevision from,
+                                      WatchHandlers handlers) override
+    {
+        watches.emplace_back(from, handlers);
+        handlers.onAsked();
+        return std::make_shared<FakeWatch>();
+    }
+};
+
+KeyValueEntry entry(const std::string &key, const std::string &value, std::uint64_t revision)
+{
+    return {key, value, StoreRevision{revision}, LeaseId{}};
+}
+
+struct Fixture
+{
+    VirtualScheduler scheduler;
+    FakeStore store;
+    std::vector<std::string> log;
+    std::vector<std::optional<TimePoint>> notBefore;
+    std::optional<TimePoint> confirmedAt;
+    PrefixMirror mirror{store,
+                        scheduler,
+                        Random(1),
+                        "p/",
+                        {[this](const KeyValueEntry &it, std::optional<TimePoint> earliest) {
+                             log.push_back("put " + it.key + '=' + it.value);
+                             notBefore.push_back(earliest);
+                         },
+                         [this](const std::string &key) { log.push_back("removed " + key); },
+                         [this](TimePoint asked) { confirmedAt = asked; },
+                         [this](bool reachable, const std::string &) {
+                             log.push_back(reachable ? "reached" : "lost");
+                         }}};
+
+    void listed(std::uint64_t revision, std::vector<KeyValueEntry> entries)
+    {
+        const auto done = store.lists.back();
+        done(KeyValueList{StoreRevision{revision}, std::move(entries)});
+    }
+};
+
+} // namespace
+
+TEST_CASE("PrefixMirror")
+{
+    Fixture it;
+    it.mirror.start();
+    it.listed(10, {entry("p/a", "1", 7), entry("p/b", "2", 9)});
+    REQUIRE(it.log == std::vector<std::string>{"put p/a=1", "put p/b=2"});
+
+    SECTION("watches from the revision of the list, so that nothing is missed")
+    {
+        REQUIRE(it.store.watches.size() == 1);
+        CHECK(it.store.watches[0].first == StoreRevision{11});
+        CHECK(it.confirmedAt == it.scheduler.now());
+        CHECK_FALSE(it.notBefore[0]);
+
+        SECTION("an event that is older than what is known changes nothing")
+        {
+            it.log.clear();
+            it.store.watches[0].second.onEvents({{entry("p/a", "0", 5), false}});
+            CHECK(it.log.empty());
+        }
+        SECTION("an event late in a call is news of that moment")
+        {
+            it.scheduler.advance(800ms);
+            it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
+            CHECK(it.notBefore.back() == it.scheduler.now() - PrefixMirror::LongestReport);
+        }
+        SECTION("an event at the begin of a call may be as old as the last confirmation")
+        {
+            const TimePoint confirmed = it.scheduler.now();
+            it.scheduler.advance(100ms);
+            it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
+            CHECK(it.notBefore.back() == confirmed);
+        }
+    }
+    SECTION("a lost connection is reported once and the watch goes on where it was")
+    {
+        it.log.clear();
+        it.store.watches[0].second.onEvents({{entry("p/c", "4", 15), false}});
+        it.store.watches[0].second.onEnd(Error{ResultCode::PlatformTimeout, "silent"});
+        CHECK(it.log == std::vector<std::string>{"put p/c=4", "lost"});
+        it.scheduler.advance(100ms);
+        REQUIRE(it.store.watches.size() == 2);
+        CHECK(it.store.watches[1].first == StoreRevision{16});
+        it.store.watches[1].second.onEnd(Error{ResultCode::PlatformTimeout, "silent"});
+        it.scheduler.advance(2s);
+        REQUIRE(it.store.watches.size() == 3);
+        it.store.watches[2].second.onConfirmed(StoreRevision{20}, it.scheduler.now());
+        CHECK(it.log == std::vector<std::string>{"put p/c=4", "lost", "reached"});
+    }
+    SECTION("after history was dropped the keys are listed again and lost ones removed")
+    {
+        it.log.clear();
+        it.store.watches[0].second.onEnd(Error{ResultCode::WatchCompacted, "410"});
+        it.listed(30, {entry("p/b", "5", 28)});
+        CHECK(it.log == std::vector<std::string>{"put p/b=5", "removed p/a"});
+        CHECK(it.store.watches.back().first == StoreRevision{31});
+    }
+    SECTION("calls of an unreachable store come ever later, but at most a second and a half apart")
+    {
+        it.store.watches[0].second.onEnd(Error{ResultCode::PlatformUnreachable, "refused"});
+        for (int i = 0; i < 10; ++i) {
+            const std::size_t before = it.store.watches.size();
+            it.scheduler.advance(1500ms);
+            REQUIRE(it.store.watches.size() == before + 1);
+            it.store.watches.back().second.onEnd(Error{ResultCode::PlatformUnreachable, "refused"});
+        }
+    }
+}
--- a/modules/ports/include/godwit/ports/watchhandlers.h
+++ b/modules/ports/include/godwit/ports/watchhandlers.h
@@ -17,12 +17,12 @@
     /// Events ascending by revision. The writes of one transaction arrive together.
     std::function<void(const std::vector<WatchEvent> &events)> onEvents;
 
+    Completion<Done> onEnd;
     /// A call of the watch begins. Adapters whose watch is one endless call leave it out.
-    std::function<void()> onAsked;
+    std::function<void()> onAsked = {};
     /// All writes that the service had accepted at \a asked have been reported. Adapters of
     /// services that do not confirm their watches leave it out.
-    std::function<void(StoreRevision current, TimePoint asked)> onConfirmed;
-    Completion<Done> onEnd;
+    std::function<void(StoreRevision current, TimePoint asked)> onConfirmed = {};
 };
 
 } // namespace godwit
--- a/modules/ports/tests/httptest.cpp
+++ b/modules/ports/tests/httptest.cpp
@@ -355,3 +355,82 @@
     CHECK(request.query("name") == "c/d e");
     CHECK_FALSE(request.query("y").has_value());
 }
+
+TEST_CASE("HTTP client drops responses that belong to earlier calls")
+{
+    Fixture it;
+    // A server that answers a late response of an earlier call before the one that is due.
+    tcp::acceptor acceptor(it.io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    tcp::socket socket(it.io);
+    std::array<char, 4096> chunk{};
+    const auto response = [](const std::string &id, const std::string &body) {
+        return "HTTP/1.1 200 OK\r\nX-Id: " + id
+               + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    std::string bytes;
+    acceptor.async_accept(socket, [&](auto) {
+        socket.async_read_some(boost::asio::buffer(chunk), [&](auto, std::size_t) {
+            boost::asio::write(socket, boost::asio::buffer(bytes));
+        });
+    });
+    HttpCall call;
+    call.endpoint = {"127.0.0.1", acceptor.local_endpoint().port()};
+    call.correlation = HttpCorrelation{"X-Id", "2"};
+    call.idleTimeout = 300ms;
+
+    SECTION("one stray response")
+    {
+        bytes = response("1", "stray") + response("2", "mine");
+        const auto outcome = it.fetch(call);
+        REQUIRE(succeeded(outcome));
+        CHECK(std::get<0>(outcome).body == "mine");
+    }
+    SECTION("only stray responses are no answer")
+    {
+        for (int i = 0; i < 8; ++i)
+            bytes += response("1", "stray");
+        CHECK(codeOf(it.fetch(call)) == ResultCode::PlatformBadReply);
+    }
+    SECTION("bytes behind the response make the connection unusable")
+    {
+        bytes = response("2", "mine") + "HTTP/1.1 200";
+        CHECK(succeeded(it.fetch(call)));
+        CHECK(it.client.idleConnections() == 0);
+    }
+}
+
+TEST_CASE("HTTP client respects the time for which a server keeps a connection")
+{
+    Fixture it;
+    std::string keepAlive;
+    it.handler = [&](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        reply->send({200, {{"Keep-Alive", keepAlive}}, "x"});
+    };
+    it.listen();
+
+    SECTION("a time in seconds leaves it in the pool")
+    {
+        keepAlive = "timeout=5, max=100";
+        CHECK(succeeded(it.fetch(it.request())));
+        CHECK(it.client.idleConnections() == 1);
+    }
+    SECTION("a connection that the server closes at once is not kept")
+    {
+        keepAlive = "timeout=0";
+        CHECK(succeeded(it.fetch(it.request())));
+        CHECK(it.client.idleConnections() == 0);
+    }
+}
+
+TEST_CASE("HTTP server that is about to leave answers and asks callers to go elsewhere")
+{
+    Fixture it;
+    it.listen();
+    it.server->closeAfterReplies();
+    const auto outcome = it.fetch(it.request());
+    REQUIRE(succeeded(outcome));
+    CHECK(std::get<0>(outcome).headers.value("Connection") == "close");
+    CHECK(it.client.idleConnections() == 0);
+    // It still accepts connections until stopAccepting().
+    CHECK(succeeded(it.fetch(it.request())));
+}
--- /dev/null
+++ b/modules/settings/tests/fleetsettingstest.cpp
@@ -0,0 +1,79 @@
+#include <godwit/settings/settingsparser.h>
+
+#include <catch2/catch.hpp>
+
+using namespace godwit;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Common = R"(
+host = "edge-1"
+zone = "z1"
+region = "r1"
+store = "10.200.1.7:8007"
+link_bits_per_second = 7.3e6
+[[zones]]
+id = "z1"
+region = "r1"
+[bounds]
+leave_s = 8
+key_revocation_ms = 5000
+strict_revocation = true
+version_change_ms = 8000
+retry_share = 0.2
+retry_slack = 106
+retry_window_s = 10
+)";
+
+const std::string Listen = R"([listen]
+callers = "10.1.0.40:8005"
+readiness = "10.1.0.40:8002"
+peers = "10.1.0.40:7700"
+metrics = "10.1.0.40:7701"
+)";
+
+std::vector<std::string> problemsOf(const std::string &text)
+{
+    const auto parsed = parseFleetSettings(text, "f.toml");
+    std::vector<std::string> keys;
+    if (const auto *problems = std::get_if<1>(&parsed)) {
+        for (const SettingsProblem &it : *problems)
+            keys.push_back(it.key);
+    }
+    return keys;
+}
+
+} // namespace
+
+TEST_CASE("parseFleetSettings")
+{
+    SECTION("an entry process")
+    {
+        const auto parsed = parseFleetSettings("role = \"entry\"\n" + Common + Listen, "f.toml");
+        REQUIRE(parsed.index() == 0);
+        const FleetSettings &it = std::get<0>(parsed);
+        CHECK(it.role == DaemonRole::Entry);
+        CHECK(it.store == Endpoint{"10.200.1.7", 8007});
+        CHECK(it.bounds.leave == 8s);
+        CHECK(it.bounds.retryWindow == 10s);
+        CHECK(it.linkBitsPerSecond == Approx(7.3e6));
+        CHECK(it.zones.size() == 1);
+    }
+    SECTION("a host process needs its engine")
+    {
+        CHECK(problemsOf("role = \"host\"\n" + Common + Listen)
+              == std::vector<std::string>{"engine"});
+        CHECK(problemsOf("role = \"host\"\n" + Common + Listen
+                         + "[engine]\nendpoint = \"10.1.0.42:8001\"\nservice = \"llm\"\n")
+                      .empty());
+    }
+    SECTION("all problems are reported at once")
+    {
+        const auto keys = problemsOf("role = \"cook\"\nhost = \"a b\"\n[bounds]\nleave_s = -1\n"
+                                     "retry_share = 2\nunknown = 1\n");
+        for (const char *key : {"role", "host", "zone", "region", "store", "bounds.leave_s",
+                                "bounds.retry_share", "bounds.unknown"})
+            CHECK(std::find(keys.begin(), keys.end(), key) != keys.end());
+    }
+}
--- a/modules/weights/include/godwit/weights/transferorder.h
+++ b/modules/weights/include/godwit/weights/transferorder.h
@@ -30,10 +30,10 @@
     Manifest manifest;
     RegionId originRegion; ///< Region of the origin of weights.
     TransferPolicy policy = TransferPolicy::TimeFirst;
-    std::uint32_t weight = 1; ///< Share of links among concurrent transfers.
+    std::uint32_t weight = 1;              ///< Share of links among concurrent transfers.
+    std::vector<Participant> participants; ///< All hosts of the order, this host included.
     /// Unfinished transfers of other versions of the model go on.
     bool keepsOthers = false;
-    std::vector<Participant> participants; ///< All hosts of the order, this host included.
 };
 
 } // namespace godwit
--- a/modules/weights/tests/plannertest.cpp
+++ b/modules/weights/tests/plannertest.cpp
@@ -623,3 +623,87 @@
         CHECK(swarm.violations.empty());
     }
 }
+
+TEST_CASE("Chunks that a host finds by itself")
+{
+    const Manifest manifest = makeManifest("v1", 4);
+    TransferPlanner planner(HostId("h0"), Swarm::testSettings(), 1);
+    TransferOrder order;
+    order.manifest = manifest;
+    order.originRegion = RegionId("r1");
+    TimePoint now{1h};
+    planner.start(now, order);
+    const auto found = [&](ChunkIndex chunk, std::string bytes) {
+        return planner.chunkFound(now, manifest.digest(), chunk,
+                                  std::make_shared<const std::string>(std::move(bytes)));
+    };
+    const auto content = [&](ChunkIndex chunk) {
+        return chunkBytes("v1/" + std::to_string(chunk), 0, manifest.chunkSize(chunk));
+    };
+
+    SECTION("are delivered without a request")
+    {
+        CHECK(countOf<DeliverToEngine>(found(2, content(2))) == 1);
+        CHECK(planner.status().front().verified == 1);
+    }
+    SECTION("are dropped if the bytes are wrong or the chunk does not exist")
+    {
+        CHECK(countOf<DeliverToEngine>(found(2, content(1))) == 0);
+        CHECK(countOf<DeliverToEngine>(found(9, content(2))) == 0);
+        CHECK(planner.status().front().verified == 0);
+    }
+    SECTION("count once")
+    {
+        found(2, content(2));
+        CHECK(countOf<DeliverToEngine>(found(2, content(2))) == 0);
+    }
+}
+
+TEST_CASE("A host that hears nothing new asks its peers again")
+{
+    const Manifest manifest = makeManifest("v1", 4);
+    TransferSettings settings = Swarm::testSettings();
+    settings.viewRefresh = 500ms;
+    TransferPlanner planner(HostId("h0"), settings, 1);
+    TransferOrder order;
+    order.manifest = manifest;
+    order.originRegion = RegionId("other");
+    order.participants = {{HostId("h0"), ZoneId("z"), RegionId("r1")},
+                          {HostId("h1"), ZoneId("z"), RegionId("r1")}};
+    TimePoint now{1h};
+    planner.start(now, order);
+    int asked = 0;
+    for (int i = 0; i < 30; ++i) {
+        now += 100ms;
+        for (const TransferAction &action : planner.tick(now)) {
+            const auto *announce = std::get_if<AnnounceHave>(&action);
+            asked += announce && announce->update.wantReply ? 1 : 0;
+        }
+    }
+    // Every half second or so, not with each tick.
+    CHECK(asked >= 3);
+    CHECK(asked <= 7);
+}
+
+TEST_CASE("A transfer that keeps others lets an older version go on")
+{
+    TransferPlanner planner(HostId("h0"), Swarm::testSettings(), 1);
+    TransferOrder order;
+    order.manifest = makeManifest("v1", 4);
+    order.originRegion = RegionId("r1");
+    const TimePoint now{1h};
+    planner.start(now, order);
+    order.manifest = makeManifest("v2", 4);
+
+    SECTION("only if it is asked to")
+    {
+        order.keepsOthers = true;
+        CHECK(countOf<ReportFailed>(planner.start(now, order)) == 0);
+        CHECK(planner.status().size() == 2);
+    }
+    SECTION("otherwise the older one is abandoned")
+    {
+        CHECK(countOf<ReportFailed>(planner.start(now, order)) == 1);
+        CHECK(planner.status().size() == 1);
+    }
+}
--- /dev/null
+++ b/standins/src/fleetstorestandin.cpp
@@ -0,0 +1,257 @@
+#include <godwit/standin/fleetstorestandin.h>
+
+#include <godwit/ports/base64.h>
+
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace godwit {
+
+namespace {
+
+namespace json = boost::json;
+
+std::uint64_t number(const std::string &text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::uint64_t queryNumber(const HttpRequest &request, const char *name)
+{
+    return number(request.query(name).value_or("0"));
+}
+
+std::string_view lastPart(std::string_view path)
+{
+    return path.substr(path.rfind('/') + 1);
+}
+
+} // namespace
+
+FleetStoreStandin::FleetStoreStandin(boost::asio::io_context &io)
+    : m_io(io)
+{
+    HttpServerOptions options;
+    auto outcome = capture([&] {
+        return HttpServer::listen(
+                io, options,
+                [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+                    handle(request, reply);
+                });
+    });
+    m_server = std::move(std::get<0>(outcome));
+}
+
+FleetStoreStandin::~FleetStoreStandin() = default;
+
+void FleetStoreStandin::put(const std::string &key, const std::string &value)
+{
+    m_items[key] = {value, ++m_revision, 0};
+    m_history.push_back({key, m_revision, false});
+    answerWatches();
+}
+
+void FleetStoreStandin::remove(const std::string &key)
+{
+    if (m_items.erase(key) == 0)
+        return;
+    m_history.push_back({key, ++m_revision, true});
+    answerWatches();
+}
+
+void FleetStoreStandin::compact()
+{
+    m_forgotten = m_revision;
+    m_history.clear();
+    for (const Watch &it : m_watches)
+        it.reply->abort();
+    m_watches.clear();
+}
+
+void FleetStoreStandin::handle(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply)
+{
+    ++calls;
+    if (refuseCalls > 0) {
+        --refuseCalls;
+        reply->send({503, {}, {}});
+        return;
+    }
+    const std::string_view path = request.path();
+    if (path == "/godwitrun/kv-key")
+        handleKey(request, *reply);
+    else if (path == "/godwitrun/kv-range")
+        handleRange(request, *reply);
+    else if (path == "/godwitrun/kv-watch")
+        handleWatch(request, reply);
+    else if (path == "/godwitrun/kv-txn")
+        handleChange(request, reply);
+    else
+        handleLease(request, *reply);
+}
+
+std::string FleetStoreStandin::itemText(const std::string &key, const Item &item) const
+{
+    return json::serialize(json::object{{"key", key},
+                                        {"value", base64Encode(item.value)},
+                                        {"rev", item.revision},
+                                        {"created_at", item.revision},
+                                        {"lease", item.lease}});
+}
+
+void FleetStoreStandin::handleKey(const HttpRequest &request, HttpReply &reply)
+{
+    const auto it = m_items.find(request.query("key").value_or(""));
+    if (it == m_items.end())
+        reply.send({404, {}, {}});
+    else
+        reply.send(HttpResponse::json(200, itemText(it->first, it->second)));
+}
+
+void FleetStoreStandin::handleRange(const HttpRequest &request, HttpReply &reply)
+{
+    const std::string prefix = request.query("prefix").value_or("");
+    const std::string after = request.query("after").value_or("");
+    std::string items;
+    std::size_t n = 0;
+    bool more = false;
+    for (const auto &[key, item] : m_items) {
+        if (!key.starts_with(prefix) || key <= after)
+            continue;
+        if (n == pageItems) {
+            more = true;
+            break;
+        }
+        items += (n++ > 0 ? "," : "") + itemText(key, item);
+    }
+    reply.send(HttpResponse::json(200, R"({"items":[)" + items + R"(],"has_more":)"
+                                               + (more ? "true" : "false") + R"(,"store_revision":)"
+                                               + std::to_string(m_revision) + '}'));
+}
+
+std::string FleetStoreStandin::eventsText(const std::string &prefix, std::uint64_t after,
+                                          bool &any) const
+{
+    std::string events;
+    for (const Event &it : m_history) {
+        if (it.revision <= after || !it.key.starts_with(prefix))
+            continue;
+        const auto item = m_items.find(it.key);
+        if (!it.removed && (item == m_items.end() || item->second.revision != it.revision))
+            continue; // Written again since; the later event follows.
+        if (!events.empty())
+            events += ',';
+        events += it.removed ? json::serialize(
+                          json::object{{"key", it.key}, {"rev", it.revision}, {"tombstone", true}})
+                             : itemText(it.key, item->second);
+    }
+    any = !events.empty();
+    return R"({"events":[)" + events + R"(],"store_revision":)" + std::to_string(m_revision) + '}';
+}
+
+void FleetStoreStandin::handleWatch(const HttpRequest &request,
+                                    const std::shared_ptr<HttpReply> &reply)
+{
+    const std::string prefix = request.query("prefix").value_or("");
+    const std::uint64_t after = queryNumber(request, "after");
+    if (after < m_forgotten) {
+        reply->send({410, {}, {}});
+        return;
+    }
+    bool any = false;
+    const std::string text = eventsText(prefix, after, any);
+    if (any) {
+        reply->send(HttpResponse::json(200, text));
+        return;
+    }
+    const auto it = m_watches.insert(m_watches.end(), Watch{prefix, after, reply, nullptr});
+    it->timer = std::make_unique<boost::asio::steady_timer>(
+            m_io, std::chrono::milliseconds(queryNumber(request, "wait_ms")));
+    it->timer->async_wait([this, it](const boost::system::error_code &ec) {
+        if (ec)
+            return;
+        bool unused = false;
+        it->reply->send(HttpResponse::json(200, eventsText(it->prefix, it->after, unused)));
+        m_watches.erase(it);
+    });
+}
+
+void FleetStoreStandin::answerWatches()
+{
+    for (auto it = m_watches.begin(); it != m_watches.end();) {
+        bool any = false;
+        const std::string text = eventsText(it->prefix, it->after, any);
+        if (!any) {
+            ++it;
+            continue;
+        }
+        it->reply->send(HttpResponse::json(200, text));
+        it = m_watches.erase(it);
+    }
+}
+
+void FleetStoreStandin::handleChange(const HttpRequest &request,
+                                     const std::shared_ptr<HttpReply> &reply)
+{
+    const json::value body = json::parse(request.body);
+    for (const json::value &row : body.at("expected").as_array()) {
+        const auto it = m_items.find(std::string(row.at("key").as_string()));
+        const std::uint64_t present = it == m_items.end() ? 0 : it->second.revision;
+        if (present != row.at("rev").to_number<std::uint64_t>()) {
+            reply->send(HttpResponse::json(412, R"({"items":[]})"));
+            return;
+        }
+    }
+    for (const json::value &row : body.at("puts").as_array()) {
+        const auto lease = row.at("lease").to_number<std::uint64_t>();
+        if (lease != 0 && !m_leases.contains(lease)) {
+            reply->send({404, {}, {}});
+            return;
+        }
+        const std::string key(row.at("key").as_string());
+        put(key, base64Decode(std::string(row.at("value").as_string())).value_or(""));
+        m_items[key].lease = lease;
+    }
+    for (const json::value &row : body.at("remove").as_array())
+        remove(std::string(row.as_string()));
+    if (loseAnswers > 0) {
+        --loseAnswers;
+        reply->abort();
+        return;
+    }
+    reply->send(HttpResponse::json(200, R"({"rev":)" + std::to_string(m_revision) + '}'));
+}
+
+void FleetStoreStandin::handleLease(const HttpRequest &request, HttpReply &reply)
+{
+    const std::string_view path = request.path();
+    if (path == "/godwitrun/kv-lease") {
+        const auto ttl = json::parse(request.body).at("ttl_ms").to_number<std::uint64_t>();
+        m_leases[++m_lastLease] = ttl;
+        reply.send(HttpResponse::json(200, R"({"lease":)" + std::to_string(m_lastLease)
+                                                   + R"(,"ttl_ms":)" + std::to_string(ttl) + '}'));
+        return;
+    }
+    const std::uint64_t lease = number(std::string(lastPart(path)));
+    const auto found = m_leases.find(lease);
+    if (found == m_leases.end()) {
+        reply.send({404, {}, {}});
+        return;
+    }
+    const std::uint64_t ttl = found->second;
+    if (path.starts_with("/godwitrun/kv-lease-end/")) {
+        m_leases.erase(found);
+        std::vector<std::string> bound;
+        for (const auto &[key, item] : m_items) {
+            if (item.lease == lease)
+                bound.push_back(key);
+        }
+        for (const std::string &key : bound)
+            remove(key);
+    }
+    reply.send(HttpResponse::json(200, R"({"ttl_ms":)" + std::to_string(ttl) + '}'));
+}
+
+} // namespace godwit
