--- /dev/null
+++ b/tools/check-names.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Fails if a name of the users' platform stands outside the folders that translate or imitate it.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+names='kv-(key|range|watch|txn|keep|lease)|X-Attempt-Id|X-Server-Seal|X-Expect-Instance|X-Not-Executed'
+names+='|X-Token-Usage|X-Engine-Load|X-Tenant|X-Weight-Versions|stage-(put|get)|store_revision'
+names+='|slo_ms|target_gap_ms|traffic_split|api_keys|/godwitrun/'
+if git grep -nE "$names" -- 'modules/*.cpp' 'modules/*.h' 'bench/*.cpp' 'bench/*.h' ':!**/tests/**'; then
+    echo "names of the platform belong into platform/" >&2
+    exit 1
+fi
