--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -52,7 +52,7 @@
     transfer.stallTimeout = std::chrono::milliseconds(800);
     transfer.peerBackoff = std::chrono::milliseconds(100);
     transfer.maxBackoff = std::chrono::milliseconds(500);
-    transfer.timeFirstFallback = std::chrono::milliseconds(400);
+    transfer.timeFirstFallback = std::chrono::milliseconds(300);
     return transfer;
 }
 
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -116,6 +116,7 @@
         std::optional<TimePoint> loadAt;
         std::uint32_t statedSlots = 0;
         int failures = 0;        ///< Consecutive ones.
+        int rejections = 0;      ///< Consecutive ones.
         double pauseSeconds = 0; ///< Mean pause within streams; 0 if not known.
         TimePoint pauseAt;       ///< When it was last measured.
         double failureShare = 0; ///< Of recent attempts, weighted by age.
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -40,8 +40,10 @@
 constexpr double PauseTrustSeconds = 3.0;
 constexpr Duration FirstAvoidance = std::chrono::milliseconds(300);
 constexpr Duration LongestAvoidance = std::chrono::seconds(4);
-/// After a rejection; an engine that loads weights rejects for about as long.
-constexpr Duration RejectionPause = std::chrono::milliseconds(200);
+/// After the first of consecutive rejections; doubles. An engine that loads weights rejects for up
+/// to 2.5 s, and each try costs a part of the retry bound.
+constexpr Duration FirstRejectionPause = std::chrono::milliseconds(200);
+constexpr Duration LongestRejectionPause = std::chrono::milliseconds(1200);
 constexpr int MostDoublings = 8;
 
 /// An engine that loads new weights should have few requests by then; it is preferred less from
@@ -59,6 +61,12 @@
     return std::min(FirstAvoidance * (1 << doublings), LongestAvoidance);
 }
 
+Duration rejectionPause(int rejections)
+{
+    const int doublings = std::min(rejections - 1, MostDoublings);
+    return std::min(FirstRejectionPause * (1 << doublings), LongestRejectionPause);
+}
+
 bool holdsAllLayers(const BackendRecord &record, std::uint64_t version, std::uint32_t layers)
 {
     if (!record.layers)
@@ -79,8 +87,13 @@
     Backend &backend = m_backends[record.id];
     const bool isOtherProcess =
             backend.record.bornMs != record.bornMs || backend.record.endpoint != record.endpoint;
+    const bool hasLoaded = backend.record.models != record.models;
     backend.record = record;
     m_turnsChanged = true;
+    if (hasLoaded && backend.rejections > 0) {
+        backend.rejections = 0;
+        backend.avoidUntil = now;
+    }
     if (!isOtherProcess)
         return;
     backend.failures = 0;
@@ -369,6 +382,7 @@
                         ? service.holdSeconds + HoldWeight * (seconds - service.holdSeconds)
                         : seconds;
         backend->failures = 0;
+        backend->rejections = 0;
         backend->failureShare *= 1 - FailureWeight;
         return;
     }
@@ -376,7 +390,7 @@
         backend->failureShare += FailureWeight * (1 - backend->failureShare);
         return;
     case AttemptEnd::Rejected:
-        backend->avoidUntil = now + RejectionPause;
+        backend->avoidUntil = now + rejectionPause(++backend->rejections);
         return;
     case AttemptEnd::OtherProcess:
         backend->replaced = true;
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -188,12 +188,14 @@
     m_head = m_gateway.m_environment.protocol.readReply(status, headers);
     if (m_head.load)
         m_gateway.m_backends.loadStated(m_attempts.back().backend, *m_head.load, now());
+    // Neither a failure nor other weights can go on with a stream.
+    const bool cannotGoOn =
+            m_streaming && (!isSuccess(status) || m_head.weightsVersion != m_weightsVersion);
+    const bool isForged = isSuccess(status) && (!m_head.sealed || m_head.isEncoded);
     if (m_head.notRun)
         m_body = Body::Rejection;
-    else if (isSuccess(status) && (!m_head.sealed || m_head.isEncoded))
+    else if (cannotGoOn || isForged)
         m_body = Body::Unusable;
-    else if (m_streaming && (!isSuccess(status) || m_head.weightsVersion != m_weightsVersion))
-        m_body = Body::Unusable; // Neither a failure nor other weights can go on with a stream.
     else if (isSuccess(status) && m_head.isEventStream)
         m_body = Body::Events;
     else
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -140,6 +140,25 @@
         it.pool.finished(BackendId("e2"), AttemptEnd::Rejected, 0ms, it.now);
         CHECK(it.send(10).count("e2") == 0);
     }
+    SECTION("one that goes on rejecting is tried ever more rarely, until it has loaded weights")
+    {
+        int tries = 0;
+        for (int i = 0; i < 250; ++i) {
+            it.now += 10ms;
+            if (it.choose(query()) == "none")
+                continue;
+            it.pool.started(BackendId("e2"), it.now);
+            it.pool.finished(BackendId("e2"), AttemptEnd::Complete, 10ms, it.now);
+            if (it.choose(query()) == "e1") {
+                ++tries;
+                it.pool.started(BackendId("e1"), it.now);
+                it.pool.finished(BackendId("e1"), AttemptEnd::Rejected, 1ms, it.now);
+            }
+        }
+        CHECK(tries <= 5);
+        it.pool.update(engine(1, "here", 2), it.now);
+        CHECK(it.send(30).count("e1") == 1);
+    }
     SECTION("an address that another process has taken is not used until the record changes")
     {
         it.pool.finished(BackendId("e1"), AttemptEnd::OtherProcess, 0ms, it.now);
@@ -203,6 +222,7 @@
     {
         it.pool.versionNamed(Model, 2, it.now);
         std::vector<std::string> addresses;
+        addresses.reserve(4);
         for (int i = 1; i <= 4; ++i)
             addresses.push_back("10.0.0." + std::to_string(i));
         const auto turns = loadTurns(2, addresses);
@@ -219,6 +239,7 @@
 TEST_CASE("loadTurns")
 {
     std::vector<std::string> addresses;
+    addresses.reserve(20);
     for (int i = 0; i < 20; ++i)
         addresses.push_back("10.0.1." + std::to_string(i));
     const auto turns = loadTurns(5, addresses);
@@ -227,6 +248,7 @@
     SECTION("not all engines load at once")
     {
         std::vector<Duration> times;
+        times.reserve(turns.size());
         for (const auto &[address, time] : turns)
             times.push_back(time);
         std::ranges::sort(times);
