Hear of leaving servers in time over silent connections, drop log lines instead of blocking

Log lines go through a stream that drops and counts a line when its reader is behind, because the users ask that a process never waits for its log. The mapping of errors to chunk sources stood twice; it is in modules/weights now. Unused functions and parameters of the gateway are gone.

--- a/modules/apps/programs/godwitd.cpp
+++ b/modules/apps/programs/godwitd.cpp
@@ -1,6 +1,7 @@
 #include <godwit/apps/daemon.h>
 #include <godwit/fleet/fleetprocess.h>
 #include <godwit/observe/log.h>
+#include <godwit/observe/logpipe.h>
 #include <godwit/platform/operatorplatform.h>
 #include <godwit/settings/settingsparser.h>
 
@@ -9,6 +10,8 @@
 #include <cstdlib>
 #include <iostream>
 
+#include <unistd.h>
+
 DEFINE_string(settings, "", "TOML file with the settings of this process");
 DEFINE_bool(fleet, false, "Run as a process of a fleet on the operators' platform");
 DEFINE_bool(check, false, "Only check the settings; exit code 0 if they are valid, 2 if not");
@@ -35,7 +38,9 @@
 
 int runInFleet(const godwit::FleetSettings &settings)
 {
-    godwit::setUpLogging(std::cout);
+    // Outlives all logging.
+    static godwit::LogPipe log(STDOUT_FILENO);
+    godwit::setUpLogging(log);
     const godwit::platform::OperatorPlatform platform;
     return godwit::runFleetProcess(settings, FLAGS_settings, platform);
 }
--- a/modules/apps/src/weightsagent.cpp
+++ b/modules/apps/src/weightsagent.cpp
@@ -1,6 +1,7 @@
 #include "weightsagent.h"
 
 #include <godwit/observe/log.h>
+#include <godwit/weights/chunksource.h>
 
 #include <charconv>
 
@@ -29,20 +30,6 @@
     return result;
 }
 
-// The planner tells only refusals, missing chunks and everything else apart.
-ResultCode sourceCode(ResultCode code)
-{
-    switch (code) {
-    case ResultCode::ChunkNotHeld:
-    case ResultCode::UploadSlotsBusy:
-        return code;
-    case ResultCode::PlatformRefused:
-        return ResultCode::OriginRefused;
-    default:
-        return ResultCode::ChunkSourceUnreachable;
-    }
-}
-
 std::string objectName(const ModelPin &pin)
 {
     return toString(pin);
@@ -389,7 +376,7 @@
     m_downloads.erase(request);
     const TimePoint now = MonotonicClock::now();
     if (const auto *error = std::get_if<Error>(&outcome)) {
-        run(m_planner.chunkFailed(now, request, sourceCode(error->code)));
+        run(m_planner.chunkFailed(now, request, chunkSourceCode(error->code)));
         return;
     }
     run(m_planner.chunkArrived(now, request,
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -11,7 +11,7 @@
 constexpr Duration OperatorWait = std::chrono::milliseconds(1000);
 /// A connection that has gone silent is noticed after this time; a leaving backend server must be
 /// known within 2 s.
-constexpr Duration BackendWait = std::chrono::milliseconds(2500);
+constexpr Duration BackendWait = std::chrono::milliseconds(900);
 /// Many records change together when a version is loaded.
 constexpr Duration BackendPause = std::chrono::milliseconds(200);
 /// Between the last confirmation that lets a request pass and the end of the revocation time.
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -77,7 +77,6 @@
     /// Adds a backend server or replaces its record. Its health starts anew with a new process.
     void update(const BackendRecord &record, TimePoint now);
     void remove(const BackendId &id);
-    const std::map<BackendId, BackendRecord> records() const;
 
     void setServices(const std::vector<ServiceDescription> &services);
 
@@ -93,7 +92,7 @@
     std::variant<BackendChoice, NoBackend> choose(const BackendQuery &query, TimePoint now);
 
     /// An attempt was sent to \a id.
-    void started(const BackendId &id, TimePoint now);
+    void started(const BackendId &id);
     /// It ended. \a held is the time since it was sent.
     void finished(const BackendId &id, AttemptEnd end, Duration held, TimePoint now);
     /// A response stated the load, counting the request that it answers.
--- a/modules/gateway/include/godwit/gateway/gatewaymetrics.h
+++ b/modules/gateway/include/godwit/gateway/gatewaymetrics.h
@@ -20,7 +20,7 @@
     void answered(int status, Duration span);
     /// Time from the arrival of a request to the first event of its stream.
     void streamBegan(Duration span);
-    void refused(ResultCode reason, Duration held);
+    void refused(ResultCode reason);
     void attemptEnded(AttemptEnd end);
     void retried(std::string_view reason);
     void clientLeft() { m_clientsLeft.add(1); }
--- a/modules/gateway/include/godwit/gateway/loadturn.h
+++ b/modules/gateway/include/godwit/gateway/loadturn.h
@@ -14,8 +14,8 @@
 /// processes derive the turns from the same records, without messages between them: the hosts order
 /// the loads, and the entries prefer engines that do not load soon.
 ///
-/// Breaking the requests off instead, for others to go on with, was measured and is worse: busy
-/// engines have no room for them, and most of them become late.
+/// Breaking the requests off instead, for others to go on with, would make most of them late: busy
+/// engines have no room for them.
 ///
 /// Returns the time of the order for each of \a addresses.
 std::map<std::string, Duration> loadTurns(std::uint64_t version,
--- a/modules/gateway/include/godwit/gateway/retryallowance.h
+++ b/modules/gateway/include/godwit/gateway/retryallowance.h
@@ -16,6 +16,8 @@
     double share = 0; ///< Of the requests of a service in a window.
     double slack = 0; ///< Attempts that are allowed besides in each window.
     Duration window{0};
+    /// Entry processes that share the slack. Too many cost retries, too few would break the bound.
+    std::size_t processes = 16;
 
     friend bool operator==(const RetryBound &, const RetryBound &) = default;
 };
@@ -28,9 +30,6 @@
 public:
     explicit RetryAllowance(const RetryBound &bound);
 
-    /// Entry processes that share the slack, with this one.
-    void setProcesses(std::size_t n);
-
     /// A client's request for \a service arrived.
     void request(const std::string &service, TimePoint now);
 
@@ -55,8 +54,6 @@
     Slice &present(Service &service, TimePoint now) const;
 
     RetryBound m_bound;
-    /// Assumed until the number is known. Too many costs retries, too few would break the bound.
-    std::size_t m_processes = 16;
     std::map<std::string, Service> m_services;
 };
 
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -110,14 +110,6 @@
     m_turnsChanged = true;
 }
 
-const std::map<BackendId, BackendRecord> BackendPool::records() const
-{
-    std::map<BackendId, BackendRecord> result;
-    for (const auto &[id, backend] : m_backends)
-        result.emplace(id, backend.record);
-    return result;
-}
-
 void BackendPool::setServices(const std::vector<ServiceDescription> &services)
 {
     for (const ServiceDescription &it : services)
@@ -358,7 +350,7 @@
     return it == m_backends.end() ? nullptr : &it->second;
 }
 
-void BackendPool::started(const BackendId &id, TimePoint)
+void BackendPool::started(const BackendId &id)
 {
     if (Backend *backend = find(id))
         ++backend->own;
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -132,7 +132,7 @@
     m_body = Body::None;
     m_whole.clear();
     m_attempting = true;
-    m_gateway.m_backends.started(choice.id, now());
+    m_gateway.m_backends.started(choice.id);
     m_call = m_gateway.m_environment.send(callFor(choice), handlersFor(++m_serial));
 }
 
@@ -401,7 +401,7 @@
     if (code == ResultCode::Ok)
         m_gateway.m_environment.metrics.answered(status, span);
     else
-        m_gateway.m_environment.metrics.refused(code, span);
+        m_gateway.m_environment.metrics.refused(code);
     boost::json::array attempts;
     for (const PastAttempt &it : m_attempts) {
         attempts.push_back({{"backend", it.backend.value()},
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -124,7 +124,7 @@
                      Duration retryAfter)
 {
     reply.send(refusal(status, error, retryAfter));
-    m_environment.metrics.refused(error.code, Duration::zero());
+    m_environment.metrics.refused(error.code);
     logRequest(RequestLog::Failure,
                {{"request", id.value()},
                 {"configuration", m_table ? m_table->version() : 0},
--- a/modules/gateway/src/gatewaymetrics.cpp
+++ b/modules/gateway/src/gatewaymetrics.cpp
@@ -42,7 +42,7 @@
     m_firstEventTime.observe(toSeconds(span));
 }
 
-void GatewayMetrics::refused(ResultCode reason, Duration)
+void GatewayMetrics::refused(ResultCode reason)
 {
     m_registry
             .counter("godwit_refusals_total", "Requests that got no answer of a backend server.",
--- a/modules/gateway/src/retryallowance.cpp
+++ b/modules/gateway/src/retryallowance.cpp
@@ -18,11 +18,6 @@
     : m_bound(bound)
 {}
 
-void RetryAllowance::setProcesses(std::size_t n)
-{
-    m_processes = std::max<std::size_t>(1, n);
-}
-
 RetryAllowance::Slice &RetryAllowance::present(Service &service, TimePoint now) const
 {
     const Duration length = std::max(Duration(1), m_bound.window / SlicesPerWindow);
@@ -48,9 +43,9 @@
 {
     Service &counts = m_services[service];
     Slice &slice = present(counts, now);
-    const double limit =
-            SafeShare
-            * (m_bound.share * counts.requests + m_bound.slack / static_cast<double>(m_processes));
+    const double limit = SafeShare
+                         * (m_bound.share * counts.requests
+                            + m_bound.slack / static_cast<double>(m_bound.processes));
     if (counts.retries + 1 > limit)
         return false;
     ++slice.retries;
--- a/modules/gateway/tests/retryallowancetest.cpp
+++ b/modules/gateway/tests/retryallowancetest.cpp
@@ -38,9 +38,9 @@
     {
         constexpr std::size_t Processes = 5;
         Random random(11);
-        std::vector<RetryAllowance> processes(Processes, RetryAllowance(bound));
-        for (RetryAllowance &it : processes)
-            it.setProcesses(Processes);
+        RetryBound shared = bound;
+        shared.processes = Processes;
+        std::vector<RetryAllowance> processes(Processes, RetryAllowance(shared));
         std::deque<TimePoint> requests;
         std::deque<TimePoint> retries;
         for (int step = 0; step < 60'000; ++step) {
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -1,6 +1,7 @@
 #include <godwit/rollout/versionrollout.h>
 
 #include <godwit/observe/log.h>
+#include <godwit/weights/chunksource.h>
 
 #include <algorithm>
 
@@ -16,19 +17,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
-ResultCode sourceCode(ResultCode code)
-{
-    switch (code) {
-    case ResultCode::ChunkNotHeld:
-    case ResultCode::UploadSlotsBusy:
-        return code;
-    case ResultCode::PlatformRefused:
-        return ResultCode::OriginRefused;
-    default:
-        return ResultCode::ChunkSourceUnreachable;
-    }
-}
-
 } // namespace
 
 VersionRollout::VersionRollout(RolloutOptions options, Environment environment, Random random)
@@ -476,7 +464,7 @@
     if (m_downloads.erase(request) == 0)
         return;
     if (const auto *error = std::get_if<Error>(&outcome)) {
-        run(m_planner.chunkFailed(now(), request, sourceCode(error->code)));
+        run(m_planner.chunkFailed(now(), request, chunkSourceCode(error->code)));
         return;
     }
     run(m_planner.chunkArrived(
--- /dev/null
+++ b/modules/weights/src/chunksource.cpp
@@ -0,0 +1,18 @@
+#include <godwit/weights/chunksource.h>
+
+namespace godwit {
+
+ResultCode chunkSourceCode(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::ChunkNotHeld:
+    case ResultCode::UploadSlotsBusy:
+        return code;
+    case ResultCode::PlatformRefused:
+        return ResultCode::OriginRefused;
+    default:
+        return ResultCode::ChunkSourceUnreachable;
+    }
+}
+
+} // namespace godwit
