--- a/modules/ports/src/httpclient.cpp
+++ b/modules/ports/src/httpclient.cpp
@@ -113,6 +113,7 @@
     void startFresh(const CallPointer &call);
     void putBack(const std::shared_ptr<Connection> &connection);
     void forget(const std::shared_ptr<Connection> &connection);
+    void dropIdle(const HttpEndpoint &endpoint);
     void shutDown();
 
 private:
@@ -135,6 +136,7 @@
     {
         std::function<void(const std::shared_ptr<Connection> &)> putBack;
         std::function<void(const std::shared_ptr<Connection> &)> forget;
+        std::function<void(const HttpEndpoint &)> dropIdle;
         std::function<void(const CallPointer &)> startFresh;
     };
 
@@ -430,7 +432,16 @@
         else if (m_connecting)
             endWith(ResultCode::PlatformUnreachable, "connection attempt timed out");
         else if (m_call && !m_call->paused)
-            endWith(ResultCode::PlatformTimeout, "no data within the idle timeout");
+            onSilence();
+    }
+
+    void onSilence()
+    {
+        // Kept connections to a peer go silent together, when something between the ends has lost
+        // track of them; the next call gets a new one.
+        if (m_reused)
+            m_owner.dropIdle(m_endpoint);
+        endWith(ResultCode::PlatformTimeout, "no data within the idle timeout");
     }
 
     void endWith(ResultCode code, const std::string &detail)
@@ -545,6 +556,10 @@
         if (const auto self = weak.lock())
             self->forget(connection);
     };
+    owner.dropIdle = [weak](const HttpEndpoint &endpoint) {
+        if (const auto self = weak.lock())
+            self->dropIdle(endpoint);
+    };
     owner.startFresh = [weak](const CallPointer &again) {
         if (const auto self = weak.lock())
             self->startFresh(again);
@@ -581,6 +596,16 @@
         m_idle.erase(it);
 }
 
+void HttpClient::Private::dropIdle(const HttpEndpoint &endpoint)
+{
+    const auto it = m_idle.find(endpoint);
+    if (it == m_idle.end())
+        return;
+    const auto connections = it->second;
+    for (const auto &connection : connections)
+        connection->drop();
+}
+
 void HttpClient::Private::shutDown()
 {
     m_closed = true;
--- a/modules/ports/tests/httptest.cpp
+++ b/modules/ports/tests/httptest.cpp
@@ -399,6 +399,35 @@
     }
 }
 
+TEST_CASE("HTTP client does not try one silent kept connection after the other")
+{
+    Fixture it;
+    std::vector<std::shared_ptr<HttpReply>> held;
+    bool silent = false;
+    it.handler = [&](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        if (silent || held.size() < 3)
+            held.push_back(reply);
+        else
+            reply->send({200, {}, "x"});
+    };
+    it.listen();
+    // Three calls at once leave three connections in the pool.
+    int done = 0;
+    for (int i = 0; i < 3; ++i)
+        it.client.call(it.request(), [&](const Outcome<HttpResponse> &) { ++done; });
+    runUntil(it.io, [&] { return held.size() == 3; });
+    for (const auto &reply : held)
+        reply->send({200, {}, "x"});
+    runUntil(it.io, [&] { return done == 3; });
+    REQUIRE(it.client.idleConnections() == 3);
+
+    silent = true;
+    HttpCall call = it.request();
+    call.idleTimeout = 100ms;
+    CHECK(codeOf(it.fetch(call)) == ResultCode::PlatformTimeout);
+    CHECK(it.client.idleConnections() == 0);
+}
+
 TEST_CASE("HTTP client respects the time for which a server keeps a connection")
 {
     Fixture it;
