Let the handle of a call not own it

The object that keeps a handle is held by the callbacks of the call, and the handle held the call. The new test fails without the change.

--- a/modules/ports/src/httpclient.cpp
+++ b/modules/ports/src/httpclient.cpp
@@ -486,31 +486,38 @@
     bool m_closed = false;
 };
 
+/// Does not own its call: the callbacks of a call often hold the object that keeps the handle.
 class Handle : public CallHandle
 {
 public:
-    Handle(asio::io_context &io, CallPointer call)
+    Handle(asio::io_context &io, const CallPointer &call)
         : m_io(io)
-        , m_call(std::move(call))
+        , m_call(call)
     {}
 
     void cancel() override
     {
-        asio::post(m_io, [call = m_call] {
-            if (const auto connection = call->connection.lock(); connection && !call->ended)
+        asio::post(m_io, [weak = m_call] {
+            const CallPointer call = weak.lock();
+            const auto connection = call ? call->connection.lock() : nullptr;
+            if (connection && !call->ended)
                 connection->cancel();
         });
     }
 
     void pause() override
     {
-        asio::dispatch(m_io, [call = m_call] { call->paused = true; });
+        asio::dispatch(m_io, [weak = m_call] {
+            if (const CallPointer call = weak.lock())
+                call->paused = true;
+        });
     }
 
     void resume() override
     {
-        asio::post(m_io, [call = m_call] {
-            if (!std::exchange(call->paused, false) || call->ended)
+        asio::post(m_io, [weak = m_call] {
+            const CallPointer call = weak.lock();
+            if (!call || !std::exchange(call->paused, false) || call->ended)
                 return;
             if (const auto connection = call->connection.lock())
                 connection->resume();
@@ -519,7 +526,7 @@
 
 private:
     asio::io_context &m_io;
-    CallPointer m_call;
+    std::weak_ptr<Call> m_call;
 };
 
 } // namespace
--- a/modules/ports/tests/httptest.cpp
+++ b/modules/ports/tests/httptest.cpp
@@ -399,6 +399,23 @@
     }
 }
 
+TEST_CASE("HTTP client frees a call whose callbacks hold its handle, also if it never starts")
+{
+    struct Owner
+    {
+        std::shared_ptr<CallHandle> handle;
+    };
+    std::weak_ptr<Owner> seen;
+    {
+        boost::asio::io_context io;
+        HttpClient client(io);
+        const auto owner = std::make_shared<Owner>();
+        seen = owner;
+        owner->handle = client.call({}, [owner](const Outcome<HttpResponse> &) {});
+    }
+    CHECK(seen.expired());
+}
+
 TEST_CASE("HTTP client does not try one silent kept connection after the other")
 {
     Fixture it;
