Count the return time of backend servers from the end of an outage

A single failed watch call counted as an outage of the store, so every removal in the next 2.5 s was put off by 2.5 s; requests then went to servers that had left. Ruled out: a late watch answer (the store answered in time) and the announcement (it was written in time).

--- a/modules/fleet/include/godwit/fleet/backendfeed.h
+++ b/modules/fleet/include/godwit/fleet/backendfeed.h
@@ -13,8 +13,9 @@
 /// Keeps up with the backend servers that have registered in the platform's store.
 ///
 /// Records expire while the store is away, although their servers live, and return soon after it.
-/// A record that disappears around an outage is therefore removed only if it does not return within
-/// ReturnTime.
+/// A record that is missing after an outage is therefore removed only if it has not returned within
+/// ReturnTime of the outage's end. A call that failed once is no outage: a server that leaves then
+/// must be out of use at once.
 class BackendFeed
 {
 public:
@@ -24,6 +25,8 @@
         std::function<void(const BackendId &)> onRemoved;
     };
 
+    /// Failed calls over a shorter time are no outage.
+    static constexpr Duration ShortestOutage = std::chrono::milliseconds(1000);
     /// Within this time after an outage, servers that live have registered again.
     static constexpr Duration ReturnTime = std::chrono::milliseconds(2500);
 
@@ -36,15 +39,16 @@
     void put(const KeyValueEntry &entry);
     void removed(const std::string &key);
     void reachable(bool reachable, const std::string &problem);
-    bool isAroundOutage() const;
+    /// Time until a record that is missing now counts as removed.
+    Duration returnTimeLeft() const;
 
     const FleetPlatform &m_platform;
     Scheduler &m_scheduler;
     Handlers m_handlers;
     std::map<BackendId, BackendRecord> m_records;
     std::map<BackendId, std::unique_ptr<Timer>> m_pending; ///< Removals that wait.
+    std::optional<TimePoint> m_awaySince;                  ///< Since then no call has succeeded.
     std::optional<TimePoint> m_outageEnd;
-    bool m_away = false;
     PrefixMirror m_mirror;
 };
 
--- a/modules/fleet/src/backendfeed.cpp
+++ b/modules/fleet/src/backendfeed.cpp
@@ -2,6 +2,9 @@
 
 #include <godwit/observe/log.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace godwit {
 
 BackendFeed::BackendFeed(const FleetPlatform &platform, KeyValuePort &store, Scheduler &scheduler,
@@ -55,25 +58,31 @@
         // Last, because it may destroy this function.
         m_pending.erase(id);
     };
-    if (!it->second.draining && isAroundOutage())
-        m_pending[id] = m_scheduler.after(ReturnTime, remove);
+    const Duration left = returnTimeLeft();
+    if (!it->second.draining && left > Duration::zero())
+        m_pending[id] = m_scheduler.after(left, remove);
     else
         remove();
 }
 
 void BackendFeed::reachable(bool isReachable, const std::string &problem)
 {
-    m_away = !isReachable;
-    if (isReachable)
-        m_outageEnd = m_scheduler.now();
+    const TimePoint now = m_scheduler.now();
+    if (!isReachable)
+        m_awaySince = now;
+    else if (const auto since = std::exchange(m_awaySince, std::nullopt);
+             since && now - *since >= ShortestOutage)
+        m_outageEnd = now;
     logStateChange(isReachable ? "store_regained" : "store_lost",
                    {{"keys", std::string(m_platform.backendPrefix())}, {"problem", problem}},
                    isReachable ? LogLevel::Info : LogLevel::Warning);
 }
 
-bool BackendFeed::isAroundOutage() const
+Duration BackendFeed::returnTimeLeft() const
 {
-    return m_away || (m_outageEnd && m_scheduler.now() - *m_outageEnd < ReturnTime);
+    if (!m_outageEnd)
+        return Duration::zero();
+    return std::max(Duration::zero(), *m_outageEnd + ReturnTime - m_scheduler.now());
 }
 
 } // namespace godwit
--- a/modules/fleet/tests/backendfeedtest.cpp
+++ b/modules/fleet/tests/backendfeedtest.cpp
@@ -32,6 +32,14 @@
         log.clear();
     }
 
+    /// All calls of the store fail for \a span.
+    void outage(Duration span)
+    {
+        store.handlers.onEnd(Error{ResultCode::PlatformTimeout, "silent"});
+        scheduler.advance(span);
+        store.handlers.onConfirmed(StoreRevision{10}, scheduler.now());
+    }
+
     void remove(const std::string &key, std::uint64_t revision)
     {
         store.handlers.onEvents({{{key, {}, StoreRevision{revision}, LeaseId{}}, true}});
@@ -51,9 +59,7 @@
     }
     SECTION("a record that lapsed while the store was away has time to return")
     {
-        it.store.handlers.onEnd(Error{ResultCode::PlatformTimeout, "silent"});
-        it.scheduler.advance(200ms);
-        it.store.handlers.onConfirmed(StoreRevision{10}, it.scheduler.now());
+        it.outage(3s);
         it.remove("servers/a", 12);
         CHECK(it.log.empty());
 
@@ -71,10 +77,24 @@
             CHECK(it.log == std::vector<std::string>{"removed a"});
         }
     }
+    SECTION("the time counts from the end of the outage, not from the news of the removal")
+    {
+        it.outage(3s);
+        it.scheduler.advance(BackendFeed::ReturnTime - 300ms);
+        it.remove("servers/a", 12);
+        CHECK(it.log.empty());
+        it.scheduler.advance(300ms);
+        CHECK(it.log == std::vector<std::string>{"removed a"});
+    }
+    SECTION("after a single lost answer a backend server that leaves is gone at once")
+    {
+        it.outage(100ms);
+        it.remove("servers/a", 12);
+        CHECK(it.log == std::vector<std::string>{"removed a"});
+    }
     SECTION("one that had announced its leaving does not get that time")
     {
-        it.store.handlers.onEnd(Error{ResultCode::PlatformTimeout, "silent"});
-        it.scheduler.advance(200ms);
+        it.outage(3s);
         it.remove("servers/b", 12);
         CHECK(it.log == std::vector<std::string>{"removed b"});
     }
