Wait for open connections before an entry process ends

A connection that was accepted just before the end, and whose request came 90 ms later, was cut: the process now ends when no connection is open, or at the limit.

--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -18,12 +18,8 @@
 constexpr Duration RevocationMargin = std::chrono::milliseconds(400);
 /// A request may wait for its first token in an engine; it must begin before the time is over.
 constexpr Duration VersionMargin = std::chrono::milliseconds(500);
-/// The balancer asks once a second and takes a process out after two misses; requests that it still
-/// sends meanwhile are served.
-constexpr Duration BalancerNotice = std::chrono::milliseconds(3000);
 /// Before the platform kills the process.
 constexpr Duration LeaveMargin = std::chrono::milliseconds(700);
-constexpr Duration LeavePoll = std::chrono::milliseconds(50);
 /// Clients may reuse a connection until shortly before the idle time of the configuration.
 constexpr Duration IdleMargin = std::chrono::seconds(2);
 /// For the body of a request, beyond the time for its headers.
@@ -88,6 +84,11 @@
                       m_gateway.backends().update(record, m_scheduler.now());
                   },
                   [this](const BackendId &id) { m_gateway.backends().remove(id); }})
+    , m_stop(m_scheduler,
+             {[this] { m_callers->closeAfterReplies(); }, [this] { m_callers->stopAccepting(); },
+              [this] { return m_callers->openConnections(); },
+              [this] { return m_gateway.inProgress(); },
+              [this](std::size_t left) { stopped(left); }})
 {}
 
 EntryProcess::~EntryProcess() = default;
@@ -102,32 +103,16 @@
                                [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
                                    m_gateway.handle(std::move(request), std::move(reply));
                                }));
-    BOOST_LEAF_CHECK(openReadiness());
+    BOOST_LEAF_ASSIGN(m_readiness, serveStatus(m_settings.listen.readiness, "/readyz", [this] {
+                          HttpResponse response;
+                          response.status = !isLeaving() && m_gateway.isReady() ? 200 : 503;
+                          return response;
+                      }));
     m_operator.start();
     m_backends.start();
     return {};
 }
 
-Result<void> EntryProcess::openReadiness()
-{
-    if (m_settings.listen.readiness.port == 0)
-        return {};
-    HttpServerOptions options;
-    options.listen = toHttpEndpoint(m_settings.listen.readiness);
-    BOOST_LEAF_ASSIGN(m_readiness,
-                      HttpServer::listen(m_io, options,
-                                         [this](const HttpRequest &request,
-                                                const std::shared_ptr<HttpReply> &reply) {
-                                             HttpResponse response;
-                                             const bool ready = !m_leaving && m_gateway.isReady();
-                                             response.status = ready ? 200 : 503;
-                                             if (request.path() != "/readyz")
-                                                 response.status = 404;
-                                             reply->send(std::move(response));
-                                         }));
-    return {};
-}
-
 void EntryProcess::configurationChanged(GatewayConfiguration configuration)
 {
     HttpServerOptions options;
@@ -149,27 +134,14 @@
 
 void EntryProcess::leave()
 {
-    m_leaving = true;
-    m_leaveLimit = m_scheduler.now() + m_settings.bounds.leave - LeaveMargin;
-    m_callers->closeAfterReplies();
-    m_leaveTimer = m_scheduler.after(BalancerNotice, [this] {
-        m_callers->stopAccepting();
-        awaitRequests();
-    });
+    m_stop.start(m_settings.bounds.leave - LeaveMargin);
 }
 
-void EntryProcess::awaitRequests()
+void EntryProcess::stopped(std::size_t requestsLeft)
 {
-    const std::size_t left = m_gateway.inProgress();
-    if (left > 0 && m_scheduler.now() < m_leaveLimit) {
-        m_leaveTimer = m_scheduler.after(LeavePoll, [this] { awaitRequests(); });
-        return;
-    }
-    logStateChange("process_stopped", {{"left_requests", left}},
-                   left == 0 ? LogLevel::Info : LogLevel::Warning);
-    // The last answers are still on their way to the sockets.
-    m_leaveTimer =
-            m_scheduler.after(LeavePoll, [this, left] { finish(left == 0 ? 0 : ExitIncomplete); });
+    logStateChange("process_stopped", {{"left_requests", requestsLeft}},
+                   requestsLeft == 0 ? LogLevel::Info : LogLevel::Warning);
+    finish(requestsLeft == 0 ? 0 : ExitIncomplete);
 }
 
 } // namespace godwit
--- a/modules/fleet/src/entryprocess.h
+++ b/modules/fleet/src/entryprocess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleetprocessbase.h"
+#include "gracefulstop.h"
 
 #include <godwit/fleet/backendfeed.h>
 #include <godwit/fleet/operatorfeed.h>
@@ -20,10 +21,9 @@
     void leave() override;
 
 private:
-    Result<void> openReadiness();
     void configurationChanged(GatewayConfiguration configuration);
     void versionWanted(const WantedVersion &wanted, std::optional<TimePoint> namedAfter);
-    void awaitRequests();
+    void stopped(std::size_t requestsLeft);
 
     HttpClient m_backendClient;
     GatewayMetrics m_gatewayMetrics;
@@ -34,9 +34,7 @@
     BackendFeed m_backends;
     std::unique_ptr<HttpServer> m_callers;
     std::unique_ptr<HttpServer> m_readiness;
-    bool m_leaving = false;
-    TimePoint m_leaveLimit;
-    std::unique_ptr<Timer> m_leaveTimer;
+    GracefulStop m_stop;
 };
 
 } // namespace godwit
--- a/modules/fleet/src/fleetprocessbase.cpp
+++ b/modules/fleet/src/fleetprocessbase.cpp
@@ -67,25 +67,30 @@
     m_io.stop();
 }
 
-Result<void> FleetProcessBase::openMetrics()
+Result<std::unique_ptr<HttpServer>>
+FleetProcessBase::serveStatus(const Endpoint &endpoint, std::string path,
+                              std::function<HttpResponse()> response)
 {
-    if (m_settings.listen.metrics.port == 0)
-        return {};
+    if (endpoint.port == 0)
+        return std::unique_ptr<HttpServer>();
     HttpServerOptions options;
-    options.listen = toHttpEndpoint(m_settings.listen.metrics);
-    BOOST_LEAF_ASSIGN(m_metricsServer,
-                      HttpServer::listen(m_io, options,
-                                         [this](const HttpRequest &request,
-                                                const std::shared_ptr<HttpReply> &reply) {
-                                             HttpResponse response;
-                                             response.headers.add("Content-Type",
-                                                                  "text/plain; version=0.0.4");
-                                             if (request.path() == "/metrics")
-                                                 response.body = m_metrics.text();
-                                             else
-                                                 response.status = 404;
-                                             reply->send(std::move(response));
-                                         }));
+    options.listen = toHttpEndpoint(endpoint);
+    return HttpServer::listen(
+            m_io, options,
+            [path = std::move(path), response = std::move(response)](
+                    const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+                reply->send(request.path() == path ? response() : HttpResponse{404, {}, {}});
+            });
+}
+
+Result<void> FleetProcessBase::openMetrics()
+{
+    BOOST_LEAF_ASSIGN(m_metricsServer, serveStatus(m_settings.listen.metrics, "/metrics", [this] {
+                          HttpResponse response;
+                          response.headers.add("Content-Type", "text/plain; version=0.0.4");
+                          response.body = m_metrics.text();
+                          return response;
+                      }));
     return {};
 }
 
--- a/modules/fleet/src/fleetprocessbase.h
+++ b/modules/fleet/src/fleetprocessbase.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,6 +43,14 @@
 
     void finish(int exitCode);
 
+    /// True from the signal that asks for the shutdown.
+    bool isLeaving() const { return m_leaving; }
+
+    /// Serves \a response under \a path and 404 elsewhere; null if the port of \a endpoint is 0.
+    /// Fails with ListenFailed.
+    Result<std::unique_ptr<HttpServer>> serveStatus(const Endpoint &endpoint, std::string path,
+                                                    std::function<HttpResponse()> response);
+
     /// The platform's store; a process may use several ports with other options.
     std::unique_ptr<KeyValuePort> openStore(Duration watchWait, Duration watchPause);
 
