Let engines load over the whole time of a version

Versions 2 and 3 were named 4 s apart; 14 engines skipped version 2 and waited for their turn for version 3, counted from its naming, while entry processes had already stopped to use version 1. Besides, all turns of a version fell into 2 s. LoadSchedule counts the turn of an engine back from the end of the first version that it has missed, and turns fill the time from 42% to 1 s before the end.

--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -127,7 +127,8 @@
     const Duration time = m_settings.bounds.versionChange - VersionMargin;
     // A version that was wanted before this process started may have been wanted for long.
     if (namedAfter)
-        m_gateway.backends().versionNamed(wanted.model, wanted.version, now);
+        m_gateway.backends().versionNamed(wanted.model, wanted.version, now,
+                                          m_settings.bounds.versionChange);
     const TimePoint deadline = namedAfter ? std::max(now, *namedAfter + time) : now;
     m_gateway.backends().requireVersion(wanted.model, wanted.version, deadline);
 }
--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -61,6 +61,7 @@
     RolloutOptions options;
     options.self = HostId(settings.listen.peers.address);
     options.transfer = transferSettings(settings);
+    options.versionTime = settings.bounds.versionChange;
     return options;
 }
 
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -5,7 +5,7 @@
 #include <godwit/gateway/backendload.h>
 #include <godwit/gateway/backendrecord.h>
 #include <godwit/gateway/gatewayconfiguration.h>
-#include <godwit/gateway/loadturn.h>
+#include <godwit/gateway/loadschedule.h>
 
 #include <map>
 #include <optional>
@@ -83,8 +83,10 @@
     /// Engines with older versions of \a model get nothing new from \a deadline on.
     void requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline);
 
-    /// \a version of \a model was named at \a namedAt; its engines take turns in loading it.
-    void versionNamed(const ModelId &model, std::uint64_t version, TimePoint namedAt);
+    /// \a version of \a model was named at \a namedAt; its engines take turns in loading it within
+    /// \a time.
+    void versionNamed(const ModelId &model, std::uint64_t version, TimePoint namedAt,
+                      Duration time);
 
     /// Whether each model of the services has a backend server.
     bool serveAllModels(TimePoint now) const;
@@ -133,19 +135,12 @@
         TimePoint at;
     };
 
-    struct NamedVersion
-    {
-        std::uint64_t version = 0;
-        TimePoint namedAt;
-        std::map<std::string, Duration> turns; ///< By address.
-    };
-
     bool serves(const Backend &backend, const BackendQuery &query, const Service *service,
                 TimePoint now) const;
     std::uint64_t requiredVersion(const ModelId &model, TimePoint now) const;
     /// Price, in seconds, of a backend server whose streams pause longer than those of the others.
     double pausePenalty(const Backend &backend, double meanPause, TimePoint now) const;
-    void updateTurns();
+    void updateSchedules();
     /// Price, in seconds, of an engine that loads a newer version soon.
     double loadPenalty(const BackendRecord &record, const ModelId &model, TimePoint now) const;
     std::optional<BackendChoice> cheapest(const std::vector<const Backend *> &candidates,
@@ -163,8 +158,8 @@
     std::map<BackendId, Backend> m_backends;
     std::map<std::string, Service> m_services;
     std::map<ModelId, std::vector<VersionRule>> m_versions;
-    std::map<ModelId, NamedVersion> m_named; ///< Newest version of each model.
-    bool m_turnsChanged = false;             ///< NamedVersion::turns are out of date.
+    std::map<ModelId, LoadSchedule> m_schedules;
+    bool m_enginesChanged = false; ///< The schedules do not know it yet.
 };
 
 } // namespace godwit
--- /dev/null
+++ b/modules/gateway/include/godwit/gateway/loadschedule.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <godwit/base/time.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace godwit {
+
+/// When the engines of a service load the newest version of a model. An engine that loads lets its
+/// requests come to an end and accepts nothing new, so the engines take turns. Entry and host
+/// processes derive the same turns from the same records, without messages between them: the hosts
+/// order the loads, and the entries send an engine nothing that would outlast its turn.
+///
+/// Breaking the requests off instead, for others to go on with, would make most of them late: busy
+/// engines have no room for them.
+///
+/// The turns fill the time in which older versions may still serve. An engine that has missed
+/// several versions has its turn before it may serve no longer, because it would be idle then.
+class LoadSchedule
+{
+public:
+    /// \a version was named at \a at; older ones may serve for \a time from then on.
+    void named(std::uint64_t version, TimePoint at, Duration time);
+
+    /// The engines that take turns, by address.
+    void setEngines(const std::vector<std::string> &addresses);
+
+    /// When the engine at \a address, which serves \a served, loads the newest version. Nothing if
+    /// it has that version, or if the engine is not known.
+    std::optional<TimePoint> turn(const std::string &address, std::uint64_t served) const;
+
+private:
+    struct Naming
+    {
+        std::uint64_t version = 0;
+        TimePoint at;
+        Duration time{0};
+    };
+
+    void rank();
+
+    std::vector<Naming> m_namings; ///< By rising version.
+    std::vector<std::string> m_addresses;
+    std::map<std::string, double> m_ranks; ///< Position in the order of turns, from 0 to below 1.
+};
+
+} // namespace godwit
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -1,5 +1,4 @@
 #include <godwit/gateway/backendpool.h>
-#include <godwit/gateway/loadturn.h>
 
 #include <algorithm>
 #include <cmath>
@@ -89,7 +88,7 @@
             backend.record.bornMs != record.bornMs || backend.record.endpoint != record.endpoint;
     const bool hasLoaded = backend.record.models != record.models;
     backend.record = record;
-    m_turnsChanged = true;
+    m_enginesChanged = true;
     if (hasLoaded && backend.rejections > 0) {
         backend.rejections = 0;
         backend.avoidUntil = now;
@@ -107,7 +106,7 @@
 void BackendPool::remove(const BackendId &id)
 {
     m_backends.erase(id);
-    m_turnsChanged = true;
+    m_enginesChanged = true;
 }
 
 void BackendPool::setServices(const std::vector<ServiceDescription> &services)
@@ -247,17 +246,18 @@
     return true;
 }
 
-void BackendPool::versionNamed(const ModelId &model, std::uint64_t version, TimePoint namedAt)
+void BackendPool::versionNamed(const ModelId &model, std::uint64_t version, TimePoint namedAt,
+                               Duration time)
 {
-    m_named[model] = {version, namedAt, {}};
-    m_turnsChanged = true;
+    m_schedules[model].named(version, namedAt, time);
+    m_enginesChanged = true;
 }
 
-void BackendPool::updateTurns()
+void BackendPool::updateSchedules()
 {
-    if (!std::exchange(m_turnsChanged, false))
+    if (!std::exchange(m_enginesChanged, false))
         return;
-    for (auto &[model, named] : m_named) {
+    for (auto &[model, schedule] : m_schedules) {
         std::vector<std::string> addresses;
         for (const auto &[id, backend] : m_backends) {
             const BackendRecord &record = backend.record;
@@ -265,22 +265,21 @@
             if (served != record.models.end() && !record.draining)
                 addresses.push_back(record.endpoint.address);
         }
-        named.turns = loadTurns(named.version, addresses);
+        schedule.setEngines(addresses);
     }
 }
 
 double BackendPool::loadPenalty(const BackendRecord &record, const ModelId &model,
                                 TimePoint now) const
 {
-    const auto named = m_named.find(model);
+    const auto schedule = m_schedules.find(model);
     const auto served = std::ranges::find(record.models, model, &ServedModel::model);
-    if (named == m_named.end() || served == record.models.end())
+    if (schedule == m_schedules.end() || served == record.models.end())
         return 0;
-    const NamedVersion &version = named->second;
-    const auto turn = version.turns.find(record.endpoint.address);
-    if (served->version >= version.version || turn == version.turns.end())
+    const auto turn = schedule->second.turn(record.endpoint.address, served->version);
+    if (!turn)
         return 0;
-    const Duration left = version.namedAt + turn->second - now;
+    const Duration left = *turn - now;
     // An engine that has not loaded long after its turn will not do so soon.
     if (left > LoadHorizon || left < -LongestLoad)
         return 0;
@@ -289,7 +288,7 @@
 
 std::variant<BackendChoice, NoBackend> BackendPool::choose(const BackendQuery &query, TimePoint now)
 {
-    updateTurns();
+    updateSchedules();
     const Service *service = serviceOf(query.service);
     std::vector<const Backend *> serving;
     for (const auto &[id, backend] : m_backends) {
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -220,50 +220,17 @@
     }
     SECTION("while a version is loaded in turns, engines that load next get fewer requests")
     {
-        it.pool.versionNamed(Model, 2, it.now);
-        std::vector<std::string> addresses;
-        addresses.reserve(4);
+        it.pool.versionNamed(Model, 2, it.now, 8s);
+        LoadSchedule schedule;
+        schedule.named(2, it.now, 8s);
+        schedule.setEngines({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"});
+        std::map<TimePoint, std::string> turns;
         for (int i = 1; i <= 4; ++i)
-            addresses.push_back("10.0.0." + std::to_string(i));
-        const auto turns = loadTurns(2, addresses);
-        const auto first =
-                std::ranges::min_element(turns, {}, [](const auto &turn) { return turn.second; });
-        it.now += first->second - 100ms;
+            turns[*schedule.turn("10.0.0." + std::to_string(i), 1)] = "e" + std::to_string(i);
+        const auto &[first, id] = *turns.begin();
+        it.now = first - 100ms;
         const auto counts = it.send(20);
-        const std::string id = "e" + first->first.substr(first->first.rfind('.') + 1);
         for (const auto &[other, n] : counts)
             CHECK((other == id || n >= (counts.contains(id) ? counts.at(id) : 0)));
     }
 }
-
-TEST_CASE("loadTurns")
-{
-    std::vector<std::string> addresses;
-    addresses.reserve(20);
-    for (int i = 0; i < 20; ++i)
-        addresses.push_back("10.0.1." + std::to_string(i));
-    const auto turns = loadTurns(5, addresses);
-    REQUIRE(turns.size() == addresses.size());
-
-    SECTION("not all engines load at once")
-    {
-        std::vector<Duration> times;
-        times.reserve(turns.size());
-        for (const auto &[address, time] : turns)
-            times.push_back(time);
-        std::ranges::sort(times);
-        CHECK(std::ranges::adjacent_find(times) == times.end());
-        CHECK(times.back() - times.front() >= 1500ms);
-        CHECK(times.back() <= 5500ms);
-    }
-    SECTION("processes with the records in another order agree")
-    {
-        auto reversed = addresses;
-        std::ranges::reverse(reversed);
-        CHECK(loadTurns(5, reversed) == turns);
-    }
-    SECTION("the order changes with the version, so that no engine is always last")
-    {
-        CHECK(loadTurns(6, addresses) != turns);
-    }
-}
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <godwit/base/random.h>
-#include <godwit/gateway/loadturn.h>
+#include <godwit/gateway/loadschedule.h>
 #include <godwit/rollout/enginestager.h>
 #include <godwit/rollout/modelengineport.h>
 #include <godwit/rollout/peertransport.h>
@@ -120,7 +120,7 @@
     bool usesStagingArea(const Rollout &rollout) const;
     void stage(Rollout &rollout, ChunkIndex piece);
     void stageHeld(Rollout &rollout);
-    TimePoint orderTime(const Rollout &rollout) const;
+    TimePoint orderTime(const Rollout &rollout);
     void ordered(const Key &key);
     void endRollout(Rollout &rollout);
     void restartNow(Rollout &rollout);
@@ -165,6 +165,7 @@
     std::vector<Participant> m_participants;
     EngineReport m_report; ///< The last one.
     std::map<ModelId, Rollouts> m_rollouts;
+    std::map<ModelId, LoadSchedule> m_schedules;
     std::vector<Digest> m_outdated; ///< Transfers of earlier versions, still served to peers.
     std::map<ChunkRequestId, Download> m_downloads;
     std::unique_ptr<Timer> m_tick;
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -91,6 +91,8 @@
     rollout.version = version;
     rollout.wantedAt = now();
     rollout.isNew = isNew;
+    if (isNew)
+        m_schedules[model].named(version, rollout.wantedAt, m_options.versionTime);
     logStateChange("rollout_begun",
                    {{"model", model.value()}, {"version", version}, {"previous", previous}});
     if (!rollouts.front().staged)
@@ -311,19 +313,18 @@
     }
 }
 
-TimePoint VersionRollout::orderTime(const Rollout &rollout) const
+TimePoint VersionRollout::orderTime(const Rollout &rollout)
 {
-    const bool isUseful = std::ranges::find(m_report.models, rollout.model, &ServedModel::model)
-                          != m_report.models.end();
+    const auto served = std::ranges::find(m_report.models, rollout.model, &ServedModel::model);
     // An engine that cannot answer requests until it has loaded needs no turn.
-    if (!rollout.isNew || !isUseful)
+    if (!rollout.isNew || served == m_report.models.end())
         return now();
+    LoadSchedule &schedule = m_schedules[rollout.model];
     std::vector<std::string> addresses;
     for (const Participant &it : m_participants)
         addresses.push_back(it.host.value());
-    const auto turns = loadTurns(rollout.version, addresses);
-    const auto own = turns.find(m_options.self.value());
-    return own == turns.end() ? now() : rollout.wantedAt + own->second;
+    schedule.setEngines(addresses);
+    return schedule.turn(m_options.self.value(), served->version).value_or(now());
 }
 
 void VersionRollout::ordered(const Key &key)
