Admit requests by the learned start of streams, keep retries for a returning origin

Of the requests admitted with a predicted start of 250 ms or more only a third was in time, and each took the slot of one that could have been. The pool now learns that delay per service, applies it where a request would have to wait, and sends requests that are late anyway behind the others. The log states the start that was seen. Ruled out: the spread of the load among engines (busiest/mean 1.09).

Cause: connections that an absent origin refused were charged to the retry budget, and fallbacks of hosts for each other's pieces (16 each at once) made it send 2.3 to 2.6 copies after its return.

--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -53,6 +53,10 @@
     transfer.peerBackoff = std::chrono::milliseconds(100);
     transfer.maxBackoff = std::chrono::milliseconds(500);
     transfer.timeFirstFallback = std::chrono::milliseconds(300);
+    // All hosts together may fetch a few pieces for hosts that fail, but not copies of their own when
+    // an origin returns: its link carries one copy in a third of the time of a version.
+    transfer.originRetriesPerSecond = 0.5;
+    transfer.originRetryBurst = 4;
     return transfer;
 }
 
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -28,6 +28,12 @@
     Abandoned,    ///< The client has left; says nothing about the backend server.
 };
 
+/// Whether the response can begin within the objective of its route.
+enum class RequestUrgency {
+    InTime,
+    Late, ///< Waits until no request that can be in time does.
+};
+
 /// What the pool needs to know about a request.
 struct BackendQuery
 {
@@ -38,6 +44,8 @@
     std::set<BackendId> excluded; ///< That were tried before.
     /// A backend server is used only if the response is expected to begin within this time.
     Duration startLimit = Duration::max();
+    /// Whether it overtakes the requests in the queues of the backend servers that are late anyway.
+    RequestUrgency urgency = RequestUrgency::InTime;
 };
 
 /// A backend server to which a request goes.
@@ -94,9 +102,14 @@
     std::variant<BackendChoice, NoBackend> choose(const BackendQuery &query, TimePoint now);
 
     /// An attempt was sent to \a id.
-    void started(const BackendId &id);
-    /// It ended. \a held is the time since it was sent.
+    void started(const BackendId &id, RequestUrgency urgency);
+    /// Its response began after \a seen; \a predicted was expected.
+    void responseBegan(const BackendId &id, RequestUrgency urgency, Duration predicted,
+                       Duration seen);
+    /// It ended. \a held is the time since its response began, or else since it was sent.
     void finished(const BackendId &id, AttemptEnd end, Duration held, TimePoint now);
+    /// It ended before its response began.
+    void finishedWaiting(const BackendId &id, RequestUrgency urgency);
     /// A response stated the load, counting the request that it answers.
     void loadStated(const BackendId &id, const BackendLoad &load, TimePoint now);
 
@@ -112,8 +125,10 @@
     struct Backend
     {
         BackendRecord record;
-        std::uint32_t own = 0; ///< Requests of this process in progress.
-        double foreign = 0;    ///< Requests of other processes at loadAt.
+        std::uint32_t own = 0;         ///< Requests of this process in progress.
+        std::uint32_t waiting = 0;     ///< Those of them whose response has not begun.
+        std::uint32_t waitingLate = 0; ///< Those of the waiting ones that are late.
+        double foreign = 0;            ///< Requests of other processes at loadAt.
         std::optional<TimePoint> loadAt;
         std::uint32_t statedSlots = 0;
         int failures = 0;        ///< Consecutive ones.
@@ -128,6 +143,9 @@
     {
         std::optional<EngineProfile> engine;
         double holdSeconds = 0; ///< Mean time for which a request holds its slot.
+        /// Mean time to the first event beyond the prediction: the pass of the engine that reads
+        /// the prompt, and the tokens of one event.
+        double startDelaySeconds = 0;
     };
     struct VersionRule
     {
@@ -147,6 +165,10 @@
                                           const BackendQuery &query, TimePoint now,
                                           double &shortestWait);
     double requests(const Backend &backend, double meanForeign, TimePoint now) const;
+    /// Time until \a backend with \a load requests has a slot for one of \a urgency.
+    static double waitSeconds(const Backend &backend, RequestUrgency urgency, double load,
+                              double slots, double hold);
+    static void stopWaiting(Backend &backend, RequestUrgency urgency);
     double meanForeign(const std::vector<const Backend *> &backends) const;
     double medianPause(const std::vector<const Backend *> &backends) const;
     Backend *find(const BackendId &id);
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -13,6 +13,10 @@
 constexpr double HoldWeight = 0.05;
 /// Weight of the newest attempt in the share of failures.
 constexpr double FailureWeight = 0.1;
+/// Weight of the newest delay of a first event in the mean.
+constexpr double StartDelayWeight = 0.03;
+/// Larger ones come from an unknown load, not from the pass of the engine.
+constexpr double LongestStartDelay = 0.25;
 /// Slots that are assumed if neither the record nor a response states them.
 constexpr std::uint32_t AssumedSlots = 4;
 /// Age at which a stated load has lost all but 37% of its weight.
@@ -318,6 +322,7 @@
     const double read = engine && engine->promptTokensPerSecond > 0
                                 ? query.promptTokens / engine->promptTokensPerSecond
                                 : 0;
+    const double startDelay = service ? service->startDelaySeconds : 0;
     std::optional<BackendChoice> best;
     double bestCost = 0;
     for (const Backend *it : candidates) {
@@ -325,10 +330,11 @@
             continue;
         const double slots = slotsOf(*it, service);
         const double load = requests(*it, foreign, now);
-        const double wait = std::max(0.0, load + 1 - slots) * hold / slots;
+        const double wait = waitSeconds(*it, query.urgency, load, slots, hold);
         shortestWait = std::min(shortestWait, wait);
         const double start = wait + read;
-        if (fromSeconds(start) > query.startLimit)
+        // A free slot is used whatever the delay; it could not be learned anew otherwise.
+        if (fromSeconds(wait > 0 ? start + startDelay : start) > query.startLimit)
             continue;
         const double cost =
                 start + load / slots * FullPenaltySeconds
@@ -349,10 +355,51 @@
     return it == m_backends.end() ? nullptr : &it->second;
 }
 
-void BackendPool::started(const BackendId &id)
+double BackendPool::waitSeconds(const Backend &backend, RequestUrgency urgency, double load,
+                                double slots, double hold)
+{
+    double ahead = std::max(0.0, load - slots);
+    // The other processes are taken to have as many late requests among the waiting ones.
+    if (urgency == RequestUrgency::InTime && backend.waiting > 0)
+        ahead *= 1 - static_cast<double>(backend.waitingLate) / backend.waiting;
+    const bool isFull = load + 1 > slots;
+    return isFull ? (ahead + std::min(1.0, load + 1 - slots)) * hold / slots : 0;
+}
+
+void BackendPool::started(const BackendId &id, RequestUrgency urgency)
+{
+    Backend *backend = find(id);
+    if (!backend)
+        return;
+    ++backend->own;
+    ++backend->waiting;
+    backend->waitingLate += urgency == RequestUrgency::Late;
+}
+
+void BackendPool::stopWaiting(Backend &backend, RequestUrgency urgency)
+{
+    if (backend.waiting > 0)
+        --backend.waiting;
+    if (urgency == RequestUrgency::Late && backend.waitingLate > 0)
+        --backend.waitingLate;
+}
+
+void BackendPool::responseBegan(const BackendId &id, RequestUrgency urgency, Duration predicted,
+                                Duration seen)
+{
+    Backend *backend = find(id);
+    if (!backend)
+        return;
+    stopWaiting(*backend, urgency);
+    Service &service = m_services[backend->record.service];
+    const double delay = std::clamp(toSeconds(seen - predicted), 0.0, LongestStartDelay);
+    service.startDelaySeconds += StartDelayWeight * (delay - service.startDelaySeconds);
+}
+
+void BackendPool::finishedWaiting(const BackendId &id, RequestUrgency urgency)
 {
     if (Backend *backend = find(id))
-        ++backend->own;
+        stopWaiting(*backend, urgency);
 }
 
 void BackendPool::finished(const BackendId &id, AttemptEnd end, Duration held, TimePoint now)
@@ -367,7 +414,7 @@
         return;
     case AttemptEnd::Complete: {
         Service &service = m_services[backend->record.service];
-        const double seconds = toSeconds(held);
+        const double seconds = toSeconds(held) + service.startDelaySeconds;
         service.holdSeconds =
                 service.holdSeconds > 0
                         ? service.holdSeconds + HoldWeight * (seconds - service.holdSeconds)
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -25,15 +25,24 @@
 constexpr std::size_t MostRejections = 2;
 /// Retry-After if the time until a backend server has room is not known.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(700);
-constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(50);
+constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(1000);
 /// Prediction errors must not send a request that begins just late.
 constexpr Duration StartMargin = std::chrono::milliseconds(20);
 
+constexpr std::uint32_t UsualPriority = 5;
+
 constexpr int FirstServerError = 500;
 constexpr int BadGateway = 502;
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
 
+/// Late requests keep their order among themselves, behind those of usual urgency.
+std::optional<std::uint32_t> latePriority(std::optional<std::uint32_t> priority)
+{
+    const std::uint32_t usual = priority.value_or(UsualPriority);
+    return std::max(usual, UsualPriority + usual / 2);
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -95,28 +104,42 @@
     attempt();
 }
 
-Duration ForwardedRequest::startLimit() const
+Duration ForwardedRequest::inTimeLimit() const
 {
     const Duration elapsed = now() - m_arrivedAt;
-    const Duration left = m_endAt - now();
-    const Duration objective = m_terms.route->objective;
-    // A request that is late anyway is still worth an answer within its deadline.
-    if (elapsed >= objective / 2)
-        return left / 2;
-    return std::min(left, objective - elapsed - StartMargin);
+    return std::min(m_endAt - now(), m_terms.route->objective - elapsed - StartMargin);
 }
 
-void ForwardedRequest::attempt()
+Duration ForwardedRequest::lateLimit() const
+{
+    return std::min((m_endAt - now()) / 2, m_terms.route->objective - StartMargin);
+}
+
+std::variant<BackendChoice, NoBackend> ForwardedRequest::chooseBackend()
 {
     BackendQuery query;
     query.service = m_terms.service;
     query.model = m_request.model;
     query.promptTokens = m_request.promptTokens;
     query.version = m_weightsVersion;
-    query.startLimit = startLimit();
     for (const PastAttempt &it : m_attempts)
         query.excluded.insert(it.backend);
-    const auto found = m_gateway.m_backends.choose(query, now());
+    m_urgency = RequestUrgency::InTime;
+    // A client that sees events waits for the next one.
+    query.startLimit = m_streaming ? (m_endAt - now()) / 2 : inTimeLimit();
+    auto found = m_gateway.m_backends.choose(query, now());
+    const auto *none = std::get_if<NoBackend>(&found);
+    if (!none || none->reason != NoBackend::Reason::AllFull)
+        return found;
+    m_urgency = RequestUrgency::Late;
+    query.urgency = m_urgency;
+    query.startLimit = lateLimit();
+    return m_gateway.m_backends.choose(query, now());
+}
+
+void ForwardedRequest::attempt()
+{
+    const auto found = chooseBackend();
     if (const auto *none = std::get_if<NoBackend>(&found)) {
         const bool full = none->reason == NoBackend::Reason::AllFull;
         if (m_runs > 0 || m_streaming)
@@ -128,11 +151,12 @@
         return;
     }
     const auto &choice = std::get<BackendChoice>(found);
-    m_attempts.push_back({choice.id, choice.predictedStart, now(), std::nullopt, std::nullopt});
+    m_attempts.push_back(
+            {choice.id, choice.predictedStart, now(), std::nullopt, std::nullopt, std::nullopt});
     m_body = Body::None;
     m_whole.clear();
     m_attempting = true;
-    m_gateway.m_backends.started(choice.id);
+    m_gateway.m_backends.started(choice.id, m_urgency);
     m_call = m_gateway.m_environment.send(callFor(choice), handlersFor(++m_serial));
 }
 
@@ -144,7 +168,8 @@
     terms.backend = choice.id;
     terms.timeLeft = left;
     terms.customer = m_terms.customer;
-    terms.priority = m_terms.priority;
+    terms.priority =
+            m_urgency == RequestUrgency::Late ? latePriority(m_terms.priority) : m_terms.priority;
     terms.lastEvent = m_events.lastId() ? m_events.lastId() : m_request.lastEvent;
     HttpCall call = m_gateway.m_environment.protocol.forward(m_request, terms);
     call.connectTimeout = std::min(ConnectTimeout, left / ConnectShare);
@@ -235,9 +260,18 @@
     PastAttempt &attempt = m_attempts.back();
     if (attempt.lastEventsAt)
         m_gateway.m_backends.pauseSeen(attempt.backend, arrived - *attempt.lastEventsAt, arrived);
+    else
+        noteStart(attempt, arrived);
     attempt.lastEventsAt = arrived;
 }
 
+void ForwardedRequest::noteStart(PastAttempt &attempt, TimePoint at)
+{
+    attempt.firstEventsAt = at;
+    m_gateway.m_backends.responseBegan(attempt.backend, m_urgency, attempt.predictedStart,
+                                       at - attempt.sentAt);
+}
+
 void ForwardedRequest::onEnd(const Outcome<std::monostate> &outcome)
 {
     if (const auto *error = std::get_if<Error>(&outcome))
@@ -302,7 +336,10 @@
         return;
     PastAttempt &attempt = m_attempts.back();
     attempt.end = end;
-    m_gateway.m_backends.finished(attempt.backend, end, now() - attempt.sentAt, now());
+    if (!attempt.firstEventsAt)
+        m_gateway.m_backends.finishedWaiting(attempt.backend, m_urgency);
+    m_gateway.m_backends.finished(attempt.backend, end,
+                                  now() - attempt.firstEventsAt.value_or(attempt.sentAt), now());
     m_gateway.m_environment.metrics.attemptEnded(end);
     m_call.reset();
 }
@@ -404,10 +441,13 @@
         m_gateway.m_environment.metrics.refused(code);
     boost::json::array attempts;
     for (const PastAttempt &it : m_attempts) {
-        attempts.push_back({{"backend", it.backend.value()},
-                            {"after_ms", toMilliseconds(it.sentAt - m_arrivedAt)},
-                            {"predicted_start_ms", toMilliseconds(it.predictedStart)},
-                            {"end", std::string(it.end ? toString(*it.end) : "none")}});
+        boost::json::object attempt{{"backend", it.backend.value()},
+                                    {"after_ms", toMilliseconds(it.sentAt - m_arrivedAt)},
+                                    {"predicted_start_ms", toMilliseconds(it.predictedStart)},
+                                    {"end", std::string(it.end ? toString(*it.end) : "none")}};
+        if (it.firstEventsAt)
+            attempt["start_ms"] = toMilliseconds(*it.firstEventsAt - it.sentAt);
+        attempts.push_back(std::move(attempt));
     }
     const bool isFailure = code != ResultCode::Ok || m_attempts.size() > 1;
     logRequest(isFailure ? RequestLog::Failure : RequestLog::Answer,
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace godwit {
@@ -46,6 +47,7 @@
         BackendId backend;
         Duration predictedStart{0};
         TimePoint sentAt;
+        std::optional<TimePoint> firstEventsAt;
         std::optional<TimePoint> lastEventsAt;
         std::optional<AttemptEnd> end;
     };
@@ -53,7 +55,11 @@
     void attempt();
     HttpCall callFor(const BackendChoice &choice) const;
     HttpStreamHandlers handlersFor(std::uint64_t serial);
-    Duration startLimit() const;
+    /// Time in which the response has to begin to be in time.
+    Duration inTimeLimit() const;
+    /// Time in which a response that is late has to begin to be of use.
+    Duration lateLimit() const;
+    std::variant<BackendChoice, NoBackend> chooseBackend();
 
     void onHead(int status, const HttpHeaders &headers);
     void onData(std::string_view data);
@@ -62,6 +68,7 @@
     void onEvents(std::string_view data);
     /// Tells the pool how long the backend server paused before its last events.
     void notePace();
+    void noteStart(PastAttempt &attempt, TimePoint at);
     /// Whether a safe request that its backend server failed is tried at another one.
     bool mayTryAfterFailure();
     void onClientLeft();
@@ -93,9 +100,10 @@
     Body m_body = Body::None;
     std::string m_whole;
     EventSplitter m_events;
-    std::uint32_t m_runs = 0;  ///< Attempts that may have run.
-    bool m_streaming = false;  ///< The head of the answer has been sent.
-    bool m_attempting = false; ///< An attempt is in progress.
+    std::uint32_t m_runs = 0;                          ///< Attempts that may have run.
+    RequestUrgency m_urgency = RequestUrgency::InTime; ///< Of the present attempt.
+    bool m_streaming = false;                          ///< The head of the answer has been sent.
+    bool m_attempting = false;                         ///< An attempt is in progress.
     bool m_ended = false;
 };
 
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -74,7 +74,7 @@
         for (int i = 0; i < n; ++i) {
             const std::string id = choose(query());
             ++counts[id];
-            pool.started(BackendId(id));
+            pool.started(BackendId(id), RequestUrgency::InTime);
         }
         return counts;
     }
@@ -126,7 +126,7 @@
     }
     SECTION("an engine that failed is left alone, and longer after each failure")
     {
-        it.pool.started(BackendId("e1"));
+        it.pool.started(BackendId("e1"), RequestUrgency::InTime);
         it.pool.finished(BackendId("e1"), AttemptEnd::Unreachable, 0ms, it.now);
         CHECK(it.send(20).count("e1") == 0);
         it.now += 5s;
@@ -136,7 +136,7 @@
     }
     SECTION("an engine that rejects is left alone for a moment")
     {
-        it.pool.started(BackendId("e2"));
+        it.pool.started(BackendId("e2"), RequestUrgency::InTime);
         it.pool.finished(BackendId("e2"), AttemptEnd::Rejected, 0ms, it.now);
         CHECK(it.send(10).count("e2") == 0);
     }
@@ -147,11 +147,11 @@
             it.now += 10ms;
             if (it.choose(query()) == "none")
                 continue;
-            it.pool.started(BackendId("e2"));
+            it.pool.started(BackendId("e2"), RequestUrgency::InTime);
             it.pool.finished(BackendId("e2"), AttemptEnd::Complete, 10ms, it.now);
             if (it.choose(query()) == "e1") {
                 ++tries;
-                it.pool.started(BackendId("e1"));
+                it.pool.started(BackendId("e1"), RequestUrgency::InTime);
                 it.pool.finished(BackendId("e1"), AttemptEnd::Rejected, 1ms, it.now);
             }
         }
--- a/modules/weights/src/chunksource.cpp
+++ b/modules/weights/src/chunksource.cpp
@@ -7,6 +7,7 @@
     switch (code) {
     case ResultCode::ChunkNotHeld:
     case ResultCode::UploadSlotsBusy:
+    case ResultCode::PlatformUnreachable:
         return code;
     case ResultCode::PlatformRefused:
         return ResultCode::OriginRefused;
