Let returning clients wait behind those that can be in time

A client that was refused returns with less patience than the route's longest one; the difference is time that it has spent.

--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -80,6 +80,7 @@
     Random m_random;
     BackendPool m_backends;
     RetryAllowance m_retries;
+    std::map<std::string, Duration> m_longestPatience; ///< By route.
     std::shared_ptr<const RouteTable> m_table;
     std::optional<TimePoint> m_confirmedAt;
     bool m_wasReady = false;
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -80,6 +80,9 @@
     if (m_terms.route->timeout > Duration::zero())
         patience = std::min(patience, m_terms.route->timeout);
     m_endAt = m_arrivedAt + patience;
+    Duration &longest = m_gateway.m_longestPatience[m_terms.route->name];
+    longest = std::max(longest, patience);
+    m_spent = longest - patience;
 }
 
 TimePoint ForwardedRequest::now() const
@@ -106,7 +109,7 @@
 
 Duration ForwardedRequest::inTimeLimit() const
 {
-    const Duration elapsed = now() - m_arrivedAt;
+    const Duration elapsed = now() - m_arrivedAt + m_spent;
     return std::min(m_endAt - now(), m_terms.route->objective - elapsed - StartMargin);
 }
 
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -90,6 +90,7 @@
     ForwardRequest m_request;
     std::shared_ptr<HttpReply> m_reply;
     TimePoint m_arrivedAt;
+    Duration m_spent{0}; ///< By the client on earlier attempts.
     TimePoint m_endAt; ///< The client or the route waits no longer.
     std::unique_ptr<Timer> m_deadline;
     std::vector<PastAttempt> m_attempts;
