Count the time of a version alike in hosts and entries, also after an outage

The entries gave all engines up when they heard of them (named after the last confirmation at 18 s), and hosts that had the pieces at 31 s waited 1.5 s more for turns counted from the moment at which they had heard. OperatorFeed now derives one VersionTerms for both: from the last confirmation, and to some time after the last failed call. The new key bounds.reconnection_ms comes from the platform's template. Retry-After stays within the part of the time that clients wait (it was 1 to 2 s for bookings with 1 s in all).

--- a/modules/fleet/include/godwit/fleet/operatorfeed.h
+++ b/modules/fleet/include/godwit/fleet/operatorfeed.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <godwit/fleet/fleetplatform.h>
+#include <godwit/gateway/loadschedule.h>
 #include <godwit/mirror/prefixmirror.h>
+#include <godwit/settings/fleetsettings.h>
 
 #include <functional>
 #include <optional>
@@ -15,22 +17,24 @@
     struct Handlers
     {
         std::function<void(GatewayConfiguration)> onConfiguration;
-        /// \a namedAfter is the last time at which the version was known not to be wanted yet; none
-        /// if it was wanted when the feed started.
-        std::function<void(const WantedVersion &, std::optional<TimePoint> namedAfter)> onVersion;
+        /// Without terms the version was wanted when the feed started, and may have been so for
+        /// long.
+        std::function<void(const WantedVersion &, const std::optional<VersionTerms> &)> onVersion;
         /// Everything that the operator had written at \a asked has been reported.
         std::function<void(TimePoint asked)> onConfirmed;
     };
 
     OperatorFeed(const FleetPlatform &platform, KeyValuePort &store, Scheduler &scheduler,
-                 Random random, Handlers handlers);
+                 const FleetBounds &bounds, Random random, Handlers handlers);
 
     void start() { m_mirror.start(); }
 
 private:
     void put(const KeyValueEntry &entry, std::optional<TimePoint> notBefore);
+    std::optional<VersionTerms> termsOf(std::optional<TimePoint> notBefore) const;
 
     const FleetPlatform &m_platform;
+    FleetBounds m_bounds;
     Handlers m_handlers;
     PrefixMirror m_mirror;
 };
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -71,12 +71,12 @@
                 newRandom())
     , m_operatorStore(openStore(OperatorWait, Duration::zero()))
     , m_backendStore(openStore(BackendWait, BackendPause))
-    , m_operator(m_platform, *m_operatorStore, m_scheduler, newRandom(),
+    , m_operator(m_platform, *m_operatorStore, m_scheduler, m_settings.bounds, newRandom(),
                  {[this](GatewayConfiguration configuration) {
                       configurationChanged(std::move(configuration));
                   },
-                  [this](const WantedVersion &wanted, std::optional<TimePoint> namedAfter) {
-                      versionWanted(wanted, namedAfter);
+                  [this](const WantedVersion &wanted, const std::optional<VersionTerms> &terms) {
+                      versionWanted(wanted, terms);
                   },
                   [this](TimePoint asked) { m_gateway.configurationConfirmed(asked); }})
     , m_backends(m_platform, *m_backendStore, m_scheduler, newRandom(),
@@ -121,16 +121,16 @@
     m_gateway.setConfiguration(std::make_shared<const RouteTable>(std::move(configuration)));
 }
 
-void EntryProcess::versionWanted(const WantedVersion &wanted, std::optional<TimePoint> namedAfter)
+void EntryProcess::versionWanted(const WantedVersion &wanted,
+                                 const std::optional<VersionTerms> &terms)
 {
     const TimePoint now = m_scheduler.now();
-    const Duration time = m_settings.bounds.versionChange - VersionMargin;
-    // A version that was wanted before this process started may have been wanted for long.
-    if (namedAfter)
-        m_gateway.backends().versionNamed(wanted.model, wanted.version, now,
-                                          m_settings.bounds.versionChange);
-    const TimePoint deadline = namedAfter ? std::max(now, *namedAfter + time) : now;
-    m_gateway.backends().requireVersion(wanted.model, wanted.version, deadline);
+    BackendPool &backends = m_gateway.backends();
+    if (terms)
+        backends.versionNamed(wanted.model, wanted.version, *terms);
+    const TimePoint deadline =
+            terms ? std::max(now, terms->namedAt + terms->time - VersionMargin) : now;
+    backends.requireVersion(wanted.model, wanted.version, deadline);
 }
 
 void EntryProcess::leave()
--- a/modules/fleet/src/entryprocess.h
+++ b/modules/fleet/src/entryprocess.h
@@ -22,7 +22,7 @@
 
 private:
     void configurationChanged(GatewayConfiguration configuration);
-    void versionWanted(const WantedVersion &wanted, std::optional<TimePoint> namedAfter);
+    void versionWanted(const WantedVersion &wanted, const std::optional<VersionTerms> &terms);
     void stopped(std::size_t requestsLeft);
 
     HttpClient m_backendClient;
--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -53,8 +53,8 @@
     transfer.peerBackoff = std::chrono::milliseconds(100);
     transfer.maxBackoff = std::chrono::milliseconds(500);
     transfer.timeFirstFallback = std::chrono::milliseconds(300);
-    // All hosts together may fetch a few pieces for hosts that fail, but not copies of their own when
-    // an origin returns: its link carries one copy in a third of the time of a version.
+    // All hosts together may fetch a few pieces for hosts that fail, but not copies of their own
+    // when an origin returns: its link carries one copy in a third of the time of a version.
     transfer.originRetriesPerSecond = 0.5;
     transfer.originRetryBurst = 4;
     return transfer;
@@ -65,7 +65,6 @@
     RolloutOptions options;
     options.self = HostId(settings.listen.peers.address);
     options.transfer = transferSettings(settings);
-    options.versionTime = settings.bounds.versionChange;
     return options;
 }
 
@@ -82,12 +81,12 @@
     , m_rollout(optionsFor(m_settings), {m_scheduler, *m_engine, m_peers}, newRandom())
     , m_operatorStore(openStore(OperatorWait, Duration::zero()))
     , m_backendStore(openStore(BackendWait, BackendPause))
-    , m_operator(m_platform, *m_operatorStore, m_scheduler, newRandom(),
+    , m_operator(m_platform, *m_operatorStore, m_scheduler, m_settings.bounds, newRandom(),
                  {[this](const GatewayConfiguration &configuration) {
                       configurationChanged(configuration);
                   },
-                  [this](const WantedVersion &wanted, std::optional<TimePoint> namedAfter) {
-                      m_rollout.want(wanted.model, wanted.version, namedAfter.has_value());
+                  [this](const WantedVersion &wanted, const std::optional<VersionTerms> &terms) {
+                      m_rollout.want(wanted.model, wanted.version, terms);
                   },
                   [](TimePoint) {}})
     , m_backends(m_platform, *m_backendStore, m_scheduler, newRandom(),
@@ -148,7 +147,7 @@
         if (it.name != m_settings.engine->service || !it.engine)
             continue;
         for (const ModelId &model : it.engine->models)
-            m_rollout.want(model, FirstVersion, false);
+            m_rollout.want(model, FirstVersion, std::nullopt);
     }
 }
 
--- a/modules/fleet/src/operatorfeed.cpp
+++ b/modules/fleet/src/operatorfeed.cpp
@@ -2,11 +2,14 @@
 
 #include <godwit/observe/log.h>
 
+#include <algorithm>
+
 namespace godwit {
 
 OperatorFeed::OperatorFeed(const FleetPlatform &platform, KeyValuePort &store, Scheduler &scheduler,
-                           Random random, Handlers handlers)
+                           const FleetBounds &bounds, Random random, Handlers handlers)
     : m_platform(platform)
+    , m_bounds(bounds)
     , m_handlers(std::move(handlers))
     , m_mirror(store, scheduler, random, std::string(platform.operatorPrefix()),
                {[this](const KeyValueEntry &entry, std::optional<TimePoint> notBefore) {
@@ -22,6 +25,18 @@
                 }})
 {}
 
+std::optional<VersionTerms> OperatorFeed::termsOf(std::optional<TimePoint> notBefore) const
+{
+    if (!notBefore)
+        return std::nullopt;
+    VersionTerms terms{*notBefore, m_bounds.versionChange};
+    // A version that was named in an outage is not expected to be in force right after it. The last
+    // failed call is a lower bound of its end.
+    if (const auto failure = m_mirror.lastFailure())
+        terms.time = std::max(terms.time, *failure + m_bounds.reconnection - terms.namedAt);
+    return terms;
+}
+
 void OperatorFeed::put(const KeyValueEntry &entry, std::optional<TimePoint> notBefore)
 {
     auto decoded = capture([&] { return m_platform.decodeOperatorRecord(entry); });
@@ -37,7 +52,7 @@
         logStateChange("version_wanted", {{"model", wanted->model.value()},
                                           {"version", wanted->version},
                                           {"revision", entry.modified.value}});
-        m_handlers.onVersion(*wanted, notBefore);
+        m_handlers.onVersion(*wanted, termsOf(notBefore));
     }
 }
 
--- a/modules/fleet/tests/fakeplatform.h
+++ b/modules/fleet/tests/fakeplatform.h
@@ -10,6 +10,7 @@
 public:
     Completion<KeyValueList> listDone;
     WatchHandlers handlers;
+    int watches = 0;
 
     void listed(std::uint64_t revision, std::vector<KeyValueEntry> entries)
     {
@@ -28,13 +29,15 @@
     void revokeLease(LeaseId, Completion<Done>) override {}
     std::shared_ptr<CallHandle> watch(std::string, StoreRevision, WatchHandlers given) override
     {
+        ++watches;
         handlers = std::move(given);
         handlers.onAsked();
         return nullptr;
     }
 };
 
-/// Platform whose records are the single words "ready" and "draining".
+/// Platform whose backend records are the single words "ready" and "draining", and whose versions
+/// are their numbers.
 class FakePlatform : public FleetPlatform
 {
 public:
@@ -44,9 +47,11 @@
         return nullptr;
     }
     std::string_view operatorPrefix() const override { return "op/"; }
-    Result<OperatorRecord> decodeOperatorRecord(const KeyValueEntry &) const override
+    Result<OperatorRecord> decodeOperatorRecord(const KeyValueEntry &entry) const override
     {
-        return OperatorRecord();
+        if (!entry.key.starts_with("op/version/"))
+            return OperatorRecord();
+        return OperatorRecord(WantedVersion{ModelId("m"), std::stoull(entry.value)});
     }
     std::string_view backendPrefix() const override { return "servers/"; }
     BackendId backendOf(std::string_view key) const override
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -91,10 +91,8 @@
     /// Engines with older versions of \a model get nothing new from \a deadline on.
     void requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline);
 
-    /// \a version of \a model was named at \a namedAt; its engines take turns in loading it within
-    /// \a time.
-    void versionNamed(const ModelId &model, std::uint64_t version, TimePoint namedAt,
-                      Duration time);
+    /// The engines take turns in loading \a version of \a model.
+    void versionNamed(const ModelId &model, std::uint64_t version, const VersionTerms &terms);
 
     /// Whether each model of the services has a backend server.
     bool serveAllModels(TimePoint now) const;
--- a/modules/gateway/include/godwit/gateway/loadschedule.h
+++ b/modules/gateway/include/godwit/gateway/loadschedule.h
@@ -10,6 +10,15 @@
 
 namespace godwit {
 
+/// How long older versions may serve after a version was named.
+struct VersionTerms
+{
+    TimePoint namedAt;
+    Duration time{0};
+
+    friend bool operator==(const VersionTerms &, const VersionTerms &) = default;
+};
+
 /// When the engines of a service load the newest version of a model. An engine that loads lets its
 /// requests come to an end and accepts nothing new, so the engines take turns. Entry and host
 /// processes derive the same turns from the same records, without messages between them: the hosts
@@ -23,8 +32,7 @@
 class LoadSchedule
 {
 public:
-    /// \a version was named at \a at; older ones may serve for \a time from then on.
-    void named(std::uint64_t version, TimePoint at, Duration time);
+    void named(std::uint64_t version, const VersionTerms &terms);
 
     /// The engines that take turns, by address.
     void setEngines(const std::vector<std::string> &addresses);
@@ -37,8 +45,7 @@
     struct Naming
     {
         std::uint64_t version = 0;
-        TimePoint at;
-        Duration time{0};
+        VersionTerms terms;
     };
 
     void rank();
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -250,10 +250,10 @@
     return true;
 }
 
-void BackendPool::versionNamed(const ModelId &model, std::uint64_t version, TimePoint namedAt,
-                               Duration time)
+void BackendPool::versionNamed(const ModelId &model, std::uint64_t version,
+                               const VersionTerms &terms)
 {
-    m_schedules[model].named(version, namedAt, time);
+    m_schedules[model].named(version, terms);
     m_enginesChanged = true;
 }
 
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -24,8 +24,11 @@
 /// Arrivals at backend servers that reject the request, beyond the attempts of its route.
 constexpr std::size_t MostRejections = 2;
 /// Retry-After if the time until a backend server has room is not known.
-constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(700);
+constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(1500);
+/// A client that returns sooner finds the same queues, and most return only once.
 constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(1000);
+/// Part of the time left that clients wait; they disregard a longer Retry-After.
+constexpr double HonouredRetryShare = 0.3;
 /// Prediction errors must not send a request that begins just late.
 constexpr Duration StartMargin = std::chrono::milliseconds(20);
 
@@ -399,9 +402,18 @@
     this->end(status, error.code, detail);
 }
 
+Duration ForwardedRequest::longestRetryAfter()
+{
+    const Duration longest = std::chrono::duration_cast<Duration>(
+            HonouredRetryShare * std::max(Duration::zero(), m_endAt - now()));
+    // Half of it at least, so that those with the same deadline do not return together.
+    return m_gateway.spread(longest / 2);
+}
+
 void ForwardedRequest::refuse(ResultCode code, const std::string &detail, Duration retryAfter)
 {
-    const Duration wait = m_gateway.spread(std::max(retryAfter, ShortestRetryAfter));
+    const Duration wait = std::min(m_gateway.spread(std::max(retryAfter, ShortestRetryAfter)),
+                                   longestRetryAfter());
     m_reply->send(refusal(ServiceUnavailable, {code, detail}, wait));
     end(ServiceUnavailable, code, detail);
 }
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -80,6 +80,8 @@
     void fail(AttemptEnd end, std::string detail);
     void giveUp(AttemptEnd end, const std::string &detail);
     bool mayRepeat(bool mayHaveRun) const;
+    /// Within what the client waits.
+    Duration longestRetryAfter();
     void refuse(ResultCode code, const std::string &detail, Duration retryAfter);
     void sendWhole();
     void end(int status, ResultCode code, const std::string &detail);
@@ -91,7 +93,7 @@
     std::shared_ptr<HttpReply> m_reply;
     TimePoint m_arrivedAt;
     Duration m_spent{0}; ///< By the client on earlier attempts.
-    TimePoint m_endAt; ///< The client or the route waits no longer.
+    TimePoint m_endAt;   ///< The client or the route waits no longer.
     std::unique_ptr<Timer> m_deadline;
     std::vector<PastAttempt> m_attempts;
     std::shared_ptr<CallHandle> m_call;
--- a/modules/gateway/src/loadschedule.cpp
+++ b/modules/gateway/src/loadschedule.cpp
@@ -18,11 +18,11 @@
 
 } // namespace
 
-void LoadSchedule::named(std::uint64_t version, TimePoint at, Duration time)
+void LoadSchedule::named(std::uint64_t version, const VersionTerms &terms)
 {
     if (!m_namings.empty() && m_namings.back().version >= version)
         return;
-    m_namings.push_back({version, at, time});
+    m_namings.push_back({version, terms});
     rank();
 }
 
@@ -52,11 +52,12 @@
     const auto rank = m_ranks.find(address);
     if (rank == m_ranks.end() || m_namings.back().version <= served)
         return std::nullopt;
-    const Naming &newest = m_namings.back();
+    const VersionTerms &newest = m_namings.back().terms;
     const TimePoint first =
-            newest.at + std::chrono::duration_cast<Duration>(FirstTurnShare * newest.time);
+            newest.namedAt + std::chrono::duration_cast<Duration>(FirstTurnShare * newest.time);
     const auto missed = std::ranges::upper_bound(m_namings, served, {}, &Naming::version);
-    const TimePoint last = std::max(first, missed->at + missed->time - LastTurnMargin);
+    const TimePoint last =
+            std::max(first, missed->terms.namedAt + missed->terms.time - LastTurnMargin);
     return first + std::chrono::duration_cast<Duration>(rank->second * (last - first));
 }
 
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -220,9 +220,9 @@
     }
     SECTION("while a version is loaded in turns, engines that load next get fewer requests")
     {
-        it.pool.versionNamed(Model, 2, it.now, 8s);
+        it.pool.versionNamed(Model, 2, {it.now, 8s});
         LoadSchedule schedule;
-        schedule.named(2, it.now, 8s);
+        schedule.named(2, {it.now, 8s});
         schedule.setEngines({"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"});
         std::map<TimePoint, std::string> turns;
         for (int i = 1; i <= 4; ++i)
@@ -234,3 +234,63 @@
             CHECK((other == id || n >= (counts.contains(id) ? counts.at(id) : 0)));
     }
 }
+
+// Pattern: the load jumps above the capacity. Requests that begin just late take the slots of those
+// that could be in time, until all are late.
+TEST_CASE("BackendPool when all slots are taken")
+{
+    Fixture it;
+    constexpr int Slots = 4 * 16;
+    constexpr Duration StartDelay = 150ms;
+    for (int i = 0; i < 200; ++i)
+        it.pool.responseBegan(BackendId("e1"), RequestUrgency::InTime, 20ms, 20ms + StartDelay);
+    const auto fill = [&it](int n, RequestUrgency urgency) {
+        for (int i = 0; i < n; ++i)
+            it.pool.started(BackendId("e" + std::to_string(i % 4 + 1)), urgency);
+    };
+
+    SECTION("a free slot is used, whatever the delay of the first event")
+    {
+        auto hasty = query();
+        hasty.startLimit = StartDelay / 2;
+        CHECK(it.choose(hasty) != "none");
+    }
+    SECTION("a request that would have to wait is refused if the delay makes it late")
+    {
+        fill(Slots + 4 * 8, RequestUrgency::InTime);
+        const auto found = it.pool.choose(query(), it.now);
+        const auto *none = std::get_if<NoBackend>(&found);
+        REQUIRE(none);
+        CHECK(none->reason == NoBackend::Reason::AllFull);
+
+        auto patient = query();
+        patient.startLimit = 1s;
+        CHECK(it.choose(patient) != "none");
+    }
+    SECTION("late requests that wait hold nobody up who can be in time")
+    {
+        fill(Slots, RequestUrgency::InTime);
+        for (int i = 0; i < Slots; ++i)
+            it.pool.responseBegan(BackendId("e" + std::to_string(i % 4 + 1)),
+                                  RequestUrgency::InTime, 20ms, 20ms + StartDelay);
+        fill(4 * 8, RequestUrgency::Late);
+        CHECK(it.choose(query()) != "none");
+
+        auto late = query();
+        late.urgency = RequestUrgency::Late;
+        CHECK(it.choose(late) == "none");
+
+        for (int i = 0; i < 4 * 8; ++i)
+            it.pool.finishedWaiting(BackendId("e" + std::to_string(i % 4 + 1)),
+                                    RequestUrgency::Late);
+        CHECK(it.choose(query()) == "none");
+    }
+    SECTION("a delay that only an unknown load explains does not shut everybody out")
+    {
+        for (int i = 0; i < 500; ++i)
+            it.pool.responseBegan(BackendId("e1"), RequestUrgency::InTime, 0ms, 5s);
+        CHECK(it.choose(query()) != "none");
+        fill(Slots, RequestUrgency::InTime);
+        CHECK(it.choose(query()) != "none");
+    }
+}
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -26,7 +26,8 @@
         request.target = http.target;
         request.host = http.headers.value("Host");
         request.key = http.headers.value("key");
-        request.patience = 2s;
+        const std::string *patience = http.headers.find("patience");
+        request.patience = std::chrono::milliseconds(patience ? std::stoi(*patience) : 2000);
         return request;
     }
     HttpCall forward(const ForwardRequest &request, const ForwardTerms &terms) const override
@@ -36,6 +37,7 @@
         call.target = request.target;
         call.headers.add("backend", terms.backend.value());
         call.headers.add("customer", terms.customer.value());
+        call.headers.add("priority", std::to_string(terms.priority.value_or(5)));
         call.headers.add("left", std::to_string(terms.timeLeft.count()));
         if (terms.lastEvent)
             call.headers.add("last", *terms.lastEvent);
@@ -181,13 +183,17 @@
                                       scheduler.now());
     }
 
-    std::shared_ptr<ClientView> ask(const std::string &target, const std::string &key = "k")
+    std::shared_ptr<ClientView> ask(const std::string &target, const std::string &key = "k",
+                                    Duration patience = 2s)
     {
         auto view = std::make_shared<ClientView>();
         HttpRequest request;
         request.method = "POST";
         request.target = target;
-        request.headers = {{"id", "r1"}, {"Host", "h"}, {"key", key}};
+        request.headers = {{"id", "r1"},
+                           {"Host", "h"},
+                           {"key", key},
+                           {"patience", std::to_string(patience / 1ms)}};
         gateway.handle(std::move(request), view);
         return view;
     }
@@ -378,3 +384,41 @@
     CHECK(refused == 1000);
     CHECK(it.arrivals.size() <= 1000 + 0.2 * 1000 + 100);
 }
+
+// Pattern: more requests than slots.
+TEST_CASE("Gateway refuses at once what cannot be in time")
+{
+    Fixture it;
+    it.configure();
+    while (it.arrivals.size() < 60 && it.ask("/book/x")->status == 0)
+        continue;
+    REQUIRE(it.arrivals.size() < 60);
+
+    SECTION("with a time to return that lets the backend servers catch up")
+    {
+        const auto view = it.ask("/book/x");
+        CHECK(view->status == 503);
+        const double retryAfter = std::stod(std::string(view->headers.value("Retry-After")));
+        CHECK(retryAfter >= 0.3);
+        CHECK(retryAfter <= 2.0 / 3);
+    }
+    SECTION("but not where a slot is free again")
+    {
+        it.arrivals[0]->answer(200, "booked");
+        CHECK(it.ask("/book/x")->status == 0);
+    }
+}
+
+// Pattern: refused clients return while others still can be in time.
+TEST_CASE("Gateway lets a client that returns wait behind those that can be in time")
+{
+    Fixture it;
+    it.configure();
+    it.ask("/stream/x", "k", 2s);
+    it.ask("/stream/x", "k", 1s);
+    REQUIRE(it.arrivals.size() == 2);
+    const auto priority = [&it](int i) {
+        return std::stoi(std::string(it.arrivals[i]->call.headers.value("priority")));
+    };
+    CHECK(priority(1) > priority(0));
+}
--- a/modules/gateway/tests/loadscheduletest.cpp
+++ b/modules/gateway/tests/loadscheduletest.cpp
@@ -52,7 +52,7 @@
     }
     SECTION("with one version")
     {
-        it.schedule.named(5, it.start, VersionTime);
+        it.schedule.named(5, {it.start, VersionTime});
         auto times = it.turns(4);
 
         SECTION("the turns fill the time in which the old one may serve")
@@ -68,7 +68,7 @@
             auto reversed = it.addresses;
             std::ranges::reverse(reversed);
             other.setEngines(reversed);
-            other.named(5, it.start, VersionTime);
+            other.named(5, {it.start, VersionTime});
             for (std::size_t i = 0; i < times.size(); ++i)
                 CHECK(other.turn(it.addresses[i], 4) == times[i]);
         }
@@ -76,7 +76,7 @@
         {
             LoadSchedule other;
             other.setEngines(it.addresses);
-            other.named(6, it.start, VersionTime);
+            other.named(6, {it.start, VersionTime});
             CHECK(other.turn(it.addresses[0], 4) != times[0]);
         }
         SECTION("an engine that has it, or is not known, has no turn")
@@ -86,7 +86,7 @@
         }
         SECTION("a version that was named before changes nothing")
         {
-            it.schedule.named(4, it.start + 1s, VersionTime);
+            it.schedule.named(4, {it.start + 1s, VersionTime});
             CHECK(it.turns(4) == times);
         }
     }
@@ -94,13 +94,13 @@
     // because entry processes no longer used them and their turn was counted from the second one.
     SECTION("an engine that has missed a version loads before it may serve no longer")
     {
-        it.schedule.named(5, it.start, VersionTime);
-        it.schedule.named(6, it.start + 2s, VersionTime);
+        it.schedule.named(5, {it.start, VersionTime});
+        it.schedule.named(6, {it.start + 2s, VersionTime});
         for (const TimePoint turn : it.turns(4))
             CHECK(turn < it.start + LastUse);
         CHECK(std::ranges::max(it.turns(5)) > it.start + LastUse);
 
-        it.schedule.named(7, it.start + 6s, VersionTime);
+        it.schedule.named(7, {it.start + 6s, VersionTime});
         for (const TimePoint turn : it.turns(4))
             CHECK(turn <= it.start + 6s + VersionTime / 2);
     }
--- a/modules/mirror/include/godwit/mirror/prefixmirror.h
+++ b/modules/mirror/include/godwit/mirror/prefixmirror.h
@@ -46,6 +46,9 @@
 
     void start() { list(); }
 
+    /// When a call failed last.
+    std::optional<TimePoint> lastFailure() const { return m_lastFailure; }
+
 private:
     void list();
     void listed(TimePoint asked, const Outcome<KeyValueList> &outcome);
@@ -68,6 +71,7 @@
     StoreRevision m_revision;                    ///< All writes up to it have been reported.
     TimePoint m_askedAt;                         ///< When the present call of the watch began.
     std::optional<TimePoint> m_confirmedAt;
+    std::optional<TimePoint> m_lastFailure;
     Duration m_backoff = ShortestBackoff;
     bool m_reachable = true;
     std::shared_ptr<CallHandle> m_watch;
--- a/modules/mirror/src/prefixmirror.cpp
+++ b/modules/mirror/src/prefixmirror.cpp
@@ -137,6 +137,7 @@
 
 void PrefixMirror::failed(const Error &error, void (PrefixMirror::*again)())
 {
+    m_lastFailure = m_scheduler.now();
     if (std::exchange(m_reachable, false))
         m_handlers.onReachable(false, toString(error));
     // Processes that lost the service together must not return together.
--- a/modules/rollout/include/godwit/rollout/rolloutoptions.h
+++ b/modules/rollout/include/godwit/rollout/rolloutoptions.h
@@ -11,8 +11,6 @@
 {
     HostId self;
     TransferSettings transfer;
-    /// From the naming of a version on until older ones may serve no longer.
-    Duration versionTime = std::chrono::seconds(8);
     /// Between two looks at the engine's report.
     Duration engineInterval = std::chrono::milliseconds(1000);
 };
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -47,9 +47,10 @@
     /// \a version of \a model is wanted from now on. Older ones are ignored. A version whose pieces
     /// are all staged is loaded first, because its time runs out earlier; one that is still on its
     /// way is dropped.
-    /// Without \a isNew the version may have been wanted for long, and the engine loads it as soon
+    /// Without \a terms the version may have been wanted for long, and the engine loads it as soon
     /// as it can.
-    void want(const ModelId &model, std::uint64_t version, bool isNew);
+    void want(const ModelId &model, std::uint64_t version,
+              const std::optional<VersionTerms> &terms);
 
     /// Reads the engine's report and restores what it should hold but does not.
     void checkEngine();
@@ -70,7 +71,7 @@
         ModelId model;
         std::uint64_t version = 0;
         TimePoint wantedAt;
-        bool isNew = false;                       ///< It was named at wantedAt, not earlier.
+        bool isNew = false;                       ///< Its terms are known.
         std::shared_ptr<const Manifest> manifest; ///< Null until it has been read.
         Digest transfer;
         std::unique_ptr<EngineStager> stager; ///< Null until the transfer has begun.
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -79,7 +79,8 @@
     }
 }
 
-void VersionRollout::want(const ModelId &model, std::uint64_t version, bool isNew)
+void VersionRollout::want(const ModelId &model, std::uint64_t version,
+                          const std::optional<VersionTerms> &terms)
 {
     Rollouts &rollouts = m_rollouts[model];
     const std::uint64_t previous = rollouts.empty() ? 0 : rollouts.back().version;
@@ -90,9 +91,9 @@
     rollout.model = model;
     rollout.version = version;
     rollout.wantedAt = now();
-    rollout.isNew = isNew;
-    if (isNew)
-        m_schedules[model].named(version, rollout.wantedAt, m_options.versionTime);
+    rollout.isNew = terms.has_value();
+    if (terms)
+        m_schedules[model].named(version, *terms);
     logStateChange("rollout_begun",
                    {{"model", model.value()}, {"version", version}, {"previous", previous}});
     if (!rollouts.front().staged)
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -34,6 +34,8 @@
         return it;
     }
 
+    VersionTerms terms() const { return {scheduler.now(), 8s}; }
+
     bool serves(std::uint64_t version) const
     {
         return engine.report.models == std::vector<ServedModel>{{TestModel, version}};
@@ -54,7 +56,7 @@
 
     SECTION("an empty engine loads as soon as the pieces are there")
     {
-        it.rollout.want(TestModel, 1, true);
+        it.rollout.want(TestModel, 1, it.terms());
         it.scheduler.advance(1500ms);
         CHECK(it.serves(1));
         CHECK(it.origin->pieces == static_cast<int>(PieceCount));
@@ -63,7 +65,7 @@
     SECTION("an engine that can answer requests waits for its turn")
     {
         it.engine.serve(1);
-        it.rollout.want(TestModel, 2, true);
+        it.rollout.want(TestModel, 2, it.terms());
         it.scheduler.advance(3s);
         CHECK(it.engine.orders.empty());
         it.scheduler.advance(4s);
@@ -72,14 +74,14 @@
     SECTION("not if the version may have been wanted for long")
     {
         it.engine.serve(1);
-        it.rollout.want(TestModel, 2, false);
+        it.rollout.want(TestModel, 2, std::nullopt);
         it.scheduler.advance(1500ms);
         CHECK(it.serves(2));
     }
     SECTION("a corrupt piece of the origin is fetched again and never loaded")
     {
         it.origin->corrupt = {0, 3};
-        it.rollout.want(TestModel, 1, true);
+        it.rollout.want(TestModel, 1, it.terms());
         it.scheduler.advance(4s);
         CHECK(it.serves(1));
         CHECK_FALSE(it.engine.loadedWrongBytes);
@@ -87,14 +89,14 @@
     SECTION("an origin that is away at first is asked again")
     {
         it.origin->manifestFailures = 5;
-        it.rollout.want(TestModel, 1, true);
+        it.rollout.want(TestModel, 1, it.terms());
         it.scheduler.advance(6s);
         CHECK(it.serves(1));
     }
     SECTION("after a restart of the host, staged pieces cost the origin nothing")
     {
         it.stageAll(3);
-        it.rollout.want(TestModel, 3, false);
+        it.rollout.want(TestModel, 3, std::nullopt);
         it.scheduler.advance(1s);
         CHECK(it.serves(3));
         CHECK(it.origin->pieces == 0);
@@ -102,14 +104,14 @@
     SECTION("staged pieces of another version are not taken for it")
     {
         it.stageAll(2);
-        it.rollout.want(TestModel, 3, false);
+        it.rollout.want(TestModel, 3, std::nullopt);
         it.scheduler.advance(2s);
         CHECK(it.serves(3));
         CHECK_FALSE(it.engine.loadedWrongBytes);
     }
     SECTION("an engine that lost its weights gets them back")
     {
-        it.rollout.want(TestModel, 1, true);
+        it.rollout.want(TestModel, 1, it.terms());
         it.scheduler.advance(2s);
         REQUIRE(it.serves(1));
         it.engine.report = EngineReport{};
@@ -121,8 +123,8 @@
     }
     SECTION("an older version than the wanted one is ignored")
     {
-        it.rollout.want(TestModel, 2, false);
-        it.rollout.want(TestModel, 1, false);
+        it.rollout.want(TestModel, 2, std::nullopt);
+        it.rollout.want(TestModel, 1, std::nullopt);
         it.scheduler.advance(2s);
         CHECK(it.serves(2));
     }
@@ -132,11 +134,11 @@
 {
     Fixture it;
     it.engine.serve(1);
-    it.rollout.want(TestModel, 2, true);
+    it.rollout.want(TestModel, 2, it.terms());
 
     SECTION("one that is still on its way is dropped")
     {
-        it.rollout.want(TestModel, 3, true);
+        it.rollout.want(TestModel, 3, it.terms());
         it.scheduler.advance(8s);
         CHECK(it.serves(3));
         REQUIRE(it.engine.orders.size() == 1);
@@ -145,7 +147,7 @@
     SECTION("one that is staged is loaded first, from its own pieces")
     {
         it.scheduler.advance(3s);
-        it.rollout.want(TestModel, 3, true);
+        it.rollout.want(TestModel, 3, it.terms());
         it.scheduler.advance(10s);
         CHECK(it.serves(3));
         REQUIRE(it.engine.orders.size() == 2);
--- a/modules/settings/include/godwit/settings/fleetsettings.h
+++ b/modules/settings/include/godwit/settings/fleetsettings.h
@@ -24,8 +24,10 @@
     Duration keyRevocation = std::chrono::seconds(5); ///< Until a key that was taken away is dead.
     bool strictRevocation = true;                     ///< Also on hosts without the store.
     Duration versionChange = std::chrono::seconds(8); ///< From naming a version to its use.
-    double retryShare = 0.1;                          ///< Of the requests of a service.
-    double retrySlack = 0;                            ///< Retries besides, in each window.
+    /// For this long after an outage of the store, the other bounds do not count.
+    Duration reconnection = std::chrono::seconds(3);
+    double retryShare = 0.1; ///< Of the requests of a service.
+    double retrySlack = 0;   ///< Retries besides, in each window.
     Duration retryWindow = std::chrono::seconds(10);
 
     friend bool operator==(const FleetBounds &, const FleetBounds &) = default;
--- a/modules/settings/src/settingsparser.cpp
+++ b/modules/settings/src/settingsparser.cpp
@@ -177,6 +177,7 @@
     reader.milliseconds("key_revocation_ms", bounds.keyRevocation, 0, LongestMs);
     reader.flag("strict_revocation", bounds.strictRevocation);
     reader.milliseconds("version_change_ms", bounds.versionChange, 0, LongestMs);
+    reader.milliseconds("reconnection_ms", bounds.reconnection, 0, LongestMs);
     reader.number("retry_share", bounds.retryShare, 0, 1);
     reader.number("retry_slack", bounds.retrySlack, 0, 1e9);
     reader.seconds("retry_window_s", bounds.retryWindow, 0, LongestSeconds);
--- a/modules/settings/tests/fleetsettingstest.cpp
+++ b/modules/settings/tests/fleetsettingstest.cpp
@@ -21,6 +21,7 @@
 key_revocation_ms = 5000
 strict_revocation = true
 version_change_ms = 8000
+reconnection_ms = 3500
 retry_share = 0.2
 retry_slack = 106
 retry_window_s = 10
--- a/modules/weights/tests/plannertest.cpp
+++ b/modules/weights/tests/plannertest.cpp
@@ -214,6 +214,22 @@
         CHECK(swarm.originRequests() < 200);
         CHECK(swarm.runUntilServable(setup.manifest));
     }
+    // Guards against hosts that have spent their retries on refused connections when the origin
+    // returns: they then asked it once a second.
+    SECTION("without a connection for a while")
+    {
+        swarm.onReply = [&](const std::string &from, const std::string &, const Digest &) {
+            Reply reply;
+            if (from.empty() && swarm.now < end)
+                reply.code = ResultCode::PlatformUnreachable;
+            return reply;
+        };
+        swarm.startAll(setup.manifest);
+        swarm.run(30s);
+        const std::uint64_t inVain = swarm.originRequests();
+        CHECK(swarm.runUntilServable(setup.manifest, 20s));
+        CHECK(swarm.originRequests() - inVain <= Chunks * 3 / 2);
+    }
     SECTION("slow")
     {
         swarm.onReply = [](const std::string &from, const std::string &, const Digest &) {
