Share engines fairly among entry processes and kinds of requests above the capacity

Entry processes learned the delay of the first event also under load, where it contains their own error about the load of the others; the strictest one then refused everything, heard of no load any more, and went on with the last it had heard. The delay is now learned from requests that found a free slot, and known load fades in silence. Requests with an objective of 300 ms were refused twice as often as those with 400 ms, which filled the queues; all requests of a service now get the same wait, that of its shortest usual objective (ObjectiveMix), and the time to read a prompt no longer counts.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -42,7 +42,8 @@
     std::optional<std::uint64_t> version; ///< Of the weights; a stream must not mix two.
     std::uint32_t promptTokens = 0;
     std::set<BackendId> excluded; ///< That were tried before.
-    /// A backend server is used only if the response is expected to begin within this time.
+    /// A backend server is used only if the request is expected to wait no longer for a slot. The
+    /// time in which its own prompt is read does not count, so that long prompts are not left out.
     Duration startLimit = Duration::max();
     /// Whether it overtakes the requests in the queues of the backend servers that are late anyway.
     RequestUrgency urgency = RequestUrgency::InTime;
@@ -54,6 +55,7 @@
     BackendId id;
     HttpEndpoint endpoint;
     Duration predictedStart{0}; ///< Until the response begins.
+    bool hasFreeSlot = true;    ///< It need not wait for other requests.
 
     friend bool operator==(const BackendChoice &, const BackendChoice &) = default;
 };
@@ -101,9 +103,10 @@
 
     /// An attempt was sent to \a id.
     void started(const BackendId &id, RequestUrgency urgency);
-    /// Its response began after \a seen; \a predicted was expected.
-    void responseBegan(const BackendId &id, RequestUrgency urgency, Duration predicted,
-                       Duration seen);
+    /// Its response began.
+    void responseBegan(const BackendId &id, RequestUrgency urgency);
+    /// The response of a request that found a free slot began \a delay later than predicted.
+    void startDelaySeen(const BackendId &id, Duration delay);
     /// It ended. \a held is the time since its response began, or else since it was sent.
     void finished(const BackendId &id, AttemptEnd end, Duration held, TimePoint now);
     /// It ended before its response began.
@@ -141,8 +144,8 @@
     {
         std::optional<EngineProfile> engine;
         double holdSeconds = 0; ///< Mean time for which a request holds its slot.
-        /// Mean time to the first event beyond the prediction: the pass of the engine that reads
-        /// the prompt, and the tokens of one event.
+        /// Mean time to the first event, beyond the prediction, of requests that found a free slot:
+        /// the pass of the engine that reads the prompt, and the tokens of one event.
         double startDelaySeconds = 0;
     };
     struct VersionRule
@@ -167,7 +170,9 @@
     static double waitSeconds(const Backend &backend, RequestUrgency urgency, double load,
                               double slots, double hold);
     static void stopWaiting(Backend &backend, RequestUrgency urgency);
-    double meanForeign(const std::vector<const Backend *> &backends) const;
+    /// How far the load that \a backend stated last still holds, from 0 to 1.
+    static double loadTrust(const Backend &backend, TimePoint now);
+    static double meanForeign(const std::vector<const Backend *> &backends, TimePoint now);
     double medianPause(const std::vector<const Backend *> &backends) const;
     Backend *find(const BackendId &id);
     std::uint32_t slotsOf(const Backend &backend, const Service *service) const;
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include <godwit/gateway/callerprotocol.h>
 #include <godwit/gateway/gatewaymetrics.h>
 #include <godwit/gateway/gatewayoptions.h>
+#include <godwit/gateway/objectivemix.h>
 #include <godwit/gateway/retryallowance.h>
 #include <godwit/gateway/routetable.h>
 #include <godwit/ports/callhandle.h>
@@ -81,6 +82,7 @@
     BackendPool m_backends;
     RetryAllowance m_retries;
     std::map<std::string, Duration> m_longestPatience; ///< By route.
+    std::map<std::string, ObjectiveMix> m_objectives;  ///< By service.
     std::shared_ptr<const RouteTable> m_table;
     std::optional<TimePoint> m_confirmedAt;
     bool m_wasReady = false;
--- /dev/null
+++ b/modules/gateway/include/godwit/gateway/objectivemix.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <godwit/base/time.h>
+
+#include <map>
+
+namespace godwit {
+
+/// The objectives of the requests that a service gets, by their share of the recent ones.
+///
+/// Requests with a long objective would otherwise fill the queues to a length at which those with a
+/// short one are always late.
+class ObjectiveMix
+{
+public:
+    void requested(Duration objective);
+
+    /// The shortest objective of a fair part of the recent requests; longest duration if there were
+    /// none. Single requests on a route with an unusual objective do not count.
+    Duration shortest() const;
+
+private:
+    std::map<Duration, double> m_shares;
+};
+
+} // namespace godwit
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -21,6 +21,9 @@
 constexpr std::uint32_t AssumedSlots = 4;
 /// Age at which a stated load has lost all but 37% of its weight.
 constexpr double LoadTrustSeconds = 2.0;
+/// Without any stated load for longer, what is known of the other processes fades.
+constexpr double QuietNewsSeconds = 0.5;
+constexpr double FadeSeconds = 1.0;
 /// Price of an entirely full backend server against an idle one, in seconds. It spreads requests
 /// while there are free slots; a busy engine is slower at each token.
 constexpr double FullPenaltySeconds = 0.2;
@@ -157,17 +160,28 @@
            && holdsAllLayers(record, served->version, service->engine->layers);
 }
 
-double BackendPool::meanForeign(const std::vector<const Backend *> &backends) const
+double BackendPool::loadTrust(const Backend &backend, TimePoint now)
+{
+    return backend.loadAt ? std::exp(-toSeconds(now - *backend.loadAt) / LoadTrustSeconds) : 0;
+}
+
+double BackendPool::meanForeign(const std::vector<const Backend *> &backends, TimePoint now)
 {
     double sum = 0;
-    std::size_t n = 0;
+    double weights = 0;
+    std::optional<TimePoint> newest;
     for (const Backend *it : backends) {
-        if (it->loadAt) {
-            sum += it->foreign;
-            ++n;
-        }
+        const double trust = loadTrust(*it, now);
+        sum += trust * it->foreign;
+        weights += trust;
+        newest = std::max(newest, it->loadAt);
     }
-    return n > 0 ? sum / static_cast<double>(n) : 0;
+    if (!newest || weights <= 0)
+        return 0;
+    // A process that sends nothing hears of no load, and would refuse for ever what it once knew to
+    // be too much.
+    const double silence = std::max(0.0, toSeconds(now - *newest) - QuietNewsSeconds);
+    return sum / weights * std::exp(-silence / FadeSeconds);
 }
 
 double BackendPool::medianPause(const std::vector<const Backend *> &backends) const
@@ -210,7 +224,7 @@
 {
     if (!backend.loadAt)
         return backend.own + meanForeign;
-    const double trust = std::exp(-toSeconds(now - *backend.loadAt) / LoadTrustSeconds);
+    const double trust = loadTrust(backend, now);
     return backend.own + trust * backend.foreign + (1 - trust) * meanForeign;
 }
 
@@ -316,7 +330,7 @@
             candidates, [now](const Backend *it) { return it->avoidUntil > now; });
     const double hold =
             service && service->holdSeconds > 0 ? service->holdSeconds : AssumedHoldSeconds;
-    const double foreign = meanForeign(candidates);
+    const double foreign = meanForeign(candidates, now);
     const double pause = medianPause(candidates);
     const EngineProfile *engine = service && service->engine ? &*service->engine : nullptr;
     const double read = engine && engine->promptTokensPerSecond > 0
@@ -334,7 +348,7 @@
         shortestWait = std::min(shortestWait, wait);
         const double start = wait + read;
         // A free slot is used whatever the delay; it could not be learned anew otherwise.
-        if (fromSeconds(wait > 0 ? start + startDelay : start) > query.startLimit)
+        if (fromSeconds(wait > 0 ? wait + startDelay : 0) > query.startLimit)
             continue;
         const double cost =
                 start + load / slots * FullPenaltySeconds
@@ -342,7 +356,7 @@
                 + it->failureShare * FailurePenaltySeconds + pausePenalty(*it, pause, now)
                 + loadPenalty(it->record, query.model, now) + m_random.uniform() * JitterSeconds;
         if (!best || cost < bestCost) {
-            best = BackendChoice{it->record.id, it->record.endpoint, fromSeconds(start)};
+            best = BackendChoice{it->record.id, it->record.endpoint, fromSeconds(start), wait <= 0};
             bestCost = cost;
         }
     }
@@ -384,16 +398,20 @@
         --backend.waitingLate;
 }
 
-void BackendPool::responseBegan(const BackendId &id, RequestUrgency urgency, Duration predicted,
-                                Duration seen)
+void BackendPool::responseBegan(const BackendId &id, RequestUrgency urgency)
 {
-    Backend *backend = find(id);
+    if (Backend *backend = find(id))
+        stopWaiting(*backend, urgency);
+}
+
+void BackendPool::startDelaySeen(const BackendId &id, Duration delay)
+{
+    const Backend *backend = find(id);
     if (!backend)
         return;
-    stopWaiting(*backend, urgency);
     Service &service = m_services[backend->record.service];
-    const double delay = std::clamp(toSeconds(seen - predicted), 0.0, LongestStartDelay);
-    service.startDelaySeconds += StartDelayWeight * (delay - service.startDelaySeconds);
+    const double seconds = std::clamp(toSeconds(delay), 0.0, LongestStartDelay);
+    service.startDelaySeconds += StartDelayWeight * (seconds - service.startDelaySeconds);
 }
 
 void BackendPool::finishedWaiting(const BackendId &id, RequestUrgency urgency)
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -110,15 +110,24 @@
     attempt();
 }
 
+Duration ForwardedRequest::sharedObjective() const
+{
+    const auto mix = m_gateway.m_objectives.find(m_terms.service);
+    const Duration own = m_terms.route->objective;
+    return mix == m_gateway.m_objectives.end() ? own : std::min(own, mix->second.shortest());
+}
+
 Duration ForwardedRequest::inTimeLimit() const
 {
     const Duration elapsed = now() - m_arrivedAt + m_spent;
-    return std::min(m_endAt - now(), m_terms.route->objective - elapsed - StartMargin);
+    const Duration objective =
+            std::min(m_terms.route->objective, m_gateway.m_objectives[m_terms.service].shortest());
+    return std::min(m_endAt - now(), objective - elapsed - StartMargin);
 }
 
 Duration ForwardedRequest::lateLimit() const
 {
-    return std::min((m_endAt - now()) / 2, m_terms.route->objective - StartMargin);
+    return std::min((m_endAt - now()) / 2, sharedObjective() - StartMargin);
 }
 
 std::variant<BackendChoice, NoBackend> ForwardedRequest::chooseBackend()
@@ -157,8 +166,8 @@
         return;
     }
     const auto &choice = std::get<BackendChoice>(found);
-    m_attempts.push_back(
-            {choice.id, choice.predictedStart, now(), std::nullopt, std::nullopt, std::nullopt});
+    m_attempts.push_back({choice.id, choice.predictedStart, choice.hasFreeSlot, now(), std::nullopt,
+                          std::nullopt, std::nullopt});
     m_body = Body::None;
     m_whole.clear();
     m_attempting = true;
@@ -274,8 +283,11 @@
 void ForwardedRequest::noteStart(PastAttempt &attempt, TimePoint at)
 {
     attempt.firstEventsAt = at;
-    m_gateway.m_backends.responseBegan(attempt.backend, m_urgency, attempt.predictedStart,
-                                       at - attempt.sentAt);
+    m_gateway.m_backends.responseBegan(attempt.backend, m_urgency);
+    // Under load, an entry process would learn its own error about the load of the others.
+    if (attempt.foundFreeSlot)
+        m_gateway.m_backends.startDelaySeen(attempt.backend,
+                                            at - attempt.sentAt - attempt.predictedStart);
 }
 
 void ForwardedRequest::onEnd(const Outcome<std::monostate> &outcome)
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -46,6 +46,7 @@
     {
         BackendId backend;
         Duration predictedStart{0};
+        bool foundFreeSlot = true;
         TimePoint sentAt;
         std::optional<TimePoint> firstEventsAt;
         std::optional<TimePoint> lastEventsAt;
@@ -55,6 +56,8 @@
     void attempt();
     HttpCall callFor(const BackendChoice &choice) const;
     HttpStreamHandlers handlersFor(std::uint64_t serial);
+    /// Of the most demanding requests that share the queues of the service.
+    Duration sharedObjective() const;
     /// Time in which the response has to begin to be in time.
     Duration inTimeLimit() const;
     /// Time in which a response that is late has to begin to be of use.
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -114,6 +114,7 @@
         return;
     }
     m_retries.request(terms.service, m_environment.scheduler.now());
+    m_objectives[terms.service].requested(route->objective);
     const auto forwarded = std::make_shared<ForwardedRequest>(*this, std::move(terms),
                                                               std::move(request), std::move(reply));
     m_requests.insert(forwarded);
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -243,7 +243,7 @@
     constexpr int Slots = 4 * 16;
     constexpr Duration StartDelay = 150ms;
     for (int i = 0; i < 200; ++i)
-        it.pool.responseBegan(BackendId("e1"), RequestUrgency::InTime, 20ms, 20ms + StartDelay);
+        it.pool.startDelaySeen(BackendId("e1"), StartDelay);
     const auto fill = [&it](int n, RequestUrgency urgency) {
         for (int i = 0; i < n; ++i)
             it.pool.started(BackendId("e" + std::to_string(i % 4 + 1)), urgency);
@@ -272,7 +272,7 @@
         fill(Slots, RequestUrgency::InTime);
         for (int i = 0; i < Slots; ++i)
             it.pool.responseBegan(BackendId("e" + std::to_string(i % 4 + 1)),
-                                  RequestUrgency::InTime, 20ms, 20ms + StartDelay);
+                                  RequestUrgency::InTime);
         fill(4 * 8, RequestUrgency::Late);
         CHECK(it.choose(query()) != "none");
 
@@ -288,9 +288,28 @@
     SECTION("a delay that only an unknown load explains does not shut everybody out")
     {
         for (int i = 0; i < 500; ++i)
-            it.pool.responseBegan(BackendId("e1"), RequestUrgency::InTime, 0ms, 5s);
+            it.pool.startDelaySeen(BackendId("e1"), 5s);
         CHECK(it.choose(query()) != "none");
         fill(Slots, RequestUrgency::InTime);
         CHECK(it.choose(query()) != "none");
     }
+    // Pattern: an entry process that refuses everything hears of no load any more. It refused the
+    // requests of its zone for the rest of the day, while others took theirs.
+    SECTION("the load of other processes is forgotten when nothing is heard of it")
+    {
+        for (int i = 1; i <= 4; ++i)
+            it.pool.loadStated(BackendId("e" + std::to_string(i)), {16, 16, 16}, it.now);
+        CHECK(it.choose(query()) == "none");
+        it.now += 300ms;
+        CHECK(it.choose(query()) == "none");
+        it.now += 8s;
+        CHECK(it.choose(query()) != "none");
+    }
+    SECTION("a long prompt is not refused for the time in which it is read")
+    {
+        fill(Slots + 4 * 2, RequestUrgency::InTime);
+        auto longPrompt = query();
+        longPrompt.promptTokens = 8000;
+        CHECK(it.choose(longPrompt) != "none");
+    }
 }
