--- a/modules/weights/src/plannerevents.cpp
+++ b/modules/weights/src/plannerevents.cpp
@@ -391,8 +391,8 @@
         counters.originRefusals += code == ResultCode::OriginRefused;
         m_peers.failed(from, m_now, m_random);
         from.availableAt = std::max(from.availableAt, m_now + retryAfter);
-        // No byte was sent: the next request for the chunk is not charged to the retry budget, which
-        // would be spent when an origin returns after seconds.
+        // No byte was sent: the next request for the chunk is not charged to the retry budget,
+        // which would be spent when an origin returns after seconds.
         if (request.path == Path::Origin && code == ResultCode::PlatformUnreachable)
             --transfer.attempts[request.chunk];
     }
