Do not take clients of a route with a shorter timeout for returning ones

What the client states is compared now, and the longest is slowly forgotten, as clients may change too. The first new test section fails without the change.

--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -75,13 +75,15 @@
     void refuse(HttpReply &reply, const RequestId &id, int status, const Error &error,
                 Duration retryAfter);
     Duration spread(Duration span);
+    /// What the client of a request with \a patience has probably spent on earlier attempts.
+    Duration spentBefore(const std::string &route, Duration patience);
 
     GatewayOptions m_options;
     Environment m_environment;
     Random m_random;
     BackendPool m_backends;
     RetryAllowance m_retries;
-    std::map<std::string, Duration> m_longestPatience; ///< By route.
+    std::map<std::string, Duration> m_longestPatience; ///< By route, slowly forgotten.
     std::map<std::string, ObjectiveMix> m_objectives;  ///< By service.
     std::shared_ptr<const RouteTable> m_table;
     std::optional<TimePoint> m_confirmedAt;
--- a/modules/gateway/include/godwit/gateway/loadschedule.h
+++ b/modules/gateway/include/godwit/gateway/loadschedule.h
@@ -10,7 +10,7 @@
 
 namespace godwit {
 
-/// How long older versions may serve after a version was named.
+/// When a version was named, and for how long older ones may serve from then on.
 struct VersionTerms
 {
     TimePoint namedAt;
@@ -22,7 +22,7 @@
 /// When the engines of a service load the newest version of a model. An engine that loads lets its
 /// requests come to an end and accepts nothing new, so the engines take turns. Entry and host
 /// processes derive the same turns from the same records, without messages between them: the hosts
-/// order the loads, and the entries send an engine nothing that would outlast its turn.
+/// order the loads, and the entries prefer engines that do not load soon.
 ///
 /// Breaking the requests off instead, for others to go on with, would make most of them late: busy
 /// engines have no room for them.
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -80,12 +80,10 @@
     , m_arrivedAt(now())
 {
     Duration patience = m_request.patience.value_or(m_gateway.m_options.defaultPatience);
+    m_spent = m_gateway.spentBefore(m_terms.route->name, patience);
     if (m_terms.route->timeout > Duration::zero())
         patience = std::min(patience, m_terms.route->timeout);
     m_endAt = m_arrivedAt + patience;
-    Duration &longest = m_gateway.m_longestPatience[m_terms.route->name];
-    longest = std::max(longest, patience);
-    m_spent = longest - patience;
 }
 
 TimePoint ForwardedRequest::now() const
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -14,6 +14,9 @@
 
 /// Retry-After while no configuration is known, or an old one does not suffice.
 constexpr Duration UnconfiguredRetryAfter = std::chrono::milliseconds(500);
+/// Requests after which the longest patience of a route is forgotten but for 37%. Clients whose
+/// patience changes must not be taken for ones that return.
+constexpr int PatienceMemory = 300;
 
 } // namespace
 
@@ -63,6 +66,13 @@
     return std::chrono::duration_cast<Duration>(span * (1 + m_random.uniform()));
 }
 
+Duration Gateway::spentBefore(const std::string &route, Duration patience)
+{
+    Duration &longest = m_longestPatience[route];
+    longest = std::max(patience, longest - longest / PatienceMemory);
+    return longest - patience;
+}
+
 std::optional<Error> Gateway::refuseByAccess(const ForwardRequest &request, const Route &route,
                                              CustomerId &customer,
                                              std::optional<std::uint32_t> &priority) const
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -417,8 +417,28 @@
     it.ask("/stream/x", "k", 2s);
     it.ask("/stream/x", "k", 1s);
     REQUIRE(it.arrivals.size() == 2);
-    const auto priority = [&it](int i) {
+    const auto priority = [&it](std::size_t i) {
         return std::stoi(std::string(it.arrivals[i]->call.headers.value("priority")));
     };
     CHECK(priority(1) > priority(0));
+
+    // A shorter timeout of the route must not make all of its clients look like returning ones.
+    SECTION("but not one whose route has another timeout now")
+    {
+        auto shorter = Fixture::configuration(2);
+        for (Route &route : shorter.routes)
+            route.timeout = 1s;
+        it.gateway.setConfiguration(std::make_shared<const RouteTable>(shorter));
+        it.ask("/stream/x", "k", 2s);
+        CHECK(priority(2) == priority(0));
+    }
+    SECTION("nor when all clients have become less patient")
+    {
+        for (int i = 0; i < 1000; ++i) {
+            it.ask("/stream/x", "k", 1s);
+            it.arrivals.back()->answer(200, "done");
+        }
+        it.ask("/stream/x", "k", 1s);
+        CHECK(priority(it.arrivals.size() - 1) == priority(0));
+    }
 }
