--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -76,15 +76,16 @@
                 Duration retryAfter);
     Duration spread(Duration span);
     /// What the client of a request with \a patience has probably spent on earlier attempts.
-    Duration spentBefore(const std::string &route, Duration patience);
+    Duration spentBefore(const std::string &route, const CustomerId &customer, Duration patience);
 
     GatewayOptions m_options;
     Environment m_environment;
     Random m_random;
     BackendPool m_backends;
     RetryAllowance m_retries;
-    std::map<std::string, Duration> m_longestPatience; ///< By route, slowly forgotten.
-    std::map<std::string, ObjectiveMix> m_objectives;  ///< By service.
+    /// Of the clients of a customer on a route, slowly forgotten. Customers may differ.
+    std::map<std::pair<std::string, CustomerId>, Duration> m_longestPatience;
+    std::map<std::string, ObjectiveMix> m_objectives; ///< By service.
     std::shared_ptr<const RouteTable> m_table;
     std::optional<TimePoint> m_confirmedAt;
     bool m_wasReady = false;
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -80,7 +80,7 @@
     , m_arrivedAt(now())
 {
     Duration patience = m_request.patience.value_or(m_gateway.m_options.defaultPatience);
-    m_spent = m_gateway.spentBefore(m_terms.route->name, patience);
+    m_spent = m_gateway.spentBefore(m_terms.route->name, m_terms.customer, patience);
     if (m_terms.route->timeout > Duration::zero())
         patience = std::min(patience, m_terms.route->timeout);
     m_endAt = m_arrivedAt + patience;
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -66,11 +66,14 @@
     return std::chrono::duration_cast<Duration>(span * (1 + m_random.uniform()));
 }
 
-Duration Gateway::spentBefore(const std::string &route, Duration patience)
+Duration Gateway::spentBefore(const std::string &route, const CustomerId &customer,
+                              Duration patience)
 {
-    Duration &longest = m_longestPatience[route];
+    Duration &longest = m_longestPatience[{route, customer}];
     longest = std::max(patience, longest - longest / PatienceMemory);
-    return longest - patience;
+    // A client that returns has most of its time left; another one is less patient by nature.
+    const Duration spent = longest - patience;
+    return spent <= longest / 2 ? spent : Duration::zero();
 }
 
 std::optional<Error> Gateway::refuseByAccess(const ForwardRequest &request, const Route &route,
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -148,7 +148,8 @@
         it.routes = {route("/safe/", RouteKind::Safe), route("/book/", RouteKind::Unsafe),
                      route("/stream/", RouteKind::Streaming)};
         it.routes.back().resumable = true;
-        it.customers = {{CustomerId("dairy"), {"k"}, std::nullopt}};
+        it.customers = {{CustomerId("dairy"), {"k"}, std::nullopt},
+                        {CustomerId("mill"), {"l"}, std::nullopt}};
         return it;
     }
 
@@ -432,6 +433,15 @@
         it.ask("/stream/x", "k", 2s);
         CHECK(priority(2) == priority(0));
     }
+    // One client with a long deadline must not push the requests of all others back.
+    SECTION("nor one of another customer, or one that is always less patient")
+    {
+        it.ask("/stream/x", "l", 1s);
+        CHECK(priority(2) == priority(0));
+        it.ask("/stream/x", "k", 1h);
+        it.ask("/stream/x", "k", 2s);
+        CHECK(priority(4) == priority(0));
+    }
     SECTION("nor when all clients have become less patient")
     {
         for (int i = 0; i < 1000; ++i) {
