--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -452,3 +452,23 @@
         CHECK(priority(it.arrivals.size() - 1) == priority(0));
     }
 }
+
+// Pattern: a route with a long objective fills the queues, so that one with a short objective is
+// always late.
+TEST_CASE("Gateway lets all routes of a service wait equally long")
+{
+    Fixture it;
+    auto mixed = Fixture::configuration(1);
+    mixed.routes.front().objective = 1900ms;
+    it.configure();
+    mixed.version = 2;
+    it.gateway.setConfiguration(std::make_shared<const RouteTable>(mixed));
+    for (int i = 0; i < 40; ++i) {
+        it.ask("/safe/x");
+        it.ask("/book/x");
+    }
+    const std::size_t filled = it.arrivals.size();
+    for (int i = 0; i < 40; ++i)
+        it.ask("/safe/x");
+    CHECK(it.arrivals.size() == filled);
+}
