Keep few pieces of weights in the memory of a host process

Cause: a host process held every piece of two versions, although its engine has them in the staging area, and each HTTP/2 connection had an input buffer of 64 KB of its own, written at construction; a host has connections to all others. Bodies grew by doubling, so that a piece of 24 KB took 32 KB.

The input buffer is shared by the connections of a thread, and an idle connection frees its output.

Ruled out: the manifest (7 KB) and the process itself, since entry processes have 4.1 MB.

--- a/modules/fleet/src/peerlinks.cpp
+++ b/modules/fleet/src/peerlinks.cpp
@@ -107,7 +107,11 @@
     };
     const auto received = std::make_shared<Received>();
     StreamEvents events;
-    events.onHeaders = [received](const WireHeaders &headers) { received->code = codeOf(headers); };
+    events.onHeaders = [received, bytes](const WireHeaders &headers) {
+        received->code = codeOf(headers);
+        if (received->code == ResultCode::Ok)
+            received->bytes.reserve(bytes);
+    };
     events.onData = [received, bytes, progressed = std::move(progressed)](std::string_view data) {
         // One byte too many is enough to recognise the chunk as wrong.
         if (received->bytes.size() <= bytes)
--- a/modules/ports/src/httpclient.cpp
+++ b/modules/ports/src/httpclient.cpp
@@ -38,6 +38,16 @@
 /// A connection is given up this long before the time at which its server says it will close it,
 /// so that a request does not cross the close.
 constexpr Duration KeepAliveMargin = std::chrono::milliseconds(500);
+/// Memory for a collected body of up to this many bytes is taken at once, as its header states.
+constexpr std::size_t LargestReservedBody = 256UL * 1024;
+
+std::size_t statedLength(const HttpHeaders &headers)
+{
+    const std::string_view text = headers.value("Content-Length");
+    std::size_t length = 0;
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length;
+}
 
 class Connection;
 
@@ -655,6 +665,7 @@
     handlers.onHeader = [response](int status, const HttpHeaders &headers) {
         response->status = status;
         response->headers = headers;
+        response->body.reserve(std::min(statedLength(headers), LargestReservedBody));
     };
     handlers.onData = [response](std::string_view data) { response->body.append(data); };
     handlers.onEnd = [response, onEnd = std::move(onEnd)](const Outcome<std::monostate> &outcome) {
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -9,6 +9,7 @@
 #include <godwit/rollout/rolloutoptions.h>
 #include <godwit/weights/transferplanner.h>
 
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -120,6 +121,8 @@
     void endOlder(const Rollout &rollout);
     bool usesStagingArea(const Rollout &rollout) const;
     void stage(Rollout &rollout, ChunkIndex piece);
+    /// The engine holds \a piece now; older pieces are dropped from the memory of this process.
+    void accepted(const Digest &transfer, ChunkIndex piece);
     void stageHeld(Rollout &rollout);
     TimePoint orderTime(const Rollout &rollout);
     void ordered(const Key &key);
@@ -140,6 +143,9 @@
     void execute(const ReportServable &) {}
     void execute(const ReportFailed &action);
 
+    /// Serves a piece that is only in the engine's staging area.
+    void serveStaged(const ServeChunk &action);
+    void serve(const ServeChunk &action);
     /// Reads the pieces that the engine has staged, one after the other.
     void readOwnCopies(const Key &key);
     void fetch(Download &download);
@@ -167,6 +173,12 @@
     EngineReport m_report; ///< The last one.
     std::map<ModelId, Rollouts> m_rollouts;
     std::map<ModelId, LoadSchedule> m_schedules;
+    struct Piece
+    {
+        Digest transfer;
+        ChunkIndex index = 0;
+    };
+    std::deque<Piece> m_recent;     ///< Staged, and still in the memory of this process.
     std::vector<Digest> m_outdated; ///< Transfers of earlier versions, still served to peers.
     std::map<ChunkRequestId, Download> m_downloads;
     std::unique_ptr<Timer> m_tick;
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -300,12 +300,24 @@
 
 void VersionRollout::stage(Rollout &rollout, ChunkIndex piece)
 {
-    rollout.stager->stage(piece, [this, transfer = rollout.transfer, piece](bool) {
+    rollout.stager->stage(piece, [this, transfer = rollout.transfer, piece](bool isStaged) {
         // A piece that the engine did not take is put again by the check before the order.
         run(m_planner.engineAccepted(now(), transfer, piece));
+        if (isStaged)
+            accepted(transfer, piece);
     });
 }
 
+void VersionRollout::accepted(const Digest &transfer, ChunkIndex piece)
+{
+    m_recent.push_back({transfer, piece});
+    if (m_recent.size() <= m_options.piecesInMemory)
+        return;
+    const Piece oldest = m_recent.front();
+    m_recent.pop_front();
+    run(m_planner.chunkUnloaded(now(), oldest.transfer, oldest.index));
+}
+
 void VersionRollout::stageHeld(Rollout &rollout)
 {
     for (const ChunkIndex piece : std::exchange(rollout.held, {})) {
@@ -490,6 +502,47 @@
 }
 
 void VersionRollout::execute(const ServeChunk &action)
+{
+    if (action.bytes)
+        serve(action);
+    else
+        serveStaged(action);
+}
+
+void VersionRollout::serveStaged(const ServeChunk &action)
+{
+    const Rollout *rollout = find(action.transfer);
+    if (!rollout) {
+        // The area belongs to a later version by now.
+        run(m_planner.uploadFinished(now(), action.upload, false));
+        m_environment.peers.refuse(action.upload, ResultCode::ChunkNotHeld);
+        return;
+    }
+    const auto &chunks = rollout->manifest->chunks;
+    const auto piece =
+            static_cast<ChunkIndex>(std::ranges::find(chunks, action.digest) - chunks.begin());
+    m_environment.engine.readStaged(
+            rollout->model, piece,
+            guarded<std::string>([this, action, piece](Outcome<std::string> outcome) {
+                auto *bytes = std::get_if<std::string>(&outcome);
+                if (bytes && Digest::of(*bytes) == action.digest) {
+                    ServeChunk complete = action;
+                    complete.bytes = std::make_shared<const std::string>(std::move(*bytes));
+                    serve(complete);
+                    return;
+                }
+                logStateChange("staged_piece_lost",
+                               {{"transfer", action.transfer.toHex().substr(0, 12)},
+                                {"piece", piece},
+                                {"found", bytes ? "other bytes" : "nothing"}},
+                               LogLevel::Warning);
+                run(m_planner.uploadFinished(now(), action.upload, false));
+                run(m_planner.chunkLost(now(), action.transfer, piece));
+                m_environment.peers.refuse(action.upload, ResultCode::ChunkNotHeld);
+            }));
+}
+
+void VersionRollout::serve(const ServeChunk &action)
 {
     m_environment.peers.serve(
             action, [this, alive = std::weak_ptr(m_alive), upload = action.upload](bool delivered) {
--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -156,10 +156,13 @@
     std::vector<std::unique_ptr<Timer>> m_calls;
 };
 
-/// Transport of a host without peers.
+/// Transport of a host whose peers hold nothing; it keeps what they are sent.
 class NoPeers : public PeerTransport
 {
 public:
+    std::map<UploadId, ChunkBytes> served;
+    std::map<UploadId, ResultCode> refused;
+
     std::shared_ptr<CallHandle> fetch(const HostId &, const Digest &, std::uint32_t,
                                       std::function<void()>, Completion<std::string> done) override
     {
@@ -167,8 +170,12 @@
         return nullptr;
     }
     void announce(const HostId &, const HaveUpdate &) override {}
-    void serve(const ServeChunk &, std::function<void(bool)> ended) override { ended(false); }
-    void refuse(UploadId, ResultCode) override {}
+    void serve(const ServeChunk &chunk, std::function<void(bool)> ended) override
+    {
+        served[chunk.upload] = chunk.bytes;
+        ended(true);
+    }
+    void refuse(UploadId upload, ResultCode code) override { refused[upload] = code; }
 };
 
 } // namespace godwit
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -31,6 +31,7 @@
         it.transfer.hostRate = 1e6;
         it.transfer.originRate = 1e6;
         it.transfer.maxBackoff = 500ms;
+        it.piecesInMemory = 1;
         return it;
     }
 
@@ -130,6 +131,43 @@
     }
 }
 
+// Pattern: most pieces are only in the engine's staging area when peers ask for them.
+TEST_CASE("VersionRollout serves pieces that it has staged")
+{
+    Fixture it;
+    const HostId peer("10.0.0.2");
+    it.rollout.want(TestModel, 1, it.terms());
+    it.scheduler.advance(1500ms);
+    REQUIRE(it.serves(1));
+    const auto ask = [&](ChunkIndex piece, UploadId upload) {
+        it.rollout.chunkRequested(peer, Digest::of(pieceOf(1, piece)), upload);
+        it.scheduler.advance(100ms);
+    };
+
+    SECTION("as they were checked")
+    {
+        for (ChunkIndex piece = 0; piece < PieceCount; ++piece) {
+            ask(piece, piece + 1);
+            REQUIRE(it.peers.served.contains(piece + 1));
+            CHECK(*it.peers.served.at(piece + 1) == pieceOf(1, piece));
+        }
+    }
+    // Guards against bytes that rotted in the engine and are passed on.
+    SECTION("but not if they have changed there")
+    {
+        for (ChunkIndex piece = 0; piece < PieceCount; ++piece) {
+            it.engine.staged[piece] = std::string(PieceBytes, 'r');
+            ask(piece, piece + 1);
+            // The last ones may still be in memory.
+            if (it.peers.served.contains(piece + 1))
+                CHECK(*it.peers.served.at(piece + 1) == pieceOf(1, piece));
+            else
+                CHECK(it.peers.refused.at(piece + 1) == ResultCode::ChunkNotHeld);
+        }
+        CHECK(it.peers.refused.size() == PieceCount - 1);
+    }
+}
+
 TEST_CASE("VersionRollout with two versions in quick succession")
 {
     Fixture it;
--- a/modules/weights/include/godwit/weights/chunkstore.h
+++ b/modules/weights/include/godwit/weights/chunkstore.h
@@ -17,7 +17,8 @@
 
 /// Verified chunks of one host in a bounded memory window, addressed by content. A chunk that
 /// several transfers use is stored once and freed when its last owner releases it. Bytes that a
-/// connection still sends stay in memory until it is done; they no longer count as used.
+/// connection still sends stay in memory until it is done; they no longer count as used. A chunk
+/// whose bytes the caller can read elsewhere may be unloaded.
 class ChunkStore
 {
 public:
@@ -37,7 +38,10 @@
     /// Releases the chunk for \a owner. Returns true if this freed it.
     bool release(const Digest &owner, const Digest &digest);
 
-    /// Null if the chunk is not stored.
+    /// Drops the bytes of a stored chunk, which the host can read elsewhere. It stays stored.
+    void unload(const Digest &digest);
+
+    /// Null if the chunk is not stored, or unloaded.
     ChunkBytes find(const Digest &digest) const;
 
     /// Any owner of a stored chunk; null if the chunk is not stored.
@@ -51,7 +55,7 @@
 private:
     struct Entry
     {
-        ChunkBytes bytes;
+        ChunkBytes bytes; ///< Null if unloaded.
         std::set<Digest> owners;
     };
 
--- a/modules/weights/include/godwit/weights/transferaction.h
+++ b/modules/weights/include/godwit/weights/transferaction.h
@@ -51,7 +51,7 @@
     UploadId upload = 0;
     HostId peer;
     Digest digest;
-    ChunkBytes bytes;
+    ChunkBytes bytes; ///< Null if the chunk was unloaded; the receiver of this reads it back.
     Digest transfer;
     std::uint32_t weight = 1; ///< Priority weight of the transfer.
     RegionId region;          ///< Of the peer if it is not the region of this host, else empty.
--- a/modules/weights/include/godwit/weights/transferplanner.h
+++ b/modules/weights/include/godwit/weights/transferplanner.h
@@ -77,6 +77,13 @@
     TransferActions chunkFound(TimePoint now, const Digest &transfer, ChunkIndex chunk,
                                ChunkBytes bytes);
 
+    /// The bytes of a chunk that the engine accepted can be read back from it, and are dropped
+    /// here. ServeChunk comes without bytes then.
+    TransferActions chunkUnloaded(TimePoint now, const Digest &transfer, ChunkIndex chunk);
+
+    /// An unloaded chunk could not be read back; peers hear that it is no longer held.
+    TransferActions chunkLost(TimePoint now, const Digest &transfer, ChunkIndex chunk);
+
     /// A request failed with \a code; \a retryAfter is the wait that the source asked for.
     TransferActions chunkFailed(TimePoint now, ChunkRequestId request, ResultCode code,
                                 Duration retryAfter = Duration::zero());
--- a/modules/weights/src/chunkstore.cpp
+++ b/modules/weights/src/chunkstore.cpp
@@ -11,12 +11,16 @@
                             + " bytes, expected " + std::to_string(size));
     if (Digest::of(*bytes) != digest)
         return fail(ResultCode::ChunkCorrupt, "chunk " + digest.toHex());
-    if (share(owner, digest))
+    if (find(digest)) {
+        share(owner, digest);
         return {};
+    }
     if (!hasRoom(size))
         return fail(ResultCode::ChunkWindowFull, "chunk " + digest.toHex());
     m_usedBytes += size;
-    m_entries.emplace(digest, Entry{std::move(bytes), {owner}});
+    Entry &entry = m_entries[digest];
+    entry.bytes = std::move(bytes);
+    entry.owners.insert(owner);
     return {};
 }
 
@@ -34,11 +38,20 @@
     const auto it = m_entries.find(digest);
     if (it == m_entries.end() || !it->second.owners.erase(owner) || !it->second.owners.empty())
         return false;
-    m_usedBytes -= it->second.bytes->size();
+    unload(digest);
     m_entries.erase(it);
     return true;
 }
 
+void ChunkStore::unload(const Digest &digest)
+{
+    const auto it = m_entries.find(digest);
+    if (it == m_entries.end() || !it->second.bytes)
+        return;
+    m_usedBytes -= it->second.bytes->size();
+    it->second.bytes.reset();
+}
+
 ChunkBytes ChunkStore::find(const Digest &digest) const
 {
     const auto it = m_entries.find(digest);
--- a/modules/weights/src/plannerevents.cpp
+++ b/modules/weights/src/plannerevents.cpp
@@ -95,7 +95,9 @@
 void TransferPlanner::Impl::reuseStoredChunks(Transfer &transfer)
 {
     for (ChunkIndex chunk = 0; chunk < transfer.chunkCount(); ++chunk) {
-        if (store.share(transfer.id, transfer.manifest().chunks[chunk])) {
+        const Digest &digest = transfer.manifest().chunks[chunk];
+        // The engine needs the bytes of an unloaded chunk once more.
+        if (store.find(digest) && store.share(transfer.id, digest)) {
             counters.bytesReused += transfer.manifest().chunkSize(chunk);
             addVerified(transfer, chunk);
         }
@@ -347,6 +349,20 @@
     hold(*transfer, chunk);
 }
 
+void TransferPlanner::Impl::chunkUnloaded(const Digest &id, ChunkIndex chunk)
+{
+    const Transfer *transfer = find(id);
+    if (transfer && chunk < transfer->chunkCount() && transfer->accepted.contains(chunk))
+        store.unload(transfer->manifest().chunks[chunk]);
+}
+
+void TransferPlanner::Impl::chunkLost(const Digest &id, ChunkIndex chunk)
+{
+    Transfer *transfer = find(id);
+    if (transfer && chunk < transfer->chunkCount() && transfer->held.contains(chunk))
+        drop(*transfer, chunk);
+}
+
 void TransferPlanner::Impl::badChunk(Request request, ResultCode code)
 {
     Transfer &transfer = *find(request.transfer);
--- a/modules/weights/src/plannerimpl.h
+++ b/modules/weights/src/plannerimpl.h
@@ -30,6 +30,8 @@
     void chunkProgress(ChunkRequestId request);
     void chunkArrived(ChunkRequestId request, ChunkBytes bytes);
     void chunkFound(const Digest &id, ChunkIndex chunk, ChunkBytes bytes);
+    void chunkUnloaded(const Digest &id, ChunkIndex chunk);
+    void chunkLost(const Digest &id, ChunkIndex chunk);
     void hold(Transfer &transfer, ChunkIndex chunk);
     void refreshViews(Transfer &transfer);
     void chunkFailed(ChunkRequestId request, ResultCode code, Duration retryAfter);
@@ -120,6 +122,8 @@
     void announce(Transfer &transfer);
     void announceToDesignated(Transfer &transfer, ChunkIndex chunk);
     void sendFull(Transfer &transfer, const HostId &peer, bool wantReply);
+    /// Bytes of each chunk but the last.
+    std::uint64_t usualChunkBytes(const Digest &id);
     void startUploads();
 
     HostId m_self;
--- a/modules/weights/src/plannershare.cpp
+++ b/modules/weights/src/plannershare.cpp
@@ -170,6 +170,12 @@
         m_uploads.noteDelivered();
 }
 
+std::uint64_t TransferPlanner::Impl::usualChunkBytes(const Digest &id)
+{
+    const Transfer *transfer = find(id);
+    return transfer ? transfer->manifest().chunkBytes : 0;
+}
+
 void TransferPlanner::Impl::startUploads()
 {
     const auto weightOf = [&](const Digest &id) {
@@ -179,7 +185,7 @@
     UploadQueue::Upload upload;
     while (m_uploads.start(weightOf, upload)) {
         ChunkBytes bytes = store.find(upload.digest);
-        if (!bytes) {
+        if (!store.contains(upload.digest)) {
             m_uploads.finish(upload.id);
             ++counters.uploadsRefusedNotHeld;
             m_out.push_back(RefuseChunk{upload.id, upload.peer, ResultCode::ChunkNotHeld});
@@ -187,8 +193,9 @@
         }
         if (!upload.otherRegion)
             m_uploads.noteStart(m_now);
-        counters.bytesServed += bytes->size();
-        m_uploads.charge(upload.transfer, bytes->size(), weightOf(upload.transfer));
+        const std::uint64_t size = bytes ? bytes->size() : usualChunkBytes(upload.transfer);
+        counters.bytesServed += size;
+        m_uploads.charge(upload.transfer, size, weightOf(upload.transfer));
         m_out.push_back(ServeChunk{upload.id, upload.peer, upload.digest, std::move(bytes),
                                    upload.transfer, weightOf(upload.transfer), upload.region});
     }
--- a/modules/weights/src/transferplanner.cpp
+++ b/modules/weights/src/transferplanner.cpp
@@ -93,6 +93,23 @@
     return m_impl->takeActions();
 }
 
+TransferActions TransferPlanner::chunkUnloaded(TimePoint now, const Digest &transfer,
+                                               ChunkIndex chunk)
+{
+    m_impl->advance(now);
+    m_impl->chunkUnloaded(transfer, chunk);
+    m_impl->run();
+    return m_impl->takeActions();
+}
+
+TransferActions TransferPlanner::chunkLost(TimePoint now, const Digest &transfer, ChunkIndex chunk)
+{
+    m_impl->advance(now);
+    m_impl->chunkLost(transfer, chunk);
+    m_impl->run();
+    return m_impl->takeActions();
+}
+
 TransferActions TransferPlanner::chunkFailed(TimePoint now, ChunkRequestId request, ResultCode code,
                                              Duration retryAfter)
 {
--- a/modules/weights/tests/linktest.cpp
+++ b/modules/weights/tests/linktest.cpp
@@ -51,6 +51,21 @@
         CHECK(store.release(B, Digest::of(one)));
         CHECK(store.usedBytes() == 0);
     }
+    // Guards against an unloaded chunk that still counts, or that can never be loaded again.
+    SECTION("keeps an unloaded chunk without its bytes")
+    {
+        REQUIRE(put(store, A, Digest::of(one), 1000, one) == ResultCode::Ok);
+        store.unload(Digest::of(one));
+        store.unload(Digest::of(one));
+        CHECK(store.usedBytes() == 0);
+        CHECK(store.contains(Digest::of(one)));
+        CHECK_FALSE(store.find(Digest::of(one)));
+        CHECK(put(store, B, Digest::of(one), 1000, one) == ResultCode::Ok);
+        CHECK(store.usedBytes() == 1000);
+        CHECK_FALSE(store.release(A, Digest::of(one)));
+        CHECK(store.release(B, Digest::of(one)));
+        CHECK(store.usedBytes() == 0);
+    }
 }
 
 TEST_CASE("LinkPacer")
--- a/modules/weights/tests/plannertest.cpp
+++ b/modules/weights/tests/plannertest.cpp
@@ -675,6 +675,50 @@
     }
 }
 
+// Pattern: a host beside its engine has little memory, and the engine keeps the chunks anyway.
+TEST_CASE("Chunks that are unloaded")
+{
+    const Manifest manifest = makeManifest("v1", 4);
+    const Digest id = manifest.digest();
+    constexpr UploadId Upload = 5;
+    TransferPlanner planner(HostId("h0"), Swarm::testSettings(), 1);
+    TransferOrder order;
+    order.manifest = manifest;
+    order.originRegion = RegionId("r1");
+    order.participants = {{HostId("h1"), ZoneId("z"), RegionId("r1")}};
+    TimePoint now{1h};
+    planner.start(now, order);
+    planner.chunkFound(
+            now, id, 2,
+            std::make_shared<const std::string>(chunkBytes("v1/2", 0, manifest.chunkSize(2))));
+    const auto requested = [&] {
+        return planner.chunkRequested(now, HostId("h1"), manifest.chunks[2], Upload);
+    };
+
+    SECTION("stay in memory until the engine has them")
+    {
+        planner.chunkUnloaded(now, id, 2);
+        CHECK(planner.store().find(manifest.chunks[2]));
+    }
+    SECTION("are served without bytes")
+    {
+        planner.engineAccepted(now, id, 2);
+        planner.chunkUnloaded(now, id, 2);
+        CHECK(planner.store().usedBytes() == 0);
+        const TransferActions actions = requested();
+        REQUIRE(countOf<ServeChunk>(actions) == 1);
+        CHECK_FALSE(std::get<ServeChunk>(actions.front()).bytes);
+    }
+    SECTION("are refused once they are lost, and peers hear of it")
+    {
+        planner.engineAccepted(now, id, 2);
+        planner.chunkUnloaded(now, id, 2);
+        now += 1s;
+        planner.chunkLost(now, id, 2);
+        CHECK(countOf<RefuseChunk>(requested()) == 1);
+    }
+}
+
 TEST_CASE("A host that hears nothing new asks its peers again")
 {
     const Manifest manifest = makeManifest("v1", 4);
--- a/modules/wire/src/http2connection.cpp
+++ b/modules/wire/src/http2connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace godwit {
@@ -13,6 +14,12 @@
 // One write call carries at most this much, which bounds the output buffer of a connection.
 constexpr std::size_t OutputBatchBytes = 128UL * 1024;
 
+// One read call takes at most this much.
+constexpr std::size_t InputBytes = 64UL * 1024;
+
+// An idle connection keeps at most this much of its output buffer.
+constexpr std::size_t IdleOutputBytes = 4UL * 1024;
+
 nghttp2_nv makeField(std::string_view name, std::string_view value)
 {
     const auto bytes = [](std::string_view text) {
@@ -122,6 +129,7 @@
 {
     boost::system::error_code ec;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    m_socket.non_blocking(true, ec);
     readSome();
     scheduleFlush();
     startHeartbeat();
@@ -225,23 +233,36 @@
 
 void Http2Connection::readSome()
 {
-    m_socket.async_read_some(
-            boost::asio::buffer(m_input),
-            [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
-                if (self->m_closed)
-                    return;
-                if (ec) {
-                    self->close({ResultCode::ConnectionLost, ec.message()});
-                    return;
-                }
-                self->processInput(n);
-            });
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](boost::system::error_code ec) {
+                            if (self->m_closed)
+                                return;
+                            if (ec)
+                                self->close({ResultCode::ConnectionLost, ec.message()});
+                            else
+                                self->receive();
+                        });
+}
+
+// The buffer is taken only when bytes have arrived, and they are used up before the next read: a
+// host has connections to all others, and most of them are silent.
+void Http2Connection::receive()
+{
+    thread_local std::array<std::uint8_t, InputBytes> input;
+    boost::system::error_code ec;
+    const std::size_t n = m_socket.read_some(boost::asio::buffer(input), ec);
+    if (ec == boost::asio::error::would_block)
+        readSome();
+    else if (ec)
+        close({ResultCode::ConnectionLost, ec.message()});
+    else
+        processInput({input.data(), n});
 }
 
-void Http2Connection::processInput(std::size_t n)
+void Http2Connection::processInput(std::span<const std::uint8_t> input)
 {
     m_lastReceived = MonotonicClock::now();
-    const auto result = nghttp2_session_mem_recv(m_session, m_input.data(), n);
+    const auto result = nghttp2_session_mem_recv(m_session, input.data(), input.size());
     if (m_closed)
         return;
     if (result < 0) {
@@ -284,6 +305,8 @@
             break;
         m_output.append(reinterpret_cast<const char *>(data), static_cast<std::size_t>(n));
     }
+    if (m_output.empty() && m_output.capacity() > IdleOutputBytes)
+        m_output = {};
     if (m_output.empty() || m_closed)
         return;
     m_writing = true;
--- a/modules/wire/src/http2connection.h
+++ b/modules/wire/src/http2connection.h
@@ -9,9 +9,9 @@
 
 #include <nghttp2/nghttp2.h>
 
-#include <array>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <unordered_map>
 
@@ -53,7 +53,8 @@
 private:
     void createSession();
     void readSome();
-    void processInput(std::size_t n);
+    void receive();
+    void processInput(std::span<const std::uint8_t> input);
     void scheduleFlush();
     void flush();
     void startHeartbeat();
@@ -78,7 +79,6 @@
     ClosedHandler m_closedHandler;
     std::unordered_map<std::int32_t, std::shared_ptr<WireStream>> m_streams;
     std::unordered_map<std::int32_t, std::size_t> m_headerBytes;
-    std::array<std::uint8_t, 64UL * 1024> m_input{};
     std::string m_output;
     TimePoint m_lastReceived;
     bool m_writing = false;
