Ask elsewhere when a region's only holder of a chunk is silent

Cause: two faults of the planner, each of which let a whole region wait for ever for the chunks that only one of its hosts holds, when that host sends nothing. After a change of the participants, chunks that were being requested got no further check, so that only their holder was asked again. And whose turn it is among the keepers followed the number of all requests for the chunk: with another request in between each time, the turn never came to the path over another region or the origin.

Ruled out: the retry budget of the origin (those hosts sent it no request).

--- a/modules/weights/src/plannerfetch.cpp
+++ b/modules/weights/src/plannerfetch.cpp
@@ -147,12 +147,15 @@
 void TransferPlanner::Impl::rebuildChecks(Transfer &transfer)
 {
     transfer.checks = {};
-    transfer.wanted.forEach([&](ChunkIndex chunk) {
+    // Also those that are requested: the requests may fail.
+    for (ChunkIndex chunk = 0; chunk < transfer.chunkCount(); ++chunk) {
+        if (!transfer.missing(chunk))
+            continue;
         const std::uint32_t rank = transfer.ownRank(chunk);
         const TimePoint scheduled = std::max(m_now, scheduledAt(transfer, chunk));
         transfer.checks.push(PathCheck{rank == 0 ? scheduled : scheduled + fallbackDelay(transfer),
                                        chunk, rank});
-    });
+    }
 }
 
 void TransferPlanner::Impl::runChecks(Transfer &transfer)
@@ -251,8 +254,9 @@
 
 bool TransferPlanner::Impl::askKeeper(Transfer &transfer, ChunkIndex chunk)
 {
-    // Each attempt asks the next keeper; once all were asked, the path is used.
-    const std::uint32_t turn = transfer.attempts[chunk] % (AskedKeepers + 1);
+    // Each call asks the next keeper; once all were asked, the path is used. Other requests for the
+    // chunk go on in between, so that the number of attempts does not tell whose turn it is.
+    const std::uint32_t turn = transfer.keeperTurns[chunk]++ % (AskedKeepers + 1);
     const std::vector<HostId> keepers = transfer.ranked(transfer.region, chunk, AskedKeepers);
     for (std::size_t i = turn; i < keepers.size(); ++i) {
         const SourceState &peer = m_peers.at(keepers[i]);
--- a/modules/weights/src/transfer.h
+++ b/modules/weights/src/transfer.h
@@ -106,6 +106,7 @@
     std::vector<std::uint32_t> attempts;
     std::map<ChunkIndex, std::uint32_t> badFromOrigin;
     std::map<ChunkIndex, std::uint32_t> pathFailures; ///< Failed requests over its path.
+    std::map<ChunkIndex, std::uint32_t> keeperTurns;  ///< Searches among the keepers so far.
     std::map<ChunkIndex, std::uint32_t> activeRequests;
     std::uint32_t outstanding = 0; ///< Requests to peers of the region.
     std::priority_queue<PathCheck, std::vector<PathCheck>, std::greater<>> checks;
--- a/modules/weights/tests/plannertest.cpp
+++ b/modules/weights/tests/plannertest.cpp
@@ -194,6 +194,29 @@
     CHECK(swarm.originRequests() <= Chunks * 3 / 2);
 }
 
+// Pattern: hosts are lost while the only holder of a chunk in its region sends nothing, as behind a
+// link that is cut in one direction. Its region asked it again and again and nobody else.
+TEST_CASE("A region whose only holder of a chunk is silent gets the chunk elsewhere")
+{
+    const auto seed = GENERATE(range(1, 13));
+    INFO("seed " << seed);
+    Setup setup(static_cast<std::uint64_t>(seed), 20, 3);
+    Swarm &swarm = setup.swarm;
+    const std::string silent = Setup::name(seed);
+    const TimePoint silentAt = swarm.now + 60ms;
+    swarm.onReply = [&](const std::string &source, const std::string &, const Digest &) {
+        Reply reply;
+        reply.lost = source == silent && swarm.now >= silentAt;
+        return reply;
+    };
+    swarm.startAll(setup.manifest);
+    swarm.run(80ms);
+    swarm.kill(Setup::name((seed + 2) % 20));
+    swarm.kill(Setup::name((seed + 5) % 20));
+    CHECK(swarm.runUntilServable(setup.manifest, 60s));
+    CHECK(swarm.violations.empty());
+}
+
 TEST_CASE("Origin faults")
 {
     Setup setup(1);
