Bring weights to many hosts: fewer connections and copies from the origin

Those that had no manifest could not fetch the pieces that were theirs to fetch.

Hosts keep no idle connection to the origin, and stand in for another one after 0.8 s.

Ruled out: the budget of retries (a budget shared by all hosts let single pieces wait for up to 47 s when hosts were killed; tried in the network model and dropped), the distance at which a piece counts as passed (no effect).

--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -1,6 +1,7 @@
 #include "hostprocess.h"
 
 #include <godwit/observe/log.h>
+#include <godwit/rollout/transferprofile.h>
 
 #include <algorithm>
 
@@ -17,10 +18,6 @@
 constexpr double BitsPerByte = 8;
 /// The first version of a model is wanted before the operator has named any.
 constexpr std::uint64_t FirstVersion = 1;
-/// Memory for the pieces of the present and the next version.
-/// Bytes per second of a link between two regions that weights may take; the rest is for requests.
-constexpr double RegionLinkRate = 1.6e6;
-constexpr std::uint64_t WindowBytes = 24UL * 1024 * 1024;
 
 /// The tokens of the engine share the host's link with the weights, and are late after a tenth of a
 /// second: short pieces keep the queue on the link short.
@@ -35,36 +32,20 @@
     return links;
 }
 
-/// A version is on all engines within seconds, so a source that fails is tried again soon.
-TransferSettings transferSettings(const FleetSettings &settings)
+/// The origin accepts a limited number of connections from all hosts together. Those that a host
+/// keeps idle would shut the others out.
+HttpClientOptions originConnections()
 {
-    TransferSettings transfer;
-    if (settings.linkBitsPerSecond > 0)
-        transfer.hostRate = settings.linkBitsPerSecond / BitsPerByte;
-    transfer.originRate = transfer.hostRate;
-    transfer.regionLinkRate = RegionLinkRate;
-    transfer.windowBytes = WindowBytes;
-    // A chunk takes as long on a slow host link as several on the link between the regions.
-    transfer.regionWindow = 10;
-    transfer.regionUploadSlots = 6;
-    transfer.regionDownloads = 3;
-    transfer.startGrace = std::chrono::milliseconds(20);
-    transfer.stallTimeout = std::chrono::milliseconds(800);
-    transfer.peerBackoff = std::chrono::milliseconds(100);
-    transfer.maxBackoff = std::chrono::milliseconds(500);
-    transfer.timeFirstFallback = std::chrono::milliseconds(300);
-    // All hosts together may fetch a few pieces for hosts that fail, but not copies of their own
-    // when an origin returns: its link carries one copy in a third of the time of a version.
-    transfer.originRetriesPerSecond = 0.5;
-    transfer.originRetryBurst = 4;
-    return transfer;
+    HttpClientOptions options;
+    options.idlePerEndpoint = 0;
+    return options;
 }
 
 RolloutOptions optionsFor(const FleetSettings &settings)
 {
     RolloutOptions options;
     options.self = HostId(settings.listen.peers.address);
-    options.transfer = transferSettings(settings);
+    options.transfer = transferProfile(settings.linkBitsPerSecond / BitsPerByte);
     return options;
 }
 
@@ -74,7 +55,7 @@
                          const FleetPlatform &platform)
     : FleetProcessBase(std::move(settings), std::move(settingsFile), platform)
     , m_engineClient(m_io)
-    , m_originClient(m_io)
+    , m_originClient(m_io, originConnections())
     , m_engine(platform.engine(m_engineClient, toHttpEndpoint(m_settings.engine->endpoint)))
     , m_peers(m_io, m_scheduler, HostId(m_settings.listen.peers.address),
               m_settings.listen.peers.port, uploadLinks(m_settings))
--- a/modules/weights/bench/scenario.h
+++ b/modules/weights/bench/scenario.h
@@ -4,8 +4,10 @@
 
 #include <godwit/weights/chunkstore.h>
 #include <godwit/weights/transferorder.h>
+#include <godwit/weights/transfersettings.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace godwit::bench {
@@ -23,6 +25,10 @@
     bool faults = false;
     std::uint64_t seed = 1;
     ChunkIndex chunks = Chunks;
+    /// Of all planners; those of the layout's rates if it is empty.
+    std::optional<TransferSettings> settings = std::nullopt;
+    /// Hosts learn of the order within this time, which a change needs to spread.
+    Duration startSpread = std::chrono::milliseconds(20);
 
     double modelBytes() const { return static_cast<double>(chunks) * ChunkBytesScaled; }
 };
--- a/modules/weights/bench/swarmrun.h
+++ b/modules/weights/bench/swarmrun.h
@@ -34,8 +34,8 @@
     {
         scheduleFaults();
         for (int i = 0; i < m_scenario.layout.hosts; ++i) {
-            // Hosts learn of the order within the time that a change needs to spread.
-            const auto skew = std::chrono::microseconds(m_random.below(20000));
+            const auto spread = static_cast<std::uint64_t>(m_scenario.startSpread.count());
+            const Duration skew(m_random.below(spread));
             m_simulation.after(skew,
                                [this, i] { apply(i, host(i).planner.start(now(), order())); });
         }
@@ -69,6 +69,8 @@
 
     TransferSettings makeSettings() const
     {
+        if (m_scenario.settings)
+            return *m_scenario.settings;
         TransferSettings settings;
         settings.hostRate = m_scenario.layout.hostRate;
         settings.originRate = m_scenario.layout.originRate;
