Match requests to the time that the weights of an engine still have

The pool charged every request alike in the second before the turn. The version is now stated in the request. A refusal of it is no longer taken for another process at the address.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -41,7 +41,8 @@
     ModelId model;                        ///< Empty for a service without models.
     std::optional<std::uint64_t> version; ///< Of the weights; a stream must not mix two.
     std::uint32_t promptTokens = 0;
-    std::set<BackendId> excluded; ///< That were tried before.
+    std::uint32_t outputTokens = 0; ///< Expected; 0 if not known.
+    std::set<BackendId> excluded;   ///< That were tried before.
     /// A backend server is used only if the request is expected to wait no longer for a slot. The
     /// time in which its own prompt is read does not count, so that long prompts are not left out.
     Duration startLimit = Duration::max();
@@ -56,6 +57,8 @@
     HttpEndpoint endpoint;
     Duration predictedStart{0}; ///< Until the response begins.
     bool hasFreeSlot = true;    ///< It need not wait for other requests.
+    /// The weights of the backend server are out of date from then on, and it must not begin.
+    std::optional<TimePoint> beginBy;
 
     friend bool operator==(const BackendChoice &, const BackendChoice &) = default;
 };
@@ -143,7 +146,8 @@
     struct Service
     {
         std::optional<EngineProfile> engine;
-        double holdSeconds = 0; ///< Mean time for which a request holds its slot.
+        double holdSeconds = 0;  ///< Mean time for which a request holds its slot.
+        double outputTokens = 0; ///< Mean of the requests that state them.
         /// Mean time to the first event, beyond the prediction, of requests that found a free slot:
         /// the pass of the engine that reads the prompt, and the tokens of one event.
         double startDelaySeconds = 0;
@@ -157,11 +161,18 @@
     bool serves(const Backend &backend, const BackendQuery &query, const Service *service,
                 TimePoint now) const;
     std::uint64_t requiredVersion(const ModelId &model, TimePoint now) const;
+    /// When \a served will be out of date; nothing if no newer version is named.
+    std::optional<TimePoint> outdatedAt(const ModelId &model, std::uint64_t served) const;
+    std::optional<TimePoint> outdatedAt(const BackendRecord &record, const ModelId &model) const;
     /// Price, in seconds, of a backend server whose streams pause longer than those of the others.
     double pausePenalty(const Backend &backend, double meanPause, TimePoint now) const;
     void updateSchedules();
-    /// Price, in seconds, of an engine that loads a newer version soon.
-    double loadPenalty(const BackendRecord &record, const ModelId &model, TimePoint now) const;
+    /// Price, in seconds, of an engine that loads a newer version before a request that takes
+    /// \a duration comes to its end.
+    double loadPenalty(const BackendRecord &record, const ModelId &model, double duration,
+                       TimePoint now) const;
+    /// Time for which a request is expected to hold its slot, in seconds.
+    static double expectedHold(const Service *service, const BackendQuery &query);
     std::optional<BackendChoice> cheapest(const std::vector<const Backend *> &candidates,
                                           const BackendQuery &query, TimePoint now,
                                           double &shortestWait);
--- a/modules/gateway/include/godwit/gateway/callerprotocol.h
+++ b/modules/gateway/include/godwit/gateway/callerprotocol.h
@@ -20,6 +20,8 @@
     CustomerId customer;                   ///< Empty on routes without keys.
     std::optional<std::uint32_t> priority; ///< 0 is the most urgent.
     std::optional<std::string> lastEvent;  ///< Event after which a stream goes on.
+    /// Of the weights with which the stream began; a backend server with others must not run it.
+    std::optional<std::uint64_t> weightsVersion;
 
     friend bool operator==(const ForwardTerms &, const ForwardTerms &) = default;
 };
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -9,7 +9,7 @@
 
 /// Hold time of a request before any has completed, in seconds.
 constexpr double AssumedHoldSeconds = 0.5;
-/// Weight of the newest hold time in the mean.
+/// Weight of the newest hold time, or number of tokens, in the mean.
 constexpr double HoldWeight = 0.05;
 /// Weight of the newest attempt in the share of failures.
 constexpr double FailureWeight = 0.1;
@@ -52,12 +52,11 @@
 constexpr Duration LongestRejectionPause = std::chrono::milliseconds(1200);
 constexpr int MostDoublings = 8;
 
-/// An engine that loads new weights should have few requests by then; it is preferred less from
-/// this time before on.
-constexpr Duration LoadHorizon = std::chrono::milliseconds(1200);
+/// An engine that loads new weights waits for its longest request with most of its slots empty. A
+/// request that would still run then costs this much for each second of that wait.
+constexpr double OverrunPenaltyPerSecond = 0.25;
+constexpr double LargestOverrunPenalty = 0.3;
 constexpr Duration LongestLoad = std::chrono::milliseconds(2500);
-constexpr double LoadPenaltyPerSecond = 0.12;
-constexpr double LargestLoadPenalty = 0.25;
 /// Prediction for a service without any room.
 constexpr double LongestWaitSeconds = 60;
 
@@ -145,6 +144,26 @@
     return version;
 }
 
+std::optional<TimePoint> BackendPool::outdatedAt(const ModelId &model, std::uint64_t served) const
+{
+    const auto it = m_versions.find(model);
+    std::optional<TimePoint> earliest;
+    if (it == m_versions.end())
+        return earliest;
+    for (const VersionRule &rule : it->second) {
+        if (rule.version > served)
+            earliest = std::min(earliest.value_or(rule.at), rule.at);
+    }
+    return earliest;
+}
+
+std::optional<TimePoint> BackendPool::outdatedAt(const BackendRecord &record,
+                                                 const ModelId &model) const
+{
+    const auto served = std::ranges::find(record.models, model, &ServedModel::model);
+    return served == record.models.end() ? std::nullopt : outdatedAt(model, served->version);
+}
+
 bool BackendPool::serves(const Backend &backend, const BackendQuery &query, const Service *service,
                          TimePoint now) const
 {
@@ -287,7 +306,15 @@
     }
 }
 
-double BackendPool::loadPenalty(const BackendRecord &record, const ModelId &model,
+double BackendPool::expectedHold(const Service *service, const BackendQuery &query)
+{
+    const double hold =
+            service && service->holdSeconds > 0 ? service->holdSeconds : AssumedHoldSeconds;
+    const bool isKnown = service && service->outputTokens > 0 && query.outputTokens > 0;
+    return isKnown ? hold * query.outputTokens / service->outputTokens : hold;
+}
+
+double BackendPool::loadPenalty(const BackendRecord &record, const ModelId &model, double duration,
                                 TimePoint now) const
 {
     const auto schedule = m_schedules.find(model);
@@ -299,14 +326,19 @@
         return 0;
     const Duration left = *turn - now;
     // An engine that has not loaded long after its turn will not do so soon.
-    if (left > LoadHorizon || left < -LongestLoad)
+    if (left < -LongestLoad)
         return 0;
-    return std::min(LoadPenaltyPerSecond * toSeconds(LoadHorizon - left), LargestLoadPenalty);
+    const double overrun = std::max(0.0, duration - toSeconds(left));
+    return std::min(OverrunPenaltyPerSecond * overrun, LargestOverrunPenalty);
 }
 
 std::variant<BackendChoice, NoBackend> BackendPool::choose(const BackendQuery &query, TimePoint now)
 {
     updateSchedules();
+    if (query.outputTokens > 0) {
+        double &mean = m_services[query.service].outputTokens;
+        mean = mean > 0 ? mean + HoldWeight * (query.outputTokens - mean) : query.outputTokens;
+    }
     const Service *service = serviceOf(query.service);
     std::vector<const Backend *> serving;
     for (const auto &[id, backend] : m_backends) {
@@ -337,6 +369,7 @@
                                 ? query.promptTokens / engine->promptTokensPerSecond
                                 : 0;
     const double startDelay = service ? service->startDelaySeconds : 0;
+    const double ownHold = expectedHold(service, query);
     std::optional<BackendChoice> best;
     double bestCost = 0;
     for (const Backend *it : candidates) {
@@ -348,15 +381,19 @@
         shortestWait = std::min(shortestWait, wait);
         const double start = wait + read;
         // A free slot is used whatever the delay; it could not be learned anew otherwise.
-        if (fromSeconds(wait > 0 ? wait + startDelay : 0) > query.startLimit)
+        const Duration delay = fromSeconds(wait > 0 ? wait + startDelay : 0);
+        const auto beginBy = outdatedAt(it->record, query.model);
+        if (delay > query.startLimit || (beginBy && now + delay > *beginBy))
             continue;
-        const double cost =
-                start + load / slots * FullPenaltySeconds
-                + (it->record.zone == m_zone ? 0 : ZonePenaltySeconds)
-                + it->failureShare * FailurePenaltySeconds + pausePenalty(*it, pause, now)
-                + loadPenalty(it->record, query.model, now) + m_random.uniform() * JitterSeconds;
+        const double cost = start + load / slots * FullPenaltySeconds
+                            + (it->record.zone == m_zone ? 0 : ZonePenaltySeconds)
+                            + it->failureShare * FailurePenaltySeconds
+                            + pausePenalty(*it, pause, now)
+                            + loadPenalty(it->record, query.model, start + ownHold, now)
+                            + m_random.uniform() * JitterSeconds;
         if (!best || cost < bestCost) {
-            best = BackendChoice{it->record.id, it->record.endpoint, fromSeconds(start), wait <= 0};
+            best = BackendChoice{it->record.id, it->record.endpoint, fromSeconds(start), wait <= 0,
+                                 beginBy};
             bestCost = cost;
         }
     }
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -29,6 +29,9 @@
 constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(1000);
 /// Part of the time left that clients wait; they disregard a longer Retry-After.
 constexpr double HonouredRetryShare = 0.3;
+/// A backend server whose weights get out of date begins a request this long after it may get no
+/// more, if it has been given one that waits. The pool leaves half a second.
+constexpr Duration WithdrawalDelay = std::chrono::milliseconds(250);
 /// Prediction errors must not send a request that begins just late.
 constexpr Duration StartMargin = std::chrono::milliseconds(20);
 
@@ -134,6 +137,7 @@
     query.service = m_terms.service;
     query.model = m_request.model;
     query.promptTokens = m_request.promptTokens;
+    query.outputTokens = m_request.likelyOutputTokens.value_or(m_request.mostOutputTokens);
     query.version = m_weightsVersion;
     for (const PastAttempt &it : m_attempts)
         query.excluded.insert(it.backend);
@@ -171,6 +175,24 @@
     m_attempting = true;
     m_gateway.m_backends.started(choice.id, m_urgency);
     m_call = m_gateway.m_environment.send(callFor(choice), handlersFor(++m_serial));
+    m_withdrawal.reset();
+    if (choice.beginBy)
+        withdrawAt(*choice.beginBy + WithdrawalDelay);
+}
+
+void ForwardedRequest::withdrawAt(TimePoint time)
+{
+    const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+    m_withdrawal = m_gateway.m_environment.scheduler.after(
+            std::max(Duration::zero(), time - now()), [weak, serial = m_serial] {
+                const auto self = weak.lock();
+                if (!self || self->m_ended || !self->m_attempting || self->m_serial != serial
+                    || self->m_body != Body::None)
+                    return;
+                self->m_call->cancel();
+                self->fail(AttemptEnd::Abandoned, "it has not begun before the weights of the "
+                                                  "backend server were out of date");
+            });
 }
 
 HttpCall ForwardedRequest::callFor(const BackendChoice &choice) const
@@ -183,6 +205,7 @@
     terms.customer = m_terms.customer;
     terms.priority =
             m_urgency == RequestUrgency::Late ? latePriority(m_terms.priority) : m_terms.priority;
+    terms.weightsVersion = m_weightsVersion;
     terms.lastEvent = m_events.lastId() ? m_events.lastId() : m_request.lastEvent;
     HttpCall call = m_gateway.m_environment.protocol.forward(m_request, terms);
     call.connectTimeout = std::min(ConnectTimeout, left / ConnectShare);
@@ -299,10 +322,13 @@
 void ForwardedRequest::onComplete()
 {
     switch (m_body) {
-    case Body::Rejection:
-        fail(m_head.otherProcess ? AttemptEnd::OtherProcess : AttemptEnd::Rejected,
+    case Body::Rejection: {
+        // It may be the same process with other weights than those that the stream began with.
+        const bool isOther = m_head.otherProcess && !m_weightsVersion;
+        fail(isOther ? AttemptEnd::OtherProcess : AttemptEnd::Rejected,
              "status " + std::to_string(m_head.status));
         return;
+    }
     case Body::None:
     case Body::Unusable:
         fail(AttemptEnd::Broken, "unusable response with status " + std::to_string(m_head.status));
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -55,6 +55,8 @@
 
     void attempt();
     HttpCall callFor(const BackendChoice &choice) const;
+    /// Takes the attempt back if it has not begun at \a time.
+    void withdrawAt(TimePoint time);
     HttpStreamHandlers handlersFor(std::uint64_t serial);
     /// Of the most demanding requests that share the queues of the service.
     Duration sharedObjective() const;
@@ -98,6 +100,7 @@
     Duration m_spent{0}; ///< By the client on earlier attempts.
     TimePoint m_endAt;   ///< The client or the route waits no longer.
     std::unique_ptr<Timer> m_deadline;
+    std::unique_ptr<Timer> m_withdrawal; ///< Of the present attempt.
     std::vector<PastAttempt> m_attempts;
     std::shared_ptr<CallHandle> m_call;
     std::uint64_t m_serial = 0; ///< Of the present attempt; callbacks of earlier ones are ignored.
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -233,6 +233,51 @@
         for (const auto &[other, n] : counts)
             CHECK((other == id || n >= (counts.contains(id) ? counts.at(id) : 0)));
     }
+    // Guards against a request that begins on weights whose time ended while it waited.
+    SECTION("no request waits at an engine for longer than its weights are valid")
+    {
+        for (int i = 2; i <= 4; ++i)
+            it.pool.remove(BackendId("e" + std::to_string(i)));
+        for (int i = 0; i < 20; ++i)
+            it.pool.started(BackendId("e1"), RequestUrgency::InTime);
+        auto patient = query();
+        patient.startLimit = 2s;
+        CHECK(it.choose(patient) == "e1");
+        it.pool.requireVersion(Model, 2, it.now + 50ms);
+        CHECK(it.choose(patient) == "none");
+    }
+    // Pattern: an engine that loads weights waits for its longest request while its other slots are
+    // empty, so that many engines are away at a time.
+    SECTION("an engine that loads soon gets the requests that end before")
+    {
+        constexpr std::uint32_t Tokens = 140;
+        constexpr Duration Hold = 1400ms;
+        auto usual = query();
+        usual.outputTokens = Tokens;
+        for (int i = 0; i < 200; ++i) {
+            it.choose(usual);
+            it.pool.started(BackendId("e1"), RequestUrgency::InTime);
+            it.pool.finished(BackendId("e1"), AttemptEnd::Complete, Hold, it.now);
+        }
+        for (int i = 2; i <= 4; ++i)
+            it.pool.remove(BackendId("e" + std::to_string(i)));
+        it.pool.versionNamed(Model, 2, {it.now, 8s});
+        LoadSchedule schedule;
+        schedule.named(2, {it.now, 8s});
+        schedule.setEngines({"10.0.0.1"});
+        const TimePoint turn = *schedule.turn("10.0.0.1", 1);
+        // The other engine has that version, and some more requests.
+        it.pool.update(engine(2, "here", 2), it.now);
+        for (int i = 0; i < 4; ++i)
+            it.pool.started(BackendId("e2"), RequestUrgency::InTime);
+        it.now = turn - Hold / 2;
+        CHECK(it.choose(usual) == "e2");
+        auto brief = query();
+        brief.outputTokens = Tokens / 4;
+        CHECK(it.choose(brief) == "e1");
+        it.now = turn - 2 * Hold;
+        CHECK(it.choose(usual) == "e1");
+    }
 }
 
 // Pattern: the load jumps above the capacity. Requests that begin just late take the slots of those
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 #include <string>
 #include <vector>
 
@@ -26,6 +28,7 @@
         request.target = http.target;
         request.host = http.headers.value("Host");
         request.key = http.headers.value("key");
+        request.model = ModelId(std::string(http.headers.value("model")));
         const std::string *patience = http.headers.find("patience");
         request.patience = std::chrono::milliseconds(patience ? std::stoi(*patience) : 2000);
         return request;
@@ -41,6 +44,8 @@
         call.headers.add("left", std::to_string(terms.timeLeft.count()));
         if (terms.lastEvent)
             call.headers.add("last", *terms.lastEvent);
+        if (terms.weightsVersion)
+            call.headers.add("weights", std::to_string(*terms.weightsVersion));
         return call;
     }
     BackendReplyHead readReply(int status, const HttpHeaders &headers) const override
@@ -362,6 +367,24 @@
         CHECK(view->aborted);
         CHECK_FALSE(view->finished);
     }
+    // Pattern: an engine loads new weights, and its record says so a moment later.
+    SECTION("only if it still has the weights with which the stream began")
+    {
+        CHECK_FALSE(it.arrivals[0]->call.headers.find("weights"));
+        it.arrivals[0]->fail(ResultCode::PlatformReplyLost);
+        REQUIRE(it.arrivals.size() == 2);
+        CHECK(it.arrivals[1]->call.headers.value("weights") == "4");
+        const std::string other = it.arrivals[1]->backend();
+        it.arrivals[1]->reject(421);
+        // The engine with other weights is no other process, and serves other requests.
+        it.scheduler.advance(500ms);
+        std::set<std::string> used;
+        for (int i = 0; i < 30; ++i) {
+            it.ask("/stream/x");
+            used.insert(it.arrivals.back()->backend());
+        }
+        CHECK(used.contains(other));
+    }
     SECTION("a stream that ends within an event is not complete")
     {
         it.arrivals[0]->complete();
@@ -410,6 +433,55 @@
     }
 }
 
+// Pattern: requests wait in the queues of engines when the time of their weights ends.
+TEST_CASE("Gateway takes back what has not begun when the weights get out of date")
+{
+    Fixture it;
+    it.configure();
+    const ModelId model("m");
+    const auto serve = [&](int number, std::uint64_t version) {
+        it.gateway.backends().update({BackendId("b" + std::to_string(number)),
+                                      "desk",
+                                      {"10.0.0." + std::to_string(number), 80},
+                                      ZoneId("z"),
+                                      6,
+                                      false,
+                                      2,
+                                      {{model, version}},
+                                      std::nullopt},
+                                     it.scheduler.now());
+    };
+    it.gateway.backends().remove(BackendId("b2"));
+    it.gateway.backends().remove(BackendId("b3"));
+    serve(1, 1);
+    it.gateway.backends().requireVersion(model, 2, it.scheduler.now() + 300ms);
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/stream/x";
+    request.headers = {{"id", "r1"}, {"Host", "h"}, {"key", "k"}, {"model", "m"}};
+    it.gateway.handle(request, std::make_shared<ClientView>());
+    REQUIRE(it.arrivals.size() == 1);
+    const auto first = it.arrivals[0];
+    serve(2, 2);
+
+    SECTION("an attempt without a response is sent elsewhere")
+    {
+        it.scheduler.advance(500ms);
+        CHECK_FALSE(first->cancelled);
+        it.scheduler.advance(100ms);
+        CHECK(first->cancelled);
+        CHECK(it.arrivals.size() == 2);
+    }
+    SECTION("a response that has begun goes on")
+    {
+        first->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+        first->data("id: 1\ndata: a\n\n");
+        it.scheduler.advance(600ms);
+        CHECK_FALSE(first->cancelled);
+        CHECK(it.arrivals.size() == 1);
+    }
+}
+
 // Pattern: refused clients return while others still can be in time.
 TEST_CASE("Gateway lets a client that returns wait behind those that can be in time")
 {
