Ask peers what they hold also while chunks arrive

Cause: a host that joins asks once, and again only after 0.7 s without a new chunk. Hosts that hold all chunks announce nothing more, so the joiner went on with the few holders that it had heard of.

--- a/modules/weights/include/godwit/weights/transfersettings.h
+++ b/modules/weights/include/godwit/weights/transfersettings.h
@@ -29,8 +29,8 @@
 
     Duration startGrace = std::chrono::milliseconds(50); ///< Waits for peers that already hold.
     Duration announceInterval = std::chrono::milliseconds(50);
-    /// Without a new chunk for this long, peers are asked again what they hold: an announcement may
-    /// have been lost, or sent before they knew of this host.
+    /// While chunks are missing, some peers are asked this often what they hold: an announcement
+    /// may have been lost, or sent before they knew of this host.
     Duration viewRefresh = std::chrono::milliseconds(700);
     Duration linger = std::chrono::seconds(10);      ///< Delay of freeing while peers lack chunks.
     Duration clockJump = std::chrono::seconds(10);   ///< Longer silence counts as a paused process.
--- a/modules/weights/src/plannerevents.cpp
+++ b/modules/weights/src/plannerevents.cpp
@@ -307,7 +307,6 @@
     cancelRequestsFor(transfer, chunk);
     addVerified(transfer, chunk);
     transfer.pendingAdded.push_back(chunk);
-    transfer.refreshAt.reset();
     announceToDesignated(transfer, chunk);
 }
 
--- a/modules/weights/tests/plannertest.cpp
+++ b/modules/weights/tests/plannertest.cpp
@@ -742,9 +742,14 @@
     }
 }
 
-TEST_CASE("A host that hears nothing new asks its peers again")
+// Pattern: hosts join while the others have long had the chunks and announce nothing more. With the
+// few holders of which it has heard, a host gets a third of what its link carries.
+TEST_CASE("A host that lacks chunks asks its peers again what they hold")
 {
-    const Manifest manifest = makeManifest("v1", 4);
+    constexpr ChunkIndex Count = 40;
+    const bool hasProgress = GENERATE(false, true);
+    INFO("chunks arrive: " << hasProgress);
+    const Manifest manifest = makeManifest("v1", Count);
     TransferSettings settings = Swarm::testSettings();
     settings.viewRefresh = 500ms;
     TransferPlanner planner(HostId("h0"), settings, 1);
@@ -756,9 +761,16 @@
     TimePoint now{1h};
     planner.start(now, order);
     int asked = 0;
-    for (int i = 0; i < 30; ++i) {
+    for (ChunkIndex i = 0; i < 30; ++i) {
         now += 100ms;
-        for (const TransferAction &action : planner.tick(now)) {
+        TransferActions actions = planner.tick(now);
+        if (hasProgress) {
+            auto bytes = std::make_shared<const std::string>(
+                    chunkBytes("v1/" + std::to_string(i), 0, manifest.chunkSize(i)));
+            for (TransferAction &it : planner.chunkFound(now, manifest.digest(), i, bytes))
+                actions.push_back(std::move(it));
+        }
+        for (const TransferAction &action : actions) {
             const auto *announce = std::get_if<AnnounceHave>(&action);
             asked += announce && announce->update.wantReply ? 1 : 0;
         }
