Send the configuration to host processes once instead of with each change

Host processes need the origin and the names of models only. They watch the named versions now, read the configuration once, and again if the origin fails.

Ruled out: backoff of the mirror (1.5 s at most), listing anew (the watch goes on where it was).

--- a/modules/fleet/include/godwit/fleet/fleetplatform.h
+++ b/modules/fleet/include/godwit/fleet/fleetplatform.h
@@ -53,6 +53,9 @@
 
     /// Prefix of the keys that the operator writes.
     virtual std::string_view operatorPrefix() const = 0;
+    /// Those of them that name versions of weights, and the one that holds the configuration.
+    virtual std::string_view versionPrefix() const = 0;
+    virtual std::string_view configurationKey() const = 0;
     virtual Result<OperatorRecord> decodeOperatorRecord(const KeyValueEntry &entry) const = 0;
 
     /// Prefix of the keys under which backend servers register.
--- a/modules/fleet/include/godwit/fleet/operatorfeed.h
+++ b/modules/fleet/include/godwit/fleet/operatorfeed.h
@@ -7,10 +7,11 @@
 
 #include <functional>
 #include <optional>
+#include <string_view>
 
 namespace godwit {
 
-/// Keeps up with what the operator writes into the platform's store.
+/// Keeps up with what the operator writes into the platform's store under one prefix.
 class OperatorFeed
 {
 public:
@@ -24,8 +25,8 @@
         std::function<void(TimePoint asked)> onConfirmed;
     };
 
-    OperatorFeed(const FleetPlatform &platform, KeyValuePort &store, Scheduler &scheduler,
-                 const FleetBounds &bounds, Random random, Handlers handlers);
+    OperatorFeed(const FleetPlatform &platform, std::string_view prefix, KeyValuePort &store,
+                 Scheduler &scheduler, const FleetBounds &bounds, Random random, Handlers handlers);
 
     void start() { m_mirror.start(); }
 
--- /dev/null
+++ b/modules/fleet/src/configurationlookup.cpp
@@ -0,0 +1,75 @@
+#include <godwit/fleet/configurationlookup.h>
+
+#include <godwit/observe/log.h>
+
+namespace godwit {
+
+namespace {
+
+/// Between two attempts while there is no configuration, or no store.
+constexpr Duration Retry = std::chrono::milliseconds(700);
+/// Until a configuration that has been read is read again.
+constexpr Duration LeastAge = std::chrono::seconds(5);
+
+} // namespace
+
+ConfigurationLookup::ConfigurationLookup(const FleetPlatform &platform, KeyValuePort &store,
+                                         Scheduler &scheduler, Random random, Handler handler)
+    : m_platform(platform)
+    , m_store(store)
+    , m_scheduler(scheduler)
+    , m_random(random)
+    , m_handler(std::move(handler))
+{}
+
+void ConfigurationLookup::lookUp()
+{
+    if (m_isReading || (m_readAt && m_scheduler.now() < *m_readAt + LeastAge))
+        return;
+    m_isReading = true;
+    read();
+}
+
+void ConfigurationLookup::read()
+{
+    m_store.get(std::string(m_platform.configurationKey()),
+                [this, alive = std::weak_ptr(m_alive)](
+                        const Outcome<std::optional<KeyValueEntry>> &outcome) {
+                    if (!alive.expired())
+                        found(outcome);
+                });
+}
+
+void ConfigurationLookup::readAgain()
+{
+    const auto delay = std::chrono::duration_cast<Duration>(Retry * (0.5 + m_random.uniform()));
+    m_timer = m_scheduler.after(delay, [this] { read(); });
+}
+
+void ConfigurationLookup::found(const Outcome<std::optional<KeyValueEntry>> &outcome)
+{
+    const auto *entry = std::get_if<std::optional<KeyValueEntry>>(&outcome);
+    if (!entry || !*entry) {
+        readAgain();
+        return;
+    }
+    const auto decoded = capture([&] { return m_platform.decodeOperatorRecord(**entry); });
+    const auto *error = std::get_if<Error>(&decoded);
+    const auto *record = std::get_if<OperatorRecord>(&decoded);
+    const auto *configuration = record ? std::get_if<GatewayConfiguration>(record) : nullptr;
+    if (!configuration) {
+        logStateChange("operator_record_refused",
+                       {{"key", (*entry)->key},
+                        {"problem", error ? toString(*error) : "not a configuration"}},
+                       LogLevel::Warning);
+        readAgain();
+        return;
+    }
+    m_isReading = false;
+    m_readAt = m_scheduler.now();
+    logStateChange("configuration_read",
+                   {{"version", configuration->version}, {"revision", (*entry)->modified.value}});
+    m_handler(*configuration);
+}
+
+} // namespace godwit
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -71,7 +71,8 @@
                 newRandom())
     , m_operatorStore(openStore(OperatorWait, Duration::zero()))
     , m_backendStore(openStore(BackendWait, BackendPause))
-    , m_operator(m_platform, *m_operatorStore, m_scheduler, m_settings.bounds, newRandom(),
+    , m_operator(m_platform, m_platform.operatorPrefix(), *m_operatorStore, m_scheduler,
+                 m_settings.bounds, newRandom(),
                  {[this](GatewayConfiguration configuration) {
                       configurationChanged(std::move(configuration));
                   },
--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -59,13 +59,18 @@
     , m_engine(platform.engine(m_engineClient, toHttpEndpoint(m_settings.engine->endpoint)))
     , m_peers(m_io, m_scheduler, HostId(m_settings.listen.peers.address),
               m_settings.listen.peers.port, uploadLinks(m_settings))
-    , m_rollout(optionsFor(m_settings), {m_scheduler, *m_engine, m_peers}, newRandom())
+    , m_rollout(optionsFor(m_settings),
+                {m_scheduler, *m_engine, m_peers, [this] { m_configuration.lookUp(); }},
+                newRandom())
     , m_operatorStore(openStore(OperatorWait, Duration::zero()))
     , m_backendStore(openStore(BackendWait, BackendPause))
-    , m_operator(m_platform, *m_operatorStore, m_scheduler, m_settings.bounds, newRandom(),
-                 {[this](const GatewayConfiguration &configuration) {
-                      configurationChanged(configuration);
-                  },
+    , m_configuration(m_platform, *m_operatorStore, m_scheduler, newRandom(),
+                      [this](const GatewayConfiguration &configuration) {
+                          configurationChanged(configuration);
+                      })
+    , m_operator(m_platform, m_platform.versionPrefix(), *m_operatorStore, m_scheduler,
+                 m_settings.bounds, newRandom(),
+                 {[](const GatewayConfiguration &) {},
                   [this](const WantedVersion &wanted, const std::optional<VersionTerms> &terms) {
                       m_rollout.want(wanted.model, wanted.version, terms);
                   },
@@ -93,6 +98,7 @@
                                 m_rollout.chunkRequested(peer, chunk, upload);
                             },
                             [this](UploadId upload) { m_rollout.uploadFailed(upload); }}));
+    m_configuration.lookUp();
     m_operator.start();
     m_backends.start();
     maintain();
--- a/modules/fleet/src/hostprocess.h
+++ b/modules/fleet/src/hostprocess.h
@@ -4,6 +4,7 @@
 #include "peerlinks.h"
 
 #include <godwit/fleet/backendfeed.h>
+#include <godwit/fleet/configurationlookup.h>
 #include <godwit/fleet/operatorfeed.h>
 #include <godwit/rollout/versionrollout.h>
 
@@ -38,6 +39,7 @@
     std::map<BackendId, BackendRecord> m_records;
     std::unique_ptr<KeyValuePort> m_operatorStore;
     std::unique_ptr<KeyValuePort> m_backendStore;
+    ConfigurationLookup m_configuration;
     OperatorFeed m_operator;
     BackendFeed m_backends;
     std::unique_ptr<Timer> m_maintenance;
--- a/modules/fleet/src/operatorfeed.cpp
+++ b/modules/fleet/src/operatorfeed.cpp
@@ -6,21 +6,21 @@
 
 namespace godwit {
 
-OperatorFeed::OperatorFeed(const FleetPlatform &platform, KeyValuePort &store, Scheduler &scheduler,
-                           const FleetBounds &bounds, Random random, Handlers handlers)
+OperatorFeed::OperatorFeed(const FleetPlatform &platform, std::string_view prefix,
+                           KeyValuePort &store, Scheduler &scheduler, const FleetBounds &bounds,
+                           Random random, Handlers handlers)
     : m_platform(platform)
     , m_bounds(bounds)
     , m_handlers(std::move(handlers))
-    , m_mirror(store, scheduler, random, std::string(platform.operatorPrefix()),
+    , m_mirror(store, scheduler, random, std::string(prefix),
                {[this](const KeyValueEntry &entry, std::optional<TimePoint> notBefore) {
                     put(entry, notBefore);
                 },
                 [](const std::string &) {},
                 [this](TimePoint asked) { m_handlers.onConfirmed(asked); },
-                [&platform](bool reachable, const std::string &problem) {
+                [keys = std::string(prefix)](bool reachable, const std::string &problem) {
                     logStateChange(reachable ? "store_regained" : "store_lost",
-                                   {{"keys", std::string(platform.operatorPrefix())},
-                                    {"problem", problem}},
+                                   {{"keys", keys}, {"problem", problem}},
                                    reachable ? LogLevel::Info : LogLevel::Warning);
                 }})
 {}
--- a/modules/fleet/tests/fakeplatform.h
+++ b/modules/fleet/tests/fakeplatform.h
@@ -11,6 +11,8 @@
     Completion<KeyValueList> listDone;
     WatchHandlers handlers;
     int watches = 0;
+    Completion<std::optional<KeyValueEntry>> getDone;
+    int gets = 0;
 
     void listed(std::uint64_t revision, std::vector<KeyValueEntry> entries)
     {
@@ -18,7 +20,11 @@
         done(KeyValueList{StoreRevision{revision}, std::move(entries)});
     }
 
-    void get(std::string, Completion<std::optional<KeyValueEntry>>) override {}
+    void get(std::string, Completion<std::optional<KeyValueEntry>> done) override
+    {
+        ++gets;
+        getDone = std::move(done);
+    }
     void list(std::string, Completion<KeyValueList> done) override { listDone = std::move(done); }
     void compareAndSwap(std::string, StoreRevision, std::string, LeaseId,
                         Completion<StoreRevision>) override
@@ -47,8 +53,15 @@
         return nullptr;
     }
     std::string_view operatorPrefix() const override { return "op/"; }
+    std::string_view versionPrefix() const override { return "op/version/"; }
+    std::string_view configurationKey() const override { return "op/config"; }
     Result<OperatorRecord> decodeOperatorRecord(const KeyValueEntry &entry) const override
     {
+        if (entry.key == "op/config") {
+            GatewayConfiguration configuration;
+            configuration.version = std::stoull(entry.value);
+            return OperatorRecord(std::move(configuration));
+        }
         if (!entry.key.starts_with("op/version/"))
             return OperatorRecord();
         return OperatorRecord(WantedVersion{ModelId("m"), std::stoull(entry.value)});
--- a/modules/fleet/tests/operatorfeedtest.cpp
+++ b/modules/fleet/tests/operatorfeedtest.cpp
@@ -19,6 +19,7 @@
     std::vector<std::pair<std::uint64_t, std::optional<VersionTerms>>> versions;
     OperatorFeed feed{
             platform,
+            platform.operatorPrefix(),
             store,
             scheduler,
             bounds,
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -10,6 +10,7 @@
 #include <godwit/weights/transferplanner.h>
 
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -32,6 +33,8 @@
         Scheduler &scheduler;
         ModelEnginePort &engine;
         PeerTransport &peers;
+        /// The origin does not answer; it may have another address by now. May be empty.
+        std::function<void()> originFailed = {};
     };
 
     VersionRollout(RolloutOptions options, Environment environment, Random random);
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -21,7 +21,7 @@
 
 VersionRollout::VersionRollout(RolloutOptions options, Environment environment, Random random)
     : m_options(std::move(options))
-    , m_environment(environment)
+    , m_environment(std::move(environment))
     , m_random(random)
     , m_planner(m_options.self, m_options.transfer, m_random())
 {}
@@ -212,6 +212,8 @@
                        LogLevel::Warning);
         rollout->reading = false;
         later(*rollout, ManifestRetry, &VersionRollout::begin);
+        if (m_environment.originFailed)
+            m_environment.originFailed();
         return;
     }
     rollout->manifest = std::make_shared<const Manifest>(std::get<0>(outcome));
