Add a fault soak of real processes on the operators' platform

godwit-bench soak starts entry and host processes, plays a seeded series of overlapping faults on processes, connections, store, engines and origin, and judges what clients and engines saw.

--- a/bench/src/main.cpp
+++ b/bench/src/main.cpp
@@ -1,5 +1,6 @@
 #include "burst.h"
 #include "faults.h"
+#include "soak.h"
 #include "streams.h"
 
 #include <gflags/gflags.h>
@@ -17,14 +18,15 @@
 DEFINE_string(rows, "", "faults: names of the rows to run, separated by commas; all if empty");
 DEFINE_uint64(model_mib, 24, "Size of the model in MiB");
 DEFINE_double(window_s, 8, "Window in which the origin link carries 4 copies and a host link 2");
-DEFINE_uint64(seed, 1, "Seed of the callers");
+DEFINE_uint64(seed, 1, "Seed of the callers, and of the faults of soak");
 DEFINE_uint64(rounds, 3, "Rounds of each measurement of streams");
-DEFINE_double(seconds, 4, "Length of each measurement of streams");
+DEFINE_double(seconds, 4, "Length of each measurement of streams, and of the faults of soak");
 DEFINE_bool(throughput, true, "Measure streams at saturation");
 DEFINE_bool(latency, true, "Measure the latency of streams at half of the load");
 DEFINE_double(paced_tokens, 50'000, "Tokens per second at which latency is measured in any case");
 DEFINE_bool(memory, true, "Measure the memory of open streams");
 DEFINE_uint64(open_streams, 2000, "The most open streams at which memory is measured");
+DEFINE_bool(timed, false, "soak: judge the time until the fleet has recovered");
 DEFINE_uint64(standin_threads, 4, "Threads of the engine stand-ins of streams");
 
 namespace {
@@ -76,6 +78,20 @@
     return godwit::runStreams(streamsOptions);
 }
 
+int soak(godwit::FleetOptions options)
+{
+    godwit::SoakOptions soakOptions;
+    soakOptions.programs = options.programs;
+    soakOptions.folder = options.folder;
+    soakOptions.entries = chosen(FLAGS_entries, soakOptions.entries);
+    soakOptions.hosts = chosen(FLAGS_hosts, soakOptions.hosts);
+    soakOptions.callers = chosen(FLAGS_callers, soakOptions.callers);
+    soakOptions.seconds = FLAGS_seconds;
+    soakOptions.seed = FLAGS_seed;
+    soakOptions.timed = FLAGS_timed;
+    return godwit::runSoak(std::move(soakOptions));
+}
+
 struct Command
 {
     const char *name;
@@ -86,6 +102,7 @@
 constexpr Command Commands[] = {
         {"burst", "loads and changes a model on all hosts under live requests and faults", burst},
         {"faults", "runs a table of faults under live requests and checks the ledgers", faults},
+        {"soak", "runs the processes of a fleet under a seeded series of faults", soak},
         {"streams", "measures streamed completions through one entry process", streams},
 };
 
--- a/bench/src/processgroup.cpp
+++ b/bench/src/processgroup.cpp
@@ -42,6 +42,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // The sockets of the bench would stay open in the process after the bench has closed them.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t pid = -1;
     const int error = posix_spawn(&pid, program.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- /dev/null
+++ b/bench/src/soak.cpp
@@ -0,0 +1,352 @@
+#include "soak.h"
+
+#include "soakcallers.h"
+
+#include <godwit/base/random.h>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <list>
+
+namespace godwit {
+
+namespace {
+
+using Clock = MonotonicClock;
+
+constexpr Duration WatchInterval = std::chrono::milliseconds(50);
+constexpr Duration StartTime = std::chrono::milliseconds(2500);
+/// The pause between the beginnings of two faults, and the length of one; they overlap.
+constexpr int ShortestPauseMs = 100;
+constexpr int LongestPauseMs = 700;
+constexpr int ShortestFaultMs = 100;
+constexpr int LongestFaultMs = 2500;
+/// From the end of all faults until a quarter of the requests must be served again.
+constexpr Duration RecoveryTarget = std::chrono::seconds(12);
+/// Nothing has recovered if it takes as long as this; the run ends.
+constexpr Duration RecoveryLimit = std::chrono::seconds(60);
+constexpr std::size_t ProbeWindow = 40; ///< Requests by which recovery is judged.
+constexpr double ServedShare = 0.9;
+constexpr Duration LastRequests = std::chrono::seconds(5);
+constexpr int BurstPressure = 8;
+constexpr Duration SlowLink = std::chrono::milliseconds(150);
+
+class Soak
+{
+public:
+    explicit Soak(SoakOptions options)
+        : m_options(std::move(options))
+        , m_random(m_options.seed)
+        , m_fleet(m_io, m_options, m_record)
+        , m_callers(m_io, m_fleet, m_options, m_record)
+        , m_timer(m_io)
+        , m_watch(m_io)
+        , m_plot(m_options.folder + "/soak.csv")
+    {}
+
+    int run();
+
+private:
+    struct Kind
+    {
+        const char *name;
+        void (Soak::*begin)(std::size_t target);
+        void (Soak::*end)(std::size_t target); ///< Null if it ends by itself.
+    };
+    static const std::vector<Kind> &kinds();
+
+    void after(boost::asio::steady_timer &timer, Duration delay, void (Soak::*step)());
+    void watch();
+    void nextFault();
+    void endFault(const Kind &kind, std::size_t target);
+    void recover();
+    void checkRecovery();
+    void drainCallers();
+    void finish();
+    double servedShare() const;
+    void plot();
+    int report() const;
+
+    std::size_t process() { return m_random.below(m_fleet.processCount()); }
+
+    void killProcess(std::size_t i) { m_fleet.killProcess(i % m_fleet.processCount()); }
+    void stopProcess(std::size_t i) { m_fleet.stopProcess(i % m_fleet.processCount()); }
+    void pauseProcess(std::size_t i) { m_fleet.pauseProcess(i % m_fleet.processCount()); }
+    void resumeProcess(std::size_t i) { m_fleet.resumeProcess(i % m_fleet.processCount()); }
+    void reloadProcess(std::size_t i) { m_fleet.reloadProcess(i % m_fleet.processCount()); }
+    void killMany(std::size_t i);
+    void storeFault(std::size_t i, const LinkFault &fault)
+    {
+        m_fleet.setStoreFault(i % m_fleet.processCount(), fault);
+    }
+    void holdStore(std::size_t i) { storeFault(i, {.holdRequests = true, .holdReplies = true}); }
+    void holdStoreReplies(std::size_t i) { storeFault(i, {.holdReplies = true}); }
+    void slowStore(std::size_t i) { storeFault(i, {.delay = SlowLink}); }
+    void refuseStore(std::size_t i)
+    {
+        storeFault(i, {.refuse = true});
+        m_fleet.resetStore(i % m_fleet.processCount());
+    }
+    void healStore(std::size_t i) { storeFault(i, {}); }
+    void storeDown(std::size_t) { allStores({.holdRequests = true, .holdReplies = true}); }
+    void storeUp(std::size_t) { allStores({}); }
+    void allStores(const LinkFault &fault);
+    void refuseCalls(std::size_t i) { m_fleet.refuseStoreCalls(static_cast<int>(i % 30)); }
+    void compactStore(std::size_t) { m_fleet.compactStore(); }
+    void engineFault(std::size_t i, const LinkFault &fault)
+    {
+        m_fleet.setEngineFault(i % m_fleet.engineCount(), fault);
+    }
+    void holdEngine(std::size_t i) { engineFault(i, {.holdRequests = true, .holdReplies = true}); }
+    void holdEngineReplies(std::size_t i) { engineFault(i, {.holdReplies = true}); }
+    void slowEngine(std::size_t i) { engineFault(i, {.delay = SlowLink}); }
+    void healEngine(std::size_t i) { engineFault(i, {}); }
+    void resetEngine(std::size_t i) { m_fleet.resetEngine(i % m_fleet.engineCount()); }
+    void crashEngine(std::size_t i) { m_fleet.crashEngine(i % m_fleet.engineCount()); }
+    void drainEngine(std::size_t i) { m_fleet.drainEngine(i % m_fleet.engineCount()); }
+    void holdOrigin(std::size_t) { m_fleet.setOriginFault({.holdReplies = true}); }
+    void healOrigin(std::size_t) { m_fleet.setOriginFault({}); }
+    void nameVersion(std::size_t) { m_fleet.nameVersion(); }
+    void changeConfiguration(std::size_t) { m_fleet.changeConfiguration(); }
+    void beginBurst(std::size_t) { m_callers.setPressure(BurstPressure); }
+    void endBurst(std::size_t) { m_callers.setPressure(1); }
+
+    SoakOptions m_options;
+    Random m_random;
+    boost::asio::io_context m_io;
+    SoakRecord m_record;
+    SoakFleet m_fleet;
+    SoakCallers m_callers;
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_watch;
+    std::list<boost::asio::steady_timer> m_faultTimers;
+    std::ofstream m_plot;
+    TimePoint m_start = Clock::now();
+    TimePoint m_faultsEnd;
+    TimePoint m_healed;
+    double m_recoverySeconds = -1;
+    std::size_t m_faults = 0;
+    std::size_t m_plotted = 0;
+};
+
+const std::vector<Soak::Kind> &Soak::kinds()
+{
+    static const std::vector<Kind> all{
+            {"kill a process", &Soak::killProcess, nullptr},
+            {"kill half of the processes", &Soak::killMany, nullptr},
+            {"stop a process", &Soak::stopProcess, nullptr},
+            {"pause a process", &Soak::pauseProcess, &Soak::resumeProcess},
+            {"reload settings", &Soak::reloadProcess, nullptr},
+            {"silence the store for one process", &Soak::holdStore, &Soak::healStore},
+            {"hold replies of the store to one process", &Soak::holdStoreReplies, &Soak::healStore},
+            {"slow the store for one process", &Soak::slowStore, &Soak::healStore},
+            {"refuse connections of one process to the store", &Soak::refuseStore,
+             &Soak::healStore},
+            {"silence the store", &Soak::storeDown, &Soak::storeUp},
+            {"refuse calls to the store", &Soak::refuseCalls, nullptr},
+            {"forget the history of the store", &Soak::compactStore, nullptr},
+            {"silence a backend server", &Soak::holdEngine, &Soak::healEngine},
+            {"hold replies of a backend server", &Soak::holdEngineReplies, &Soak::healEngine},
+            {"slow a backend server", &Soak::slowEngine, &Soak::healEngine},
+            {"reset connections of a backend server", &Soak::resetEngine, nullptr},
+            {"crash a backend server", &Soak::crashEngine, nullptr},
+            {"drain a backend server", &Soak::drainEngine, nullptr},
+            {"hold replies of the origin", &Soak::holdOrigin, &Soak::healOrigin},
+            {"name a version", &Soak::nameVersion, nullptr},
+            {"change the configuration", &Soak::changeConfiguration, nullptr},
+            {"more requests", &Soak::beginBurst, &Soak::endBurst},
+    };
+    return all;
+}
+
+void Soak::killMany(std::size_t i)
+{
+    for (std::size_t n = 0; n < m_fleet.processCount() / 2; ++n)
+        killProcess(i + 2 * n);
+}
+
+void Soak::allStores(const LinkFault &fault)
+{
+    for (std::size_t i = 0; i < m_fleet.processCount(); ++i)
+        m_fleet.setStoreFault(i, fault);
+}
+
+void Soak::after(boost::asio::steady_timer &timer, Duration delay, void (Soak::*step)())
+{
+    timer.expires_after(delay);
+    timer.async_wait([this, step](const boost::system::error_code &ec) {
+        if (!ec)
+            (this->*step)();
+    });
+}
+
+int Soak::run()
+{
+    const auto started = capture([this]() -> Result<bool> {
+        BOOST_LEAF_CHECK(m_fleet.start());
+        return true;
+    });
+    if (const auto *error = std::get_if<Error>(&started)) {
+        std::cerr << "godwit-bench: " << toString(*error) << '\n';
+        return 1;
+    }
+    m_plot << "second,requests,served,refused,other,runs\n";
+    m_callers.start();
+    watch();
+    m_faultsEnd = m_start + StartTime + fromSeconds(m_options.seconds);
+    after(m_timer, StartTime, &Soak::nextFault);
+    m_io.run();
+    return report();
+}
+
+void Soak::watch()
+{
+    m_fleet.watchProcesses();
+    plot();
+    after(m_watch, WatchInterval, &Soak::watch);
+}
+
+void Soak::nextFault()
+{
+    if (Clock::now() >= m_faultsEnd) {
+        recover();
+        return;
+    }
+    const Kind &kind = kinds()[m_random.below(kinds().size())];
+    const std::size_t target = m_random.below(1000);
+    const auto length = std::chrono::milliseconds(
+            ShortestFaultMs + m_random.below(LongestFaultMs - ShortestFaultMs));
+    std::cerr << toSeconds(Clock::now() - m_start) << " s: " << kind.name << " (" << target << ", "
+              << length.count() << " ms)\n";
+    ++m_faults;
+    (this->*kind.begin)(target);
+    if (kind.end) {
+        m_faultTimers.emplace_back(m_io, length)
+                .async_wait([this, &kind, target](const boost::system::error_code &ec) {
+                    if (!ec)
+                        endFault(kind, target);
+                });
+    }
+    after(m_timer,
+          std::chrono::milliseconds(ShortestPauseMs
+                                    + m_random.below(LongestPauseMs - ShortestPauseMs)),
+          &Soak::nextFault);
+}
+
+void Soak::endFault(const Kind &kind, std::size_t target)
+{
+    (this->*kind.end)(target);
+}
+
+void Soak::recover()
+{
+    m_faultTimers.clear();
+    m_callers.setPressure(1);
+    m_fleet.heal();
+    m_healed = Clock::now();
+    std::cerr << toSeconds(m_healed - m_start) << " s: all faults have ended\n";
+    checkRecovery();
+}
+
+double Soak::servedShare() const
+{
+    std::size_t n = 0;
+    std::size_t served = 0;
+    for (auto it = m_record.outcomes.rbegin();
+         it != m_record.outcomes.rend() && n < ProbeWindow && it->sent > m_healed; ++it) {
+        const bool isProper = it->attempt.route.empty() && !it->customer.empty() && !it->gaveUp
+                              && !m_record.revokedKeys.contains(it->attempt.key);
+        n += isProper;
+        served += isProper && it->status == 200 && it->isComplete;
+    }
+    return n < ProbeWindow ? 0 : static_cast<double>(served) / static_cast<double>(n);
+}
+
+void Soak::checkRecovery()
+{
+    const Duration passed = Clock::now() - m_healed;
+    if (m_fleet.allEnginesCurrent() && servedShare() >= ServedShare) {
+        m_recoverySeconds = toSeconds(passed);
+    } else if (passed < RecoveryLimit) {
+        after(m_timer, WatchInterval, &Soak::checkRecovery);
+        return;
+    }
+    if (m_recoverySeconds < 0)
+        m_record.problems.emplace_back("the fleet has not recovered");
+    else if (m_options.timed && m_recoverySeconds > toSeconds(RecoveryTarget))
+        m_record.problems.push_back("recovery took " + std::to_string(m_recoverySeconds) + " s");
+    m_callers.stop();
+    after(m_timer, WatchInterval, &Soak::drainCallers);
+}
+
+void Soak::drainCallers()
+{
+    if (!m_callers.isIdle()) {
+        after(m_timer, WatchInterval, &Soak::drainCallers);
+        return;
+    }
+    // A request that was refused must not run later either.
+    after(m_timer, LastRequests, &Soak::finish);
+}
+
+void Soak::finish()
+{
+    m_io.stop();
+}
+
+void Soak::plot()
+{
+    const auto second = static_cast<std::size_t>(toSeconds(Clock::now() - m_start));
+    if (second <= m_plotted)
+        return;
+    m_plotted = second;
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    for (const SoakOutcome &it : m_record.outcomes) {
+        served += it.status == 200 && it.isComplete;
+        refused += isRefusal(it.status);
+    }
+    const std::size_t n = m_record.outcomes.size();
+    m_plot << second << ',' << n << ',' << served << ',' << refused << ',' << n - served - refused
+           << ',' << m_record.ledger.runs.size() << '\n';
+    std::cerr << second << " s: " << n << " requests, " << served << " served, " << refused
+              << " refused, " << m_faults << " faults\n";
+}
+
+int Soak::report() const
+{
+    const std::vector<std::string> broken = brokenPromises(m_record);
+    for (const std::string &it : broken)
+        std::cerr << "broken: " << it << '\n';
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    for (const SoakOutcome &it : m_record.outcomes) {
+        served += it.status == 200 && it.isComplete;
+        refused += isRefusal(it.status);
+    }
+    std::cout << boost::json::object{{"seed", m_options.seed},
+                                     {"processes", m_fleet.processCount()},
+                                     {"faults", m_faults},
+                                     {"requests", m_record.outcomes.size()},
+                                     {"served", served},
+                                     {"refused", refused},
+                                     {"runs", m_record.ledger.runs.size()},
+                                     {"orders", m_record.ledger.orders},
+                                     {"recovery_s", m_recoverySeconds},
+                                     {"broken", broken.size()},
+                                     {"folder", m_options.folder}}
+              << '\n';
+    return broken.empty() ? 0 : 1;
+}
+
+} // namespace
+
+int runSoak(SoakOptions options)
+{
+    return Soak(std::move(options)).run();
+}
+
+} // namespace godwit
--- /dev/null
+++ b/bench/src/soakfleet.cpp
@@ -0,0 +1,418 @@
+#include "soakfleet.h"
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace godwit {
+
+using standin::FleetEngineStandin;
+
+namespace {
+
+constexpr int EntryRole = 1;
+constexpr int HostRole = 2;
+constexpr int BookingRole = 3;
+constexpr int OriginRole = 4;
+constexpr std::uint16_t CallerPort = 7001;
+constexpr std::uint16_t ReadinessPort = 7002;
+constexpr std::uint16_t PeerPort = 7003;
+constexpr std::uint16_t MetricsPort = 7004;
+constexpr std::size_t Zones = 2;
+constexpr int LeaveSeconds = 8;
+constexpr int VersionChangeMs = 4000;
+constexpr Duration RestartDelay = std::chrono::milliseconds(400);
+constexpr Duration EngineDown = std::chrono::milliseconds(1500);
+/// A backend server serves on for this long after it has announced its end.
+constexpr Duration DrainTime = std::chrono::milliseconds(2500);
+/// A crashed backend server stays on the list for this long.
+constexpr Duration RecordLife = std::chrono::milliseconds(1000);
+constexpr std::size_t MostAddedRoutes = 3;
+
+std::string zoneOf(std::size_t index)
+{
+    return "zone-" + std::to_string(index % Zones);
+}
+
+std::uint64_t wallMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+} // namespace
+
+SoakFleet::SoakFleet(boost::asio::io_context &io, SoakOptions options, SoakRecord &record)
+    : m_io(io)
+    , m_options(std::move(options))
+    , m_record(record)
+    , m_processes(m_options.folder)
+    , m_store(io)
+    , m_originProxy(io, {})
+{
+    m_configuration.customers = {{"customer-0", {"key-0", "key-0b", "key-0c", "key-0d"}},
+                                 {"customer-1", {"key-1"}}};
+}
+
+SoakFleet::~SoakFleet() = default;
+
+// Runs on the same machine, also those of another soak, have addresses of their own.
+std::string SoakFleet::address(int role, std::size_t index) const
+{
+    constexpr int FirstBlock = 20;
+    constexpr int Blocks = 200;
+    constexpr std::size_t PerBlock = 250;
+    const std::size_t low = index % PerBlock + 1;
+    const std::size_t high = index / PerBlock * 8 + static_cast<std::size_t>(role);
+    return "127." + std::to_string(FirstBlock + getpid() % Blocks) + '.' + std::to_string(high)
+           + '.' + std::to_string(low);
+}
+
+HttpEndpoint SoakFleet::entry(std::size_t index) const
+{
+    return {address(EntryRole, index), CallerPort};
+}
+
+HttpEndpoint SoakFleet::readiness(std::size_t index) const
+{
+    return {address(EntryRole, index), ReadinessPort};
+}
+
+Result<void> SoakFleet::start()
+{
+    std::filesystem::create_directories(m_options.folder);
+    BOOST_LEAF_CHECK(startOrigin());
+    for (std::size_t i = 0; i < m_options.hosts; ++i)
+        BOOST_LEAF_CHECK(addEngine(std::string(standin::ModelService), i));
+    for (std::size_t i = 0; i < m_options.bookings; ++i)
+        BOOST_LEAF_CHECK(addEngine(std::string(standin::BookingService), i));
+    publishConfiguration();
+    for (std::size_t i = 0; i < m_options.entries; ++i)
+        BOOST_LEAF_CHECK(addMember(true, i));
+    for (std::size_t i = 0; i < m_options.hosts; ++i)
+        BOOST_LEAF_CHECK(addMember(false, i));
+    return {};
+}
+
+Result<void> SoakFleet::startOrigin()
+{
+    HttpServerOptions options;
+    options.listen = {address(OriginRole, 0), 0};
+    BOOST_LEAF_ASSIGN(
+            m_origin,
+            HttpServer::listen(m_io, options, [](const HttpRequest &request, const auto &reply) {
+                reply->send(standin::originResponse(request));
+            }));
+    m_originProxy.setTarget(m_origin->endpoint());
+    BOOST_LEAF_CHECK(m_originProxy.listen({address(OriginRole, 0), 0}));
+    m_configuration.origin = toString(m_originProxy.endpoint());
+    return {};
+}
+
+Result<void> SoakFleet::addEngine(const std::string &service, std::size_t index)
+{
+    const bool isModel = service == standin::ModelService;
+    Engine &engine = m_engines.emplace_back();
+    engine.listen = {address(isModel ? HostRole : BookingRole, index), 0};
+    engine.service = service;
+    engine.zone = zoneOf(index);
+    engine.proxy = std::make_unique<TcpProxy>(m_io, HttpEndpoint());
+    BOOST_LEAF_CHECK(engine.proxy->listen(engine.listen));
+    if (isModel) {
+        engine.version = m_version;
+        for (std::uint32_t piece = 0; piece < standin::FleetPieces; ++piece)
+            engine.staged[piece] = standin::pieceBytes(m_version, piece);
+    }
+    return startEngine(m_engines.size() - 1);
+}
+
+Result<void> SoakFleet::startEngine(std::size_t index)
+{
+    Engine &engine = m_engines[index];
+    ++engine.generation;
+    engine.isDraining = false;
+    FleetEngineStandin::Options options;
+    options.id = "e" + std::to_string(index) + '-' + std::to_string(engine.generation);
+    options.service = engine.service;
+    options.zone = engine.zone;
+    options.listen = engine.listen;
+    options.address = engine.proxy->endpoint();
+    options.bornMs = wallMs();
+    options.version = engine.version;
+    options.staged = engine.staged;
+    engine.process = std::make_unique<FleetEngineStandin>(m_io, std::move(options), m_record.ledger,
+                                                          [this, index] { publishRecord(index); });
+    BOOST_LEAF_CHECK(engine.process->start());
+    engine.listen = engine.process->endpoint();
+    engine.proxy->setTarget(engine.listen);
+    publishRecord(index);
+    return {};
+}
+
+void SoakFleet::publishRecord(std::size_t index)
+{
+    const Engine &engine = m_engines[index];
+    if (engine.process)
+        m_store.put(engine.process->recordKey(), engine.process->recordText(engine.isDraining));
+}
+
+void SoakFleet::removeEngine(std::size_t index, bool isRecordKept)
+{
+    Engine &engine = m_engines[index];
+    const std::string key = engine.process->recordKey();
+    engine.staged = engine.process->options().staged;
+    // A new process holds no weights until it loads the pieces.
+    engine.version = 0;
+    engine.process.reset();
+    if (!isRecordKept) {
+        m_store.remove(key);
+        after(engine.timer, EngineDown, [this, index] { restartEngine(index); });
+        return;
+    }
+    after(engine.timer, RecordLife, [this, index, key] {
+        m_store.remove(key);
+        after(m_engines[index].timer, EngineDown, [this, index] { restartEngine(index); });
+    });
+}
+
+void SoakFleet::restartEngine(std::size_t index)
+{
+    const auto started = capture([&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(startEngine(index));
+        return true;
+    });
+    if (const auto *error = std::get_if<Error>(&started)) {
+        m_record.problems.push_back("bench: " + toString(*error));
+        m_engines[index].process.reset();
+    }
+}
+
+void SoakFleet::crashEngine(std::size_t engine)
+{
+    if (m_engines[engine].process && !m_engines[engine].isDraining)
+        removeEngine(engine, true);
+}
+
+void SoakFleet::drainEngine(std::size_t index)
+{
+    Engine &engine = m_engines[index];
+    if (!engine.process || engine.isDraining)
+        return;
+    engine.isDraining = true;
+    publishRecord(index);
+    after(engine.timer, DrainTime, [this, index] { removeEngine(index, false); });
+}
+
+void SoakFleet::setEngineFault(std::size_t engine, const LinkFault &fault)
+{
+    m_engines[engine].proxy->setFault(fault);
+}
+
+void SoakFleet::resetEngine(std::size_t engine)
+{
+    m_engines[engine].proxy->resetConnections();
+}
+
+bool SoakFleet::allEnginesCurrent() const
+{
+    return std::ranges::all_of(m_engines, [this](const Engine &it) {
+        return it.process
+               && (it.service != standin::ModelService
+                   || it.process->options().version == m_version);
+    });
+}
+
+void SoakFleet::nameVersion()
+{
+    m_store.put(standin::VersionKey, standin::versionText(++m_version));
+}
+
+void SoakFleet::publishConfiguration()
+{
+    m_store.put(standin::ConfigurationKey, standin::configurationText(m_configuration));
+}
+
+void SoakFleet::changeConfiguration()
+{
+    auto &routes = m_configuration.addedRoutes;
+    if (routes.size() == MostAddedRoutes)
+        routes.erase(routes.begin());
+    else
+        routes.insert("added-" + std::to_string(m_configuration.version));
+    m_configuration.version += 3;
+    auto &keys = m_configuration.customers.front().keys;
+    const std::string revoked = keys.size() > 1 ? keys.back() : "";
+    if (!revoked.empty())
+        keys.pop_back();
+    publishConfiguration();
+    if (!revoked.empty())
+        m_record.revokedKeys[revoked] = MonotonicClock::now();
+}
+
+std::string SoakFleet::settingsText(const Member &member) const
+{
+    const std::string own = address(member.isEntry ? EntryRole : HostRole, member.index);
+    const std::string zone = zoneOf(member.index);
+    std::ostringstream text;
+    text << "role = \"" << (member.isEntry ? "entry" : "host") << "\"\nhost = \"" << member.name
+         << "\"\nzone = \"" << zone << "\"\nregion = \"region-" << zone << "\"\nstore = \""
+         << toString(member.store->endpoint()) << "\"\n";
+    for (std::size_t i = 0; i < Zones; ++i)
+        text << "[[zones]]\nid = \"" << zoneOf(i) << "\"\nregion = \"region-" << zoneOf(i)
+             << "\"\n";
+    text << "[listen]\npeers = \"" << own << ':' << PeerPort << "\"\nmetrics = \"" << own << ':'
+         << MetricsPort << "\"\n";
+    if (member.isEntry)
+        text << "callers = \"" << own << ':' << CallerPort << "\"\nreadiness = \"" << own << ':'
+             << ReadinessPort << "\"\n";
+    text << "[bounds]\nleave_s = " << LeaveSeconds << "\nversion_change_ms = " << VersionChangeMs
+         << "\nretry_slack = 100\n";
+    if (!member.isEntry)
+        text << "[engine]\nendpoint = \"" << toString(m_engines[member.index].listen)
+             << "\"\nservice = \"" << standin::ModelService << "\"\n";
+    return text.str();
+}
+
+Result<void> SoakFleet::addMember(bool isEntry, std::size_t index)
+{
+    Member &member = m_members.emplace_back();
+    member.name = (isEntry ? "entry-" : "host-") + std::to_string(index);
+    member.isEntry = isEntry;
+    member.index = index;
+    member.store = std::make_unique<TcpProxy>(m_io, m_store.endpoint());
+    BOOST_LEAF_CHECK(member.store->listen({address(isEntry ? EntryRole : HostRole, index), 0}));
+    startMember(m_members.size() - 1);
+    return {};
+}
+
+void SoakFleet::startMember(std::size_t index)
+{
+    Member &member = m_members[index];
+    const std::string file = m_options.folder + '/' + member.name + ".toml";
+    std::ofstream(file) << settingsText(member);
+    member.isExpected = false;
+    member.isStopping = false;
+    member.pauses = 0;
+    const auto started = capture([&] {
+        return m_processes.start(member.name, m_options.programs + "/modules/apps/godwitd",
+                                 {"--fleet", "--settings=" + file});
+    });
+    if (const auto *error = std::get_if<Error>(&started))
+        m_record.problems.push_back("bench: " + toString(*error));
+}
+
+void SoakFleet::killProcess(std::size_t index)
+{
+    Member &member = m_members[index];
+    member.isExpected = true;
+    member.isStopping = false;
+    m_processes.signal(member.name, SIGKILL);
+}
+
+void SoakFleet::stopProcess(std::size_t index)
+{
+    Member &member = m_members[index];
+    if (member.isExpected || member.pauses > 0 || !m_processes.running(member.name))
+        return;
+    member.isExpected = true;
+    member.isStopping = true;
+    member.stopAt = MonotonicClock::now();
+    m_processes.signal(member.name, SIGTERM);
+}
+
+void SoakFleet::pauseProcess(std::size_t index)
+{
+    Member &member = m_members[index];
+    ++member.pauses;
+    member.isStopping = false;
+    m_processes.signal(member.name, SIGSTOP);
+}
+
+void SoakFleet::resumeProcess(std::size_t index)
+{
+    Member &member = m_members[index];
+    if (member.pauses > 0 && --member.pauses == 0)
+        m_processes.signal(member.name, SIGCONT);
+}
+
+void SoakFleet::reloadProcess(std::size_t index)
+{
+    const Member &member = m_members[index];
+    std::ofstream(m_options.folder + '/' + member.name + ".toml")
+            << settingsText(member) << "# written again\n";
+    m_processes.signal(member.name, SIGHUP);
+}
+
+void SoakFleet::setStoreFault(std::size_t process, const LinkFault &fault)
+{
+    m_members[process].store->setFault(fault);
+}
+
+void SoakFleet::resetStore(std::size_t process)
+{
+    m_members[process].store->resetConnections();
+}
+
+void SoakFleet::watchProcesses()
+{
+    for (std::size_t i = 0; i < m_members.size(); ++i) {
+        Member &member = m_members[i];
+        if (member.restart)
+            continue;
+        if (!m_processes.running(member.name)) {
+            memberEnded(i);
+            continue;
+        }
+        const Duration stopping = MonotonicClock::now() - member.stopAt;
+        // Like the platform, which kills a process that does not leave in time.
+        if (member.isStopping && stopping > std::chrono::seconds(LeaveSeconds)) {
+            m_record.problems.push_back(member.name + " did not leave in time");
+            killProcess(i);
+        }
+    }
+}
+
+void SoakFleet::memberEnded(std::size_t index)
+{
+    Member &member = m_members[index];
+    const int status = m_processes.status(member.name);
+    const bool isClean = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    if (!member.isExpected || (member.isStopping && !isClean))
+        m_record.problems.push_back(member.name + " ended with the wait status "
+                                    + std::to_string(status));
+    after(member.restart, RestartDelay, [this, index] { startMember(index); });
+}
+
+void SoakFleet::heal()
+{
+    for (std::size_t i = 0; i < m_members.size(); ++i) {
+        m_members[i].store->setFault({});
+        while (m_members[i].pauses > 0)
+            resumeProcess(i);
+    }
+    for (const Engine &it : m_engines)
+        it.proxy->setFault({});
+    m_originProxy.setFault({});
+    m_store.refuseCalls = 0;
+}
+
+void SoakFleet::after(std::unique_ptr<boost::asio::steady_timer> &timer, Duration delay,
+                      std::function<void()> step)
+{
+    timer = std::make_unique<boost::asio::steady_timer>(m_io, delay);
+    timer->async_wait([&timer, own = timer.get(),
+                       step = std::move(step)](const boost::system::error_code &ec) {
+        // A timer that has been replaced may have expired before.
+        if (ec || timer.get() != own)
+            return;
+        const auto ended = std::move(timer);
+        step();
+    });
+}
+
+} // namespace godwit
--- /dev/null
+++ b/bench/tests/soakrecordtest.cpp
@@ -0,0 +1,142 @@
+#include "soakrecord.h"
+
+#include <catch2/catch.hpp>
+
+using namespace godwit;
+using namespace std::chrono_literals;
+using standin::FleetRequestKind;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+SoakOutcome served(FleetRequestKind kind)
+{
+    SoakOutcome it;
+    it.attempt.id = "a1";
+    it.attempt.kind = kind;
+    it.attempt.key = "key";
+    it.customer = "customer";
+    it.status = 200;
+    it.isComplete = true;
+    it.sent = Start;
+    if (kind == FleetRequestKind::Stream) {
+        for (std::uint64_t number = 1; number <= standin::FleetStreamEvents; ++number)
+            it.body += standin::streamEvent("a1", number);
+    } else {
+        it.body = "answer to a1 by e1";
+        it.headers = {{"X-Attempt-Id", "a1"},
+                      {"X-Server-Seal", "a1." + std::to_string(it.body.size())}};
+    }
+    return it;
+}
+
+standin::FleetRun run()
+{
+    standin::FleetRun it;
+    it.attempt = "a1";
+    it.customer = "customer";
+    it.route = "book";
+    it.version = 1;
+    it.at = Start;
+    return it;
+}
+
+} // namespace
+
+// Each section guards against a soak that does not notice the broken promise it names.
+TEST_CASE("A record of a soak")
+{
+    SoakRecord record;
+    record.ledger.runs = {run()};
+
+    SECTION("of a plain request")
+    {
+        record.outcomes = {served(FleetRequestKind::Book)};
+        SoakOutcome &outcome = record.outcomes.front();
+        CHECK(brokenPromises(record).empty());
+
+        SECTION("with a response that is not whole")
+        {
+            outcome.body.pop_back();
+            CHECK(brokenPromises(record).size() == 1);
+        }
+        SECTION("that ran twice")
+        {
+            record.ledger.runs.push_back(run());
+            CHECK(brokenPromises(record).size() == 1);
+        }
+        SECTION("that ran and was refused")
+        {
+            outcome.status = 503;
+            CHECK(brokenPromises(record).size() == 1);
+        }
+        SECTION("that ran for another customer, or with the key shown")
+        {
+            record.ledger.runs.front().customer = "other";
+            CHECK(brokenPromises(record).size() == 1);
+            record.ledger.runs.front() = run();
+            record.ledger.runs.front().showsKey = true;
+            CHECK(brokenPromises(record).size() == 1);
+        }
+        SECTION("that ran without a route or a known key")
+        {
+            outcome.hasRoute = false;
+            CHECK(brokenPromises(record).size() == 1);
+            outcome.hasRoute = true;
+            outcome.customer.clear();
+            CHECK_FALSE(brokenPromises(record).empty());
+        }
+        SECTION("that ran long after its key was taken away")
+        {
+            record.revokedKeys["key"] = Start - 6s;
+            CHECK(brokenPromises(record).size() == 1);
+            record.revokedKeys["key"] = Start - 4s;
+            CHECK(brokenPromises(record).empty());
+        }
+        SECTION("that was denied although it is proper")
+        {
+            record.ledger.runs.clear();
+            outcome.status = 404;
+            CHECK(brokenPromises(record).size() == 1);
+        }
+        SECTION("that nobody sent")
+        {
+            record.ledger.runs.front().attempt = "a2";
+            CHECK(brokenPromises(record).size() == 1);
+        }
+    }
+    SECTION("of a stream")
+    {
+        record.outcomes = {served(FleetRequestKind::Stream)};
+        SoakOutcome &outcome = record.outcomes.front();
+        CHECK(brokenPromises(record).empty());
+
+        SECTION("that ends early and looks complete")
+        {
+            outcome.body.resize(outcome.body.size() / 2);
+            CHECK(brokenPromises(record).size() == 1);
+            outcome.isComplete = false;
+            CHECK(brokenPromises(record).empty());
+        }
+        SECTION("with an event twice")
+        {
+            outcome.body = standin::streamEvent("a1", 1) + outcome.body;
+            CHECK(brokenPromises(record).size() == 1);
+        }
+        SECTION("that went on with other weights")
+        {
+            record.ledger.runs.push_back(run());
+            record.ledger.runs.back().version = 2;
+            CHECK(brokenPromises(record).empty());
+            record.ledger.runs.back().firstEvent = 3;
+            CHECK(brokenPromises(record).size() == 1);
+        }
+    }
+    SECTION("with a load of pieces that do not belong together")
+    {
+        record.ledger.runs.clear();
+        record.ledger.wrongLoads = {"e1"};
+        CHECK(brokenPromises(record).size() == 1);
+    }
+}
