Keep requests and pieces off links that have narrowed

A host asks for what arrives within 0.4 s at the measured rate, two pieces at least. An entry process adds the time by which an engine's responses began later than predicted to its price, for two seconds.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -109,7 +109,7 @@
     /// Its response began.
     void responseBegan(const BackendId &id, RequestUrgency urgency);
     /// The response of a request that found a free slot began \a delay later than predicted.
-    void startDelaySeen(const BackendId &id, Duration delay);
+    void startDelaySeen(const BackendId &id, Duration delay, TimePoint now);
     /// It ended. \a held is the time since its response began, or else since it was sent.
     void finished(const BackendId &id, AttemptEnd end, Duration held, TimePoint now);
     /// It ended before its response began.
@@ -139,6 +139,8 @@
         int rejections = 0;      ///< Consecutive ones.
         double pauseSeconds = 0; ///< Mean pause within streams; 0 if not known.
         TimePoint pauseAt;       ///< When it was last measured.
+        double lateSeconds = 0;  ///< By which responses began later than predicted.
+        TimePoint lateAt;        ///< When that was last measured.
         double failureShare = 0; ///< Of recent attempts, weighted by age.
         TimePoint avoidUntil;    ///< After failures and rejections.
         bool replaced = false;   ///< Another process has its address.
@@ -166,6 +168,8 @@
     std::optional<TimePoint> outdatedAt(const BackendRecord &record, const ModelId &model) const;
     /// Price, in seconds, of a backend server whose streams pause longer than those of the others.
     double pausePenalty(const Backend &backend, double meanPause, TimePoint now) const;
+    /// Time by which a response of \a backend is expected to begin late, in seconds.
+    static double expectedLateness(const Backend &backend, TimePoint now);
     void updateSchedules();
     /// Price, in seconds, of an engine that loads a newer version before a request that takes
     /// \a duration comes to its end.
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -15,6 +15,13 @@
 constexpr double FailureWeight = 0.1;
 /// Weight of the newest delay of a first event in the mean.
 constexpr double StartDelayWeight = 0.03;
+/// Beyond the usual delay of a service; a link that narrows or a machine that is slow adds more.
+constexpr double UsualLateness = 0.1;
+constexpr double LatenessWeight = 0.3;
+constexpr double LargestLateness = 1.0;
+/// Age at which a measured lateness has lost all but 37% of its weight, so that a backend server
+/// that was late is tried again.
+constexpr double LatenessTrustSeconds = 2.0;
 /// Larger ones come from an unknown load, not from the pass of the engine.
 constexpr double LongestStartDelay = 0.25;
 /// Slots that are assumed if neither the record nor a response states them.
@@ -388,7 +395,7 @@
         const double cost = start + load / slots * FullPenaltySeconds
                             + (it->record.zone == m_zone ? 0 : ZonePenaltySeconds)
                             + it->failureShare * FailurePenaltySeconds
-                            + pausePenalty(*it, pause, now)
+                            + pausePenalty(*it, pause, now) + expectedLateness(*it, now)
                             + loadPenalty(it->record, query.model, start + ownHold, now)
                             + m_random.uniform() * JitterSeconds;
         if (!best || cost < bestCost) {
@@ -441,12 +448,21 @@
         stopWaiting(*backend, urgency);
 }
 
-void BackendPool::startDelaySeen(const BackendId &id, Duration delay)
+double BackendPool::expectedLateness(const Backend &backend, TimePoint now)
 {
-    const Backend *backend = find(id);
+    const double age = toSeconds(now - backend.lateAt);
+    return std::min(LargestLateness, backend.lateSeconds * std::exp(-age / LatenessTrustSeconds));
+}
+
+void BackendPool::startDelaySeen(const BackendId &id, Duration delay, TimePoint now)
+{
+    Backend *backend = find(id);
     if (!backend)
         return;
     Service &service = m_services[backend->record.service];
+    const double late = std::max(0.0, toSeconds(delay) - service.startDelaySeconds - UsualLateness);
+    backend->lateSeconds += LatenessWeight * (late - backend->lateSeconds);
+    backend->lateAt = now;
     const double seconds = std::clamp(toSeconds(delay), 0.0, LongestStartDelay);
     service.startDelaySeconds += StartDelayWeight * (seconds - service.startDelaySeconds);
 }
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -308,7 +308,7 @@
     // Under load, an entry process would learn its own error about the load of the others.
     if (attempt.foundFreeSlot)
         m_gateway.m_backends.startDelaySeen(attempt.backend,
-                                            at - attempt.sentAt - attempt.predictedStart);
+                                            at - attempt.sentAt - attempt.predictedStart, at);
 }
 
 void ForwardedRequest::onEnd(const Outcome<std::monostate> &outcome)
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -233,6 +233,15 @@
         for (const auto &[other, n] : counts)
             CHECK((other == id || n >= (counts.contains(id) ? counts.at(id) : 0)));
     }
+    // Pattern: the link of a host narrows, and requests for its engine stand in a queue before it.
+    SECTION("an engine whose responses begin late gets fewer requests, and is tried again later")
+    {
+        for (int i = 0; i < 3; ++i)
+            it.pool.startDelaySeen(BackendId("e1"), 1500ms, it.now);
+        CHECK(it.send(12).count("e1") == 0);
+        it.now += 10s;
+        CHECK(it.send(12).count("e1") > 0);
+    }
     // Guards against a request that begins on weights whose time ended while it waited.
     SECTION("no request waits at an engine for longer than its weights are valid")
     {
@@ -288,7 +297,7 @@
     constexpr int Slots = 4 * 16;
     constexpr Duration StartDelay = 150ms;
     for (int i = 0; i < 200; ++i)
-        it.pool.startDelaySeen(BackendId("e1"), StartDelay);
+        it.pool.startDelaySeen(BackendId("e1"), StartDelay, it.now);
     const auto fill = [&it](int n, RequestUrgency urgency) {
         for (int i = 0; i < n; ++i)
             it.pool.started(BackendId("e" + std::to_string(i % 4 + 1)), urgency);
@@ -333,7 +342,7 @@
     SECTION("a delay that only an unknown load explains does not shut everybody out")
     {
         for (int i = 0; i < 500; ++i)
-            it.pool.startDelaySeen(BackendId("e1"), 5s);
+            it.pool.startDelaySeen(BackendId("e1"), 5s, it.now);
         CHECK(it.choose(query()) != "none");
         fill(Slots, RequestUrgency::InTime);
         CHECK(it.choose(query()) != "none");
--- a/modules/rollout/src/transferprofile.cpp
+++ b/modules/rollout/src/transferprofile.cpp
@@ -24,6 +24,8 @@
     transfer.regionUploadSlots = 6;
     transfer.regionDownloads = 3;
     transfer.startGrace = std::chrono::milliseconds(20);
+    // Requests of clients use the same link, and leave after a second or two.
+    transfer.longestQueue = std::chrono::milliseconds(400);
     // A source that fails is tried again soon.
     transfer.stallTimeout = std::chrono::milliseconds(800);
     transfer.peerBackoff = std::chrono::milliseconds(100);
--- a/modules/weights/include/godwit/weights/transfersettings.h
+++ b/modules/weights/include/godwit/weights/transfersettings.h
@@ -25,6 +25,11 @@
     std::uint32_t regionDownloads = 2;  ///< Outstanding requests to other regions.
     std::uint32_t regionWindow = 3;     ///< Chunks that may be missing behind the one requested.
 
+    /// Outstanding requests ask for no more than what arrives in this time at the rate measured,
+    /// but for two chunks at least: a longer queue would hold up what shares the link. 0 is no
+    /// limit.
+    Duration longestQueue{0};
+
     std::uint32_t regionUploadSlots = 4; ///< Chunks sent to other regions at the same time.
 
     Duration startGrace = std::chrono::milliseconds(50); ///< Waits for peers that already hold.
--- a/modules/weights/src/plannerevents.cpp
+++ b/modules/weights/src/plannerevents.cpp
@@ -27,6 +27,7 @@
     , m_peers(settings)
     , m_uploads(settings)
     , m_originRetries(settings.originRetryBurst)
+    , m_receiveRate(settings.hostRate)
 {}
 
 void TransferPlanner::Impl::advance(TimePoint now)
@@ -296,6 +297,7 @@
         return;
     }
     m_peers.succeeded(source(request), request.bytes, m_now - request.sent);
+    noteReceived(request.bytes);
     (request.path == Path::Origin        ? counters.bytesFromOrigin
      : request.path == Path::OtherRegion ? counters.bytesFromOtherRegions
                                          : counters.bytesFromRegionPeers) += request.bytes;
--- a/modules/weights/src/plannerfetch.cpp
+++ b/modules/weights/src/plannerfetch.cpp
@@ -13,6 +13,9 @@
 constexpr std::uint32_t AskedKeepers = 3;     // hosts asked without an announcement
 constexpr std::size_t ScanWords = 64;         // bounds the search of one request to 4,096 chunks
 constexpr std::uint32_t EndgameRequests = 2;  // requests for one chunk at the same time
+constexpr double RateWindowSeconds = 0.25;    // over which arriving bytes are counted
+constexpr double RateGain = 0.5;              // weight of the newest window
+constexpr double LeastOutstanding = 2;        // requests, so that the link is not idle between them
 constexpr double ScheduleSpeedup = 1.1;       // keeps a path busy; regionWindow limits the lead
 
 } // namespace
@@ -333,11 +336,37 @@
     return true;
 }
 
+void TransferPlanner::Impl::noteReceived(std::uint32_t bytes)
+{
+    m_receivedBytes += bytes;
+    const double seconds = toSeconds(m_now - m_receivedFrom);
+    if (seconds < RateWindowSeconds)
+        return;
+    const double rate = static_cast<double>(m_receivedBytes) / seconds;
+    m_receiveRate += RateGain * (rate - m_receiveRate);
+    m_receivedBytes = 0;
+    m_receivedFrom = m_now;
+}
+
+bool TransferPlanner::Impl::mayRequest(const Transfer &transfer)
+{
+    if (m_settings.longestQueue == Duration::zero())
+        return true;
+    if (m_requests.empty()) {
+        // Time without requests says nothing about the link.
+        m_receivedBytes = 0;
+        m_receivedFrom = m_now;
+    }
+    const double queue = m_receiveRate * toSeconds(m_settings.longestQueue);
+    const double chunks = queue / transfer.manifest().chunkBytes;
+    return static_cast<double>(m_requests.size()) < std::max(LeastOutstanding, chunks);
+}
+
 bool TransferPlanner::Impl::request(Transfer &transfer, ChunkIndex chunk, Path path,
                                     const HostId &from, bool speculative)
 {
     const std::uint32_t bytes = transfer.manifest().chunkSize(chunk);
-    if (!reserve(transfer, bytes))
+    if (!mayRequest(transfer) || !reserve(transfer, bytes))
         return false;
     const ChunkRequestId id = m_nextRequest++;
     const Request &added = m_requests
--- a/modules/weights/src/plannerimpl.h
+++ b/modules/weights/src/plannerimpl.h
@@ -109,6 +109,9 @@
     bool request(Transfer &transfer, ChunkIndex chunk, Path path, const HostId &source,
                  bool speculative = false);
     bool takeOriginRetry();
+    /// Counts \a bytes for the rate at which chunks arrive.
+    void noteReceived(std::uint32_t bytes);
+    bool mayRequest(const Transfer &transfer);
 
     // Sharing
     bool reserve(Transfer &transfer, std::uint32_t bytes);
@@ -139,6 +142,9 @@
     std::uint32_t m_regionOutstanding = 0;
     double m_originRetries;
     TimePoint m_originRetriesAt{};
+    double m_receiveRate;              ///< Bytes per second while requests are outstanding.
+    std::uint64_t m_receivedBytes = 0; ///< Since m_receivedFrom.
+    TimePoint m_receivedFrom{};
     std::optional<TimePoint> m_retryAt; ///< Earliest time at which a skipped source is usable.
     TimePoint m_now{};
     Duration m_skipped{}; ///< Sum of the jumps of the clock that were skipped.
--- a/modules/weights/tests/plannertest.cpp
+++ b/modules/weights/tests/plannertest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <deque>
+
 using namespace godwit;
 using namespace godwit::test;
 using namespace std::chrono_literals;
@@ -698,6 +700,51 @@
     }
 }
 
+// Pattern: the link of a host narrows to an eighth in a transfer. What it has asked for stands in a
+// queue, behind which requests for its engine arrive when their clients have left.
+TEST_CASE("A host asks for no more than its link carries soon")
+{
+    constexpr ChunkIndex Count = 60;
+    constexpr Duration SlowChunk = 220ms;
+    const Manifest manifest = makeManifest("v1", Count);
+    TransferSettings settings = Swarm::testSettings();
+    settings.longestQueue = 400ms;
+    settings.hostRate = 37.0 * manifest.chunkBytes;
+    settings.downloads = 6;
+    settings.downloadsPerPeer = 6;
+    settings.stallTimeout = 10s;
+    TransferPlanner planner(HostId("h0"), settings, 1);
+    TransferOrder order;
+    order.manifest = manifest;
+    order.originRegion = RegionId("other");
+    order.participants = {{HostId("h0"), ZoneId("z"), RegionId("r1")},
+                          {HostId("h1"), ZoneId("z"), RegionId("r1")}};
+    TimePoint now{1h};
+    std::deque<RequestChunk> outstanding;
+    const auto note = [&](const TransferActions &actions) {
+        for (const TransferAction &action : actions) {
+            if (const auto *request = std::get_if<RequestChunk>(&action))
+                outstanding.push_back(*request);
+        }
+    };
+    note(planner.start(now, order));
+    HaveUpdate update;
+    update.transfer = manifest.digest();
+    for (ChunkIndex i = 0; i < Count; ++i)
+        update.added.push_back(i);
+    note(planner.peerHave(now, HostId("h1"), update));
+    CHECK(outstanding.size() == 6);
+    for (int i = 0; i < 24; ++i) {
+        now += SlowChunk;
+        const RequestChunk arrived = outstanding.front();
+        outstanding.pop_front();
+        auto bytes = std::make_shared<const std::string>(
+                chunkBytes("v1/" + std::to_string(arrived.chunk), 0, arrived.bytes));
+        note(planner.chunkArrived(now, arrived.request, bytes));
+    }
+    CHECK(outstanding.size() == 2);
+}
+
 // Pattern: a host beside its engine has little memory, and the engine keeps the chunks anyway.
 TEST_CASE("Chunks that are unloaded")
 {
