--- a/modules/fleet/tests/configurationlookuptest.cpp
+++ b/modules/fleet/tests/configurationlookuptest.cpp
@@ -1,7 +1,6 @@
 #include <godwit/fleet/configurationlookup.h>
 
 #include "fakeplatform.h"
-#include "virtualscheduler.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,46 +11,44 @@
 // over the links that the entry processes need for it.
 TEST_CASE("ConfigurationLookup")
 {
-    VirtualScheduler scheduler;
-    FakeStore store;
-    FakePlatform platform;
+    FeedFixture it;
     std::vector<std::uint64_t> versions;
-    ConfigurationLookup lookup(platform, store, scheduler, Random(1),
+    ConfigurationLookup lookup(it.platform, it.store, it.scheduler, Random(1),
                                [&](const GatewayConfiguration &configuration) {
                                    versions.push_back(configuration.version);
                                });
     const auto answer = [&](const std::string &value) {
-        const auto done = store.getDone;
+        const auto done = it.store.getDone;
         done(KeyValueEntry{"op/config", value, StoreRevision{3}, LeaseId{}});
     };
     lookup.lookUp();
-    REQUIRE(store.gets == 1);
+    REQUIRE(it.store.gets == 1);
 
     SECTION("reads until there is a configuration")
     {
-        const auto done = store.getDone;
+        const auto done = it.store.getDone;
         done(std::nullopt);
-        scheduler.advance(1100ms);
-        REQUIRE(store.gets == 2);
-        const auto second = store.getDone;
+        it.scheduler.advance(1100ms);
+        REQUIRE(it.store.gets == 2);
+        const auto second = it.store.getDone;
         second(Error{ResultCode::PlatformUnreachable, "down"});
-        scheduler.advance(1100ms);
-        REQUIRE(store.gets == 3);
+        it.scheduler.advance(1100ms);
+        REQUIRE(it.store.gets == 3);
         answer("4");
         CHECK(versions == std::vector<std::uint64_t>{4});
-        scheduler.advance(1h);
-        CHECK(store.gets == 3);
+        it.scheduler.advance(1h);
+        CHECK(it.store.gets == 3);
     }
     SECTION("asks once, however often it is told to")
     {
         lookup.lookUp();
-        CHECK(store.gets == 1);
+        CHECK(it.store.gets == 1);
         answer("4");
         lookup.lookUp();
-        CHECK(store.gets == 1);
-        scheduler.advance(6s);
+        CHECK(it.store.gets == 1);
+        it.scheduler.advance(6s);
         lookup.lookUp();
-        CHECK(store.gets == 2);
+        CHECK(it.store.gets == 2);
         answer("5");
         CHECK(versions == std::vector<std::uint64_t>{4, 5});
     }
--- a/modules/fleet/tests/fakeplatform.h
+++ b/modules/fleet/tests/fakeplatform.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "virtualscheduler.h"
+
 #include <godwit/fleet/fleetplatform.h>
 
 namespace godwit {
@@ -91,4 +93,12 @@
     }
 };
 
+/// What the tests of each feed need.
+struct FeedFixture
+{
+    VirtualScheduler scheduler;
+    FakeStore store;
+    FakePlatform platform;
+};
+
 } // namespace godwit
--- a/modules/fleet/tests/operatorfeedtest.cpp
+++ b/modules/fleet/tests/operatorfeedtest.cpp
@@ -1,7 +1,6 @@
 #include <godwit/fleet/operatorfeed.h>
 
 #include "fakeplatform.h"
-#include "virtualscheduler.h"
 
 #include <catch2/catch.hpp>
 
@@ -10,11 +9,8 @@
 
 namespace {
 
-struct Fixture
+struct Fixture : FeedFixture
 {
-    VirtualScheduler scheduler;
-    FakeStore store;
-    FakePlatform platform;
     FleetBounds bounds;
     std::vector<std::pair<std::uint64_t, std::optional<VersionTerms>>> versions;
     OperatorFeed feed{
--- a/modules/weights/tests/plannertest.cpp
+++ b/modules/weights/tests/plannertest.cpp
@@ -224,16 +224,20 @@
     Setup setup(1);
     Swarm &swarm = setup.swarm;
     const TimePoint end = swarm.now + 30s;
-
-    // Guards against transfers that give up, or that hammer an origin that is down.
-    SECTION("down for a while")
-    {
-        swarm.onReply = [&](const std::string &from, const std::string &, const Digest &) {
+    const auto failOrigin = [&](ResultCode code) {
+        swarm.onReply = [&swarm, end, code](const std::string &from, const std::string &,
+                                            const Digest &) {
             Reply reply;
             if (from.empty() && swarm.now < end)
-                reply.code = ResultCode::ChunkSourceUnreachable;
+                reply.code = code;
             return reply;
         };
+    };
+
+    // Guards against transfers that give up, or that hammer an origin that is down.
+    SECTION("down for a while")
+    {
+        failOrigin(ResultCode::ChunkSourceUnreachable);
         swarm.startAll(setup.manifest);
         swarm.run(30s);
         CHECK(swarm.originRequests() < 200);
@@ -243,12 +247,7 @@
     // returns: they then asked it once a second.
     SECTION("without a connection for a while")
     {
-        swarm.onReply = [&](const std::string &from, const std::string &, const Digest &) {
-            Reply reply;
-            if (from.empty() && swarm.now < end)
-                reply.code = ResultCode::PlatformUnreachable;
-            return reply;
-        };
+        failOrigin(ResultCode::PlatformUnreachable);
         swarm.startAll(setup.manifest);
         swarm.run(30s);
         const std::uint64_t inVain = swarm.originRequests();
