--- /dev/null
+++ b/modules/apps/src/requestchoice.cpp
@@ -0,0 +1,160 @@
+// Choice of RequestService: which backend server may run a request now, and what is missing if
+// none.
+#include "requeststate.h"
+
+#include <algorithm>
+
+namespace godwit {
+
+namespace {
+
+// Every waiting request asks for more engines at each change; the control thread is told this
+// often.
+constexpr Duration NeedInterval = std::chrono::milliseconds(200);
+
+} // namespace
+
+bool RequestService::hasPlace(const DeploymentId &deployment) const
+{
+    for (const auto &[id, host] : m_directory.hosts()) {
+        for (const auto &[backend, report] : host.backends) {
+            const bool fits = !report.plain || report.deployment == deployment;
+            if (fits && report.up && m_limiter.inUse(backend) < m_limiter.limit(backend))
+                return true;
+        }
+    }
+    return false;
+}
+
+std::optional<BackendDirectory::Target> RequestService::choose(Request &request, TimePoint now)
+{
+    const auto &call = request.call;
+    if (!request.atMostOnce)
+        return call.isPlain ? chooseService(request, now) : chooseEngine(request, now);
+    auto targets = call.isPlain ? m_directory.services(call.deployment)
+                                : m_directory.engines(call.deployment, call.model, call.adapter);
+    const auto owner = m_directory.slots(call.deployment).target(call.key, now);
+    std::erase_if(targets, [&](const BackendDirectory::Target &target) {
+        return !owner || target.host != *owner;
+    });
+    if (targets.empty())
+        return std::nullopt;
+    return targets.front();
+}
+
+std::optional<BackendDirectory::Target> RequestService::chooseService(const Request &request,
+                                                                      TimePoint now)
+{
+    auto targets = m_directory.services(request.call.deployment);
+    std::erase_if(targets, [&](const BackendDirectory::Target &target) {
+        return m_limiter.inUse(target.backend) >= m_limiter.limit(target.backend)
+               || m_poison.decide(request.call.content, target.backend, now)
+                          == PoisonDetector::Decision::Wait;
+    });
+    std::vector<BackendDirectory::Target> fresh;
+    std::ranges::copy_if(targets, std::back_inserter(fresh),
+                         [&](const auto &it) { return !request.tried.contains(it.backend); });
+    const auto &from = fresh.empty() ? targets : fresh;
+    if (from.empty())
+        return std::nullopt;
+    return *std::ranges::min_element(from, {}, [&](const BackendDirectory::Target &target) {
+        return m_limiter.inUse(target.backend);
+    });
+}
+
+std::optional<BackendDirectory::Target> RequestService::chooseEngine(Request &request,
+                                                                     TimePoint now)
+{
+    prepareRouting(request, now);
+    auto &routing = request.routing;
+    const std::size_t unusable = routing.excluded.size();
+    routing.excluded.insert(routing.excluded.end(), request.tried.begin(), request.tried.end());
+    auto choice = capture([&] { return m_selector.choose(routing, now); });
+    routing.excluded.resize(unusable);
+    if (!succeeded(choice) && !request.tried.empty())
+        choice = capture([&] { return m_selector.choose(routing, now); });
+    if (succeeded(choice)) {
+        const auto &it = std::get<0>(choice);
+        return BackendDirectory::Target{it.host, it.backend, it.pin};
+    }
+    // Servers that are only full or wait for a suspect request will be free again.
+    const auto counts = m_selector.explain(routing);
+    if (counts[static_cast<std::size_t>(Ineligible::Excluded)] == 0)
+        needEngines({request.call.deployment, request.call.model, request.call.adapter}, now);
+    return std::nullopt;
+}
+
+void RequestService::prepareRouting(Request &request, TimePoint now)
+{
+    const auto &call = request.call;
+    auto &routing = request.routing;
+    if (routing.deployment.empty())
+        routing = m_selector.request(call);
+    routing.pin = {call.model, call.adapter, {}};
+    routing.alternatives.clear();
+    if (request.tracker && request.tracker->position() > 0) {
+        routing.pin = request.pin;
+    } else {
+        for (const auto &version : m_directory.versions(call.deployment, call.model, call.adapter))
+            routing.alternatives.push_back({call.model, call.adapter, version});
+    }
+    routing.excluded.clear();
+    for (const auto &[id, host] : m_directory.hosts()) {
+        for (const auto &[backend, report] : host.backends) {
+            const bool isFull = m_limiter.inUse(backend) >= m_limiter.limit(backend);
+            if (!report.plain
+                && (isFull
+                    || m_poison.decide(call.content, backend, now)
+                               == PoisonDetector::Decision::Wait))
+                routing.excluded.push_back(backend);
+        }
+    }
+}
+
+std::string RequestService::reasons(Request &request, TimePoint now)
+{
+    if (request.call.isPlain || request.atMostOnce)
+        return {};
+    prepareRouting(request, now);
+    return "; engines that may not run it: " + toString(m_selector.explain(request.routing));
+}
+
+void RequestService::unsend(const Request &request, const BackendDirectory::Target &target,
+                            TimePoint now)
+{
+    if (!request.call.isPlain && !request.atMostOnce)
+        m_selector.notSent(target.backend, now);
+}
+
+void RequestService::requestEngines(TimePoint now)
+{
+    // Queued requests are not taken out while no engine has room, so they would never ask.
+    for (const auto &[id, host] : m_directory.hosts()) {
+        const bool hasEngine = std::ranges::any_of(
+                host.backends, [](const auto &it) { return !it.second.plain && it.second.up; });
+        if (hasEngine)
+            return;
+    }
+    std::set<EngineGroup> groups;
+    for (const auto &[id, request] : m_requests) {
+        const auto &call = request->call;
+        if (request->queued && !call.isPlain)
+            groups.insert({call.deployment, call.model, call.adapter});
+    }
+    for (const auto &group : groups)
+        needEngines(group, now);
+}
+
+void RequestService::needEngines(const EngineGroup &group, TimePoint now)
+{
+    // Callers may name any model, but only those of load orders may take memory here.
+    if (m_directory.versions(group.deployment, group.model, group.adapter).empty())
+        return;
+    auto &next = m_nextNeed[group];
+    if (now < next)
+        return;
+    next = now + NeedInterval;
+    m_enginesNeeded(group);
+}
+
+} // namespace godwit
--- a/modules/base/include/godwit/base/time.h
+++ b/modules/base/include/godwit/base/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace godwit {
 
@@ -33,6 +34,12 @@
     return std::chrono::duration<double>(span).count();
 }
 
+/// Whole milliseconds of \a span.
+constexpr std::int64_t toMilliseconds(Duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 /// The span of \a seconds, rounded towards zero to microseconds.
 constexpr Duration fromSeconds(double seconds)
 {
--- /dev/null
+++ b/modules/control/src/membershipprobes.cpp
@@ -0,0 +1,184 @@
+// Failure detection of Membership: probes, suspicion, death and the timers of it all.
+#include <godwit/control/membership.h>
+
+#include <algorithm>
+
+namespace godwit {
+
+void Membership::startProbe(TimePoint now, const HostId &target, Actions &actions)
+{
+    auto probe = compose(GossipKind::Probe, target);
+    probe.sequence = ++m_sequence;
+    m_probes.push_back({target, m_sequence, now + m_settings.ackTimeout});
+    send(actions, m_members.at(target).member.address, std::move(probe));
+}
+
+void Membership::askOthers(TimePoint now, Entry &target, Actions &actions)
+{
+    const HostId id = target.member.host;
+    m_probes.push_back({id, ++m_sequence, now + m_settings.indirectTimeout, true});
+    const std::uint64_t sequence = m_sequence;
+    for (const HostId &helper : randomMembers(m_settings.indirectProbes, id)) {
+        auto request = compose(GossipKind::ProbeRequest, helper);
+        request.sequence = sequence;
+        request.subject = id;
+        request.subjectAddress = target.member.address;
+        send(actions, m_members.at(helper).member.address, std::move(request));
+    }
+    // The direct way is tried again: a single lost packet must not lead to a suspicion.
+    auto again = compose(GossipKind::Probe, id);
+    again.sequence = sequence;
+    send(actions, target.member.address, std::move(again));
+}
+
+void Membership::probeNext(TimePoint now, Actions &actions)
+{
+    while (true) {
+        if (m_round.empty()) {
+            for (const auto &[id, entry] : m_members) {
+                if (entry.member.status != MemberStatus::Dead)
+                    m_round.push_back(id);
+            }
+            if (m_round.empty())
+                return;
+            for (std::size_t i = m_round.size(); i > 1; --i)
+                std::swap(m_round[i - 1], m_round[m_random.below(i)]);
+        }
+        const HostId target = m_round.back();
+        m_round.pop_back();
+        const auto it = m_members.find(target);
+        if (it == m_members.end() || it->second.member.status == MemberStatus::Dead)
+            continue;
+        startProbe(now, target, actions);
+        return;
+    }
+}
+
+void Membership::probeExpired(TimePoint now, const Probe &probe, Actions &actions)
+{
+    const auto it = m_members.find(probe.target);
+    if (it == m_members.end() || it->second.member.status == MemberStatus::Dead)
+        return;
+    Entry &entry = it->second;
+    if (!probe.indirect) {
+        const bool running = std::ranges::any_of(m_probes, [&](const Probe &other) {
+            return other.indirect && other.target == probe.target;
+        });
+        if (!running && entry.member.status != MemberStatus::Suspect)
+            askOthers(now, entry, actions);
+        return;
+    }
+    if (entry.member.status == MemberStatus::Suspect)
+        return;
+    const auto next = entry.member.status == MemberStatus::Leaving ? MemberStatus::Dead
+                                                                   : MemberStatus::Suspect;
+    setStatus(now, entry, next);
+    entry.ownSuspicion = true;
+    entry.nextSuspectProbe = now;
+    spread(entry);
+    actions.emplace_back(MemberChanged{entry.member, false});
+}
+
+void Membership::checkProbes(TimePoint now, Actions &actions)
+{
+    std::vector<Probe> expired;
+    std::erase_if(m_probes, [&](const Probe &probe) {
+        if (probe.deadline > now)
+            return false;
+        expired.push_back(probe);
+        return true;
+    });
+    for (const Probe &probe : expired)
+        probeExpired(now, probe, actions);
+    std::erase_if(m_relays, [&](const auto &relay) { return relay.second.deadline <= now; });
+}
+
+void Membership::checkSuspects(TimePoint now, Actions &actions)
+{
+    for (const HostId &id : std::vector<HostId>(m_suspects)) {
+        Entry &entry = m_members.at(id);
+        if (now >= *entry.suspectUntil) {
+            setStatus(now, entry, MemberStatus::Dead);
+            spread(entry);
+            actions.emplace_back(MemberChanged{entry.member, false});
+        } else if (entry.ownSuspicion && now >= entry.nextSuspectProbe) {
+            entry.nextSuspectProbe = now + m_settings.suspectProbePeriod;
+            askOthers(now, entry, actions);
+        }
+    }
+}
+
+void Membership::checkDead(TimePoint now, Actions &actions)
+{
+    m_nextRejoin = jittered(now, m_settings.rejoinPeriod);
+    std::vector<HostId> dead;
+    for (auto it = m_members.begin(); it != m_members.end();) {
+        const auto since = it->second.deadSince;
+        if (since && now - *since > m_settings.forgetAfter) {
+            std::erase_if(m_pending, [&](const Pending &p) { return p.host == it->first; });
+            const auto at = m_byAddress.find(it->second.member.address);
+            if (at != m_byAddress.end() && at->second == it->first)
+                m_byAddress.erase(at);
+            it = m_members.erase(it);
+            continue;
+        }
+        if (since)
+            dead.push_back(it->first);
+        ++it;
+    }
+    if (!dead.empty()) {
+        const HostId &id = dead[m_random.below(dead.size())];
+        send(actions, m_members.at(id).member.address, compose(GossipKind::Probe, id));
+    }
+    if (randomMembers(1, {}).empty() && !m_seeds.empty()) {
+        const std::string &seed = m_seeds[m_random.below(m_seeds.size())];
+        if (seed != m_self.address)
+            send(actions, seed, compose(GossipKind::Probe, {}));
+    }
+}
+
+void Membership::shiftTimers(Duration gap)
+{
+    m_probes.clear();
+    m_relays.clear();
+    for (const HostId &id : m_suspects)
+        *m_members.at(id).suspectUntil += gap;
+}
+
+std::vector<MembershipAction> Membership::onTimer(TimePoint now)
+{
+    Actions actions;
+    if (const Duration gap = now - m_lastTimer;
+        gap > m_settings.probePeriod + m_settings.pauseLimit)
+        shiftTimers(gap);
+    m_lastTimer = now;
+    checkProbes(now, actions);
+    checkSuspects(now, actions);
+    if (now >= m_nextProbe) {
+        m_nextProbe = std::max(m_nextProbe + m_settings.probePeriod, now);
+        probeNext(now, actions);
+    }
+    if (now >= m_nextSync) {
+        m_nextSync = jittered(now, m_settings.syncPeriod);
+        startSync(actions);
+    }
+    if (now >= m_nextRejoin)
+        checkDead(now, actions);
+    return actions;
+}
+
+TimePoint Membership::nextTimer() const
+{
+    TimePoint next = std::min({m_nextProbe, m_nextSync, m_nextRejoin});
+    for (const Probe &probe : m_probes)
+        next = std::min(next, probe.deadline);
+    for (const HostId &id : m_suspects) {
+        const Entry &entry = m_members.at(id);
+        next = std::min(next, *entry.suspectUntil);
+        if (entry.ownSuspicion)
+            next = std::min(next, entry.nextSuspectProbe);
+    }
+    return next;
+}
+
+} // namespace godwit
--- a/modules/gateway/src/decisionlog.h
+++ b/modules/gateway/src/decisionlog.h
@@ -4,8 +4,6 @@
 
 #include <boost/json/object.hpp>
 
-#include <cstdint>
-
 namespace godwit {
 
 /// Kinds of log lines about requests, with separate budgets.
@@ -15,10 +13,4 @@
 /// kind; a later line of the same kind states how many were left out.
 void logRequest(RequestLog kind, boost::json::object fields, TimePoint now);
 
-/// Whole milliseconds of \a span.
-inline std::int64_t toMilliseconds(Duration span)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-}
-
 } // namespace godwit
