Give joining hosts their own region, and manifests through peers

All joiners of all regions fetched every piece from the hosts of one region; a request waited 356 ms for its first byte on the links between the regions while the sources had no queue, and the limit on outstanding bytes then halved the rate. The region now comes from the settings. Second cause: each host read the manifest from the origin, which resets connections over its limit; 185 reads failed and the last host began 1.6 s late.

Ruled out: processor (0.015 of a core in the mean), upload queues (wait 0 ms at the source), reading from the engine, the planner itself (204 hosts in 4.5 s and 1,000 in 4.8 s in the network model).

--- a/modules/fleet/include/godwit/fleet/backendfeed.h
+++ b/modules/fleet/include/godwit/fleet/backendfeed.h
@@ -23,6 +23,8 @@
     {
         std::function<void(const BackendRecord &)> onRecord;
         std::function<void(const BackendId &)> onRemoved;
+        /// All changes that one call to the store returned have been reported. May be empty.
+        std::function<void()> onUpToDate = {};
     };
 
     /// Calls that fail for less than this do not count as an outage.
--- a/modules/fleet/src/backendfeed.cpp
+++ b/modules/fleet/src/backendfeed.cpp
@@ -14,7 +14,11 @@
     , m_handlers(std::move(handlers))
     , m_mirror(store, scheduler, random, std::string(platform.backendPrefix()),
                {[this](const KeyValueEntry &entry, std::optional<TimePoint>) { handlePut(entry); },
-                [this](const std::string &key) { handleRemoved(key); }, [](TimePoint) {},
+                [this](const std::string &key) { handleRemoved(key); },
+                [this](TimePoint) {
+                    if (m_handlers.onUpToDate)
+                        m_handlers.onUpToDate();
+                },
                 [this](bool isReachable, const std::string &problem) {
                     handleReachability(isReachable, problem);
                 }})
--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -45,7 +45,7 @@
 RolloutOptions rolloutOptions(const FleetSettings &settings)
 {
     RolloutOptions options;
-    options.self = HostId(settings.listen.peers.address);
+    options.self = {HostId(settings.listen.peers.address), settings.zone, settings.region};
     options.transfer = transferProfile(settings.linkBitsPerSecond / BitsPerByte);
     return options;
 }
@@ -81,12 +81,13 @@
     , m_backendFeed(m_platform, *m_backendStore, m_scheduler, newRandom(),
                     {[this](const BackendRecord &record) {
                          m_backendRecords[record.id] = record;
-                         updateParticipants();
+                         m_participantsChanged = true;
                      },
                      [this](const BackendId &id) {
                          m_backendRecords.erase(id);
-                         updateParticipants();
-                     }})
+                         m_participantsChanged = true;
+                     },
+                     [this] { updateParticipants(); }})
 {}
 
 HostProcess::~HostProcess() = default;
@@ -100,7 +101,10 @@
              [this](const HostId &peer, const Digest &chunk, UploadId upload) {
                  m_rollout.onChunkRequest(peer, chunk, upload);
              },
-             [this](UploadId upload) { m_rollout.onUploadFailed(upload); }}));
+             [this](UploadId upload) { m_rollout.onUploadFailed(upload); },
+             [this](ManifestRequest request) {
+                 m_rollout.onManifestRequest(std::move(request));
+             }}));
     m_configurationLookup.lookUp();
     m_operatorFeed.start();
     m_backendFeed.start();
@@ -154,6 +158,8 @@
 
 void HostProcess::updateParticipants()
 {
+    if (!std::exchange(m_participantsChanged, false))
+        return;
     std::vector<Participant> participants;
     for (const auto &[id, record] : m_backendRecords) {
         if (record.service == m_settings.engine->service && !record.draining)
--- a/modules/fleet/src/hostprocess.h
+++ b/modules/fleet/src/hostprocess.h
@@ -37,6 +37,7 @@
     VersionRollout m_rollout;
     std::optional<WeightOrigin> m_origin;
     std::map<BackendId, BackendRecord> m_backendRecords;
+    bool m_participantsChanged = true; ///< Since the rollout was last told.
     std::unique_ptr<KeyValuePort> m_operatorStore;
     std::unique_ptr<KeyValuePort> m_backendStore;
     ConfigurationLookup m_configurationLookup;
--- a/modules/fleet/src/http2peertransport.cpp
+++ b/modules/fleet/src/http2peertransport.cpp
@@ -10,11 +10,17 @@
 
 constexpr const char *HavePath = "/chunks/have";
 constexpr const char *ChunkPath = "/chunks/get";
+constexpr const char *ManifestPath = "/manifest/get";
+constexpr const char *ModelHeader = "x-godwit-model";
+constexpr const char *VersionHeader = "x-godwit-version";
 constexpr const char *HostHeader = "x-godwit-host";
 constexpr const char *DigestHeader = "x-godwit-digest";
 constexpr const char *CodeHeader = "x-godwit-code";
 /// An announcement that takes longer is outdated.
 constexpr Duration AnnounceTimeout = std::chrono::seconds(2);
+/// A peer answers when it has the manifest itself. One that takes longer may be gone, and another
+/// one is asked.
+constexpr Duration ManifestTimeout = std::chrono::milliseconds(600);
 constexpr std::size_t MaxAnnouncementBytes = 64UL * 1024;
 
 WireOptions wireOptions()
@@ -133,6 +139,19 @@
     return std::make_shared<StreamHandle>(std::move(stream));
 }
 
+void Http2PeerTransport::fetchManifest(const HostId &peer, const ModelId &model,
+                                       std::uint64_t version, Completion<Manifest> done)
+{
+    client(peer).call(ManifestPath, {}, ManifestTimeout,
+                      [done = std::move(done)](const Outcome<std::string> &outcome) {
+                          if (const auto *error = std::get_if<Error>(&outcome))
+                              done(*error);
+                          else
+                              done(capture([&] { return parseManifest(std::get<0>(outcome)); }));
+                      },
+                      {{ModelHeader, model.value()}, {VersionHeader, std::to_string(version)}});
+}
+
 void Http2PeerTransport::announce(const HostId &peer, const HaveUpdate &update)
 {
     client(peer).call(HavePath, toJsonText(update), AnnounceTimeout,
@@ -145,6 +164,8 @@
         handleHaveUpdate(stream);
     } else if (stream->request().path == ChunkPath) {
         handleChunkRequest(stream);
+    } else if (stream->request().path == ManifestPath) {
+        handleManifestRequest(stream);
     } else {
         stream->respond(404);
         stream->finish();
@@ -191,6 +212,32 @@
     m_handlers.onChunkRequested(peer, std::get<0>(digest), upload);
 }
 
+void Http2PeerTransport::handleManifestRequest(const std::shared_ptr<WireStream> &stream)
+{
+    const auto &fields = stream->request().fields;
+    const std::string_view number = fieldValue(fields, VersionHeader);
+    ManifestRequest request;
+    request.model = ModelId(std::string(fieldValue(fields, ModelHeader)));
+    const auto [end, ec] =
+            std::from_chars(number.data(), number.data() + number.size(), request.version);
+    if (request.model.empty() || ec != std::errc() || end != number.data() + number.size()) {
+        stream->respond(400);
+        stream->finish();
+        return;
+    }
+    request.reply =
+            [weak = std::weak_ptr(stream)](const std::shared_ptr<const Manifest> &manifest) {
+                const auto requested = weak.lock();
+                if (!requested)
+                    return;
+                requested->respond(manifest ? 200 : 503);
+                if (manifest)
+                    requested->write(toJsonText(*manifest));
+                requested->finish();
+            };
+    m_handlers.onManifestRequested(std::move(request));
+}
+
 void Http2PeerTransport::serve(const ServeChunk &chunk, std::function<void(bool)> onFinished)
 {
     const auto it = m_uploads.find(chunk.upload);
--- a/modules/fleet/src/http2peertransport.h
+++ b/modules/fleet/src/http2peertransport.h
@@ -26,6 +26,7 @@
         std::function<void(const HostId &, const HaveUpdate &)> onHaveUpdate;
         std::function<void(const HostId &, const Digest &, UploadId)> onChunkRequested;
         std::function<void(UploadId)> onUploadFailed;
+        std::function<void(ManifestRequest)> onManifestRequested;
     };
 
     Http2PeerTransport(boost::asio::io_context &io, Scheduler &scheduler, HostId self,
@@ -41,6 +42,8 @@
     std::shared_ptr<CallHandle> fetch(const HostId &peer, const Digest &chunk, std::uint32_t bytes,
                                       std::function<void()> onProgress,
                                       Completion<std::string> done) override;
+    void fetchManifest(const HostId &peer, const ModelId &model, std::uint64_t version,
+                       Completion<Manifest> done) override;
     void announce(const HostId &peer, const HaveUpdate &update) override;
     void serve(const ServeChunk &chunk, std::function<void(bool)> onFinished) override;
     void refuse(UploadId upload, ResultCode code) override;
@@ -65,6 +68,7 @@
     void dispatch(const std::shared_ptr<WireStream> &stream);
     void handleHaveUpdate(const std::shared_ptr<WireStream> &stream);
     void handleChunkRequest(const std::shared_ptr<WireStream> &stream);
+    void handleManifestRequest(const std::shared_ptr<WireStream> &stream);
 
     boost::asio::io_context &m_io;
     Scheduler &m_scheduler;
--- a/modules/rollout/include/godwit/rollout/peertransport.h
+++ b/modules/rollout/include/godwit/rollout/peertransport.h
@@ -13,7 +13,16 @@
 
 namespace godwit {
 
-/// Exchanges chunks, and announcements of held chunks, with other host processes.
+/// Request of a peer for the manifest of a version.
+struct ManifestRequest
+{
+    ModelId model;
+    std::uint64_t version = 0;
+    /// Sends the answer: the manifest, or null if this host cannot provide it.
+    std::function<void(std::shared_ptr<const Manifest>)> reply;
+};
+
+/// Exchanges manifests, chunks, and announcements of held chunks, with other host processes.
 class PeerTransport
 {
 public:
@@ -28,6 +37,11 @@
                                               std::uint32_t bytes, std::function<void()> onProgress,
                                               Completion<std::string> done) = 0;
 
+    /// Requests the manifest of \a version of \a model from \a peer, which answers as soon as it
+    /// has the manifest. Fails if this takes too long.
+    virtual void fetchManifest(const HostId &peer, const ModelId &model, std::uint64_t version,
+                               Completion<Manifest> done) = 0;
+
     /// Sends \a update without waiting for a response.
     virtual void announce(const HostId &peer, const HaveUpdate &update) = 0;
 
--- a/modules/rollout/include/godwit/rollout/rolloutoptions.h
+++ b/modules/rollout/include/godwit/rollout/rolloutoptions.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <godwit/base/ids.h>
 #include <godwit/base/time.h>
+#include <godwit/weights/participant.h>
 #include <godwit/weights/transfersettings.h>
 
 #include <cstddef>
@@ -11,7 +11,8 @@
 /// Settings of a VersionRollout.
 struct RolloutOptions
 {
-    HostId self;
+    /// This host. The list of participants may lack it until its backend server has registered.
+    Participant self;
     TransferSettings transfer;
     /// Interval between two reads of the engine's report.
     Duration enginePollInterval = std::chrono::milliseconds(1000);
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -20,7 +20,9 @@
 
 namespace godwit {
 
-/// Loads the wanted version of each model into the engine of this host: reads the manifest, obtains
+class ManifestExchange;
+
+/// Loads the wanted version of each model into the engine of this host: obtains the manifest, and
 /// the chunks from the engine's staging area, from peers or from the origin as the TransferPlanner
 /// decides, and has an EngineStager load them. Not thread-safe; performs no I/O of its own and
 /// takes the time from the scheduler.
@@ -45,7 +47,9 @@
     /// Sets the origin of weights and its region. \a origin is null while it is not known.
     void setOrigin(std::shared_ptr<WeightOriginPort> origin, RegionId region);
 
-    /// Sets the hosts whose engines load the same weights, including this one.
+    /// Sets the hosts whose engines load the same weights; this one need not be included. Nothing
+    /// is read before the first call: a host that knows no peers would read everything from the
+    /// origin.
     void setParticipants(std::vector<Participant> participants);
 
     /// Requests \a version of \a model. Versions older than the last one requested are ignored. If
@@ -62,6 +66,7 @@
     void onHaveUpdate(const HostId &peer, const HaveUpdate &update);
     void onChunkRequest(const HostId &peer, const Digest &chunk, UploadId upload);
     void onUploadFailed(UploadId upload);
+    void onManifestRequest(ManifestRequest request);
 
     /// Logs the progress of each transfer that is not complete.
     void logProgress() const;
@@ -81,6 +86,7 @@
         std::unique_ptr<EngineStager> stager;   ///< Null until the transfer has begun.
         std::set<ChunkIndex> previouslyStaged;  ///< Staged before the transfer, not yet read.
         std::vector<ChunkIndex> deferredChunks; ///< Staged once no older version uses the area.
+        std::uint32_t manifestFailures = 0;     ///< Since the manifest was last read.
         bool isReadingManifest = false;         ///< Until the staged chunks have been listed.
         bool fullyStaged = false;               ///< All chunks have been staged.
         bool awaitingOrder = false; ///< Fully staged, and the load order has not been accepted.
@@ -175,9 +181,11 @@
     Environment m_environment;
     Random m_random;
     TransferPlanner m_planner;
+    std::unique_ptr<ManifestExchange> m_manifests;
     std::shared_ptr<WeightOriginPort> m_origin;
     RegionId m_originRegion;
     std::vector<Participant> m_participants;
+    bool m_participantsKnown = false; ///< setParticipants() has been called.
     EngineReport m_lastReport;
     std::map<ModelId, Rollouts> m_rollouts;
     std::map<ModelId, LoadSchedule> m_loadSchedules;
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -1,5 +1,7 @@
 #include <godwit/rollout/versionrollout.h>
 
+#include "manifestexchange.h"
+
 #include <godwit/observe/log.h>
 #include <godwit/weights/chunksource.h>
 
@@ -9,7 +11,10 @@
 
 namespace {
 
+/// Delay before the manifest is read again after a failure of the origin or of a peer. The next
+/// attempt asks another peer, so that it need not wait.
 constexpr Duration ManifestRetryInterval = std::chrono::milliseconds(300);
+constexpr Duration PeerManifestRetryInterval = std::chrono::milliseconds(30);
 
 } // namespace
 
@@ -17,7 +22,10 @@
     : m_options(std::move(options))
     , m_environment(std::move(environment))
     , m_random(random)
-    , m_planner(m_options.self, m_options.transfer, m_random())
+    , m_planner(m_options.self.host, m_options.transfer, m_random())
+    , m_manifests(std::make_unique<ManifestExchange>(m_options.self, m_environment.scheduler,
+                                                     m_environment.peers))
+    , m_participants{m_options.self}
 {}
 
 VersionRollout::~VersionRollout() = default;
@@ -45,6 +53,7 @@
 void VersionRollout::setOrigin(std::shared_ptr<WeightOriginPort> origin, RegionId region)
 {
     m_origin = std::move(origin);
+    m_manifests->setOrigin(m_origin);
     m_originRegion = std::move(region);
     for (auto &[model, rollouts] : m_rollouts) {
         for (Rollout &it : rollouts)
@@ -54,19 +63,25 @@
 
 void VersionRollout::setParticipants(std::vector<Participant> participants)
 {
+    // A host that is missing from its own list would count as a host of the origin's region and
+    // fetch its chunks over the links between the regions.
+    std::erase_if(participants,
+                  [this](const Participant &it) { return it.host == m_options.self.host; });
+    participants.push_back(m_options.self);
     std::ranges::sort(participants);
+    m_participantsKnown = true;
+    m_manifests->setParticipants(participants);
     const std::vector<Participant> previous = std::exchange(m_participants, participants);
     for (const Participant &it : previous) {
         const auto same = [&it](const Participant &other) { return other.host == it.host; };
-        if (it.host != m_options.self && std::ranges::none_of(m_participants, same))
+        if (it.host != m_options.self.host && std::ranges::none_of(m_participants, same))
             run(m_planner.peerLeft(now(), it.host));
     }
-    for (const Participant &it : m_participants) {
-        if (std::ranges::find(previous, it) != previous.end())
-            continue;
-        for (const auto &[model, rollouts] : m_rollouts) {
-            for (const Rollout &rollout : rollouts) {
-                if (rollout.stager)
+    for (auto &[model, rollouts] : m_rollouts) {
+        for (Rollout &rollout : rollouts) {
+            startIfNeeded(rollout);
+            for (const Participant &it : m_participants) {
+                if (rollout.stager && std::ranges::find(previous, it) == previous.end())
                     run(m_planner.peerJoined(now(), rollout.transfer, it));
             }
         }
@@ -156,7 +171,7 @@
 void VersionRollout::startIfNeeded(Rollout &rollout)
 {
     const bool begun = rollout.manifest || rollout.isReadingManifest || rollout.retryTimer;
-    if (m_origin && !rollout.isServing && !begun)
+    if (m_origin && m_participantsKnown && !rollout.isServing && !begun)
         readManifest(rollout);
 }
 
@@ -186,8 +201,8 @@
 void VersionRollout::readManifest(Rollout &rollout)
 {
     rollout.isReadingManifest = true;
-    m_origin->readManifest(
-            rollout.model, rollout.version,
+    m_manifests->read(
+            rollout.model, rollout.version, rollout.manifestFailures,
             bindWeak<Manifest>([this, key = keyOf(rollout)](const Outcome<Manifest> &outcome) {
                 onManifestRead(key, outcome);
             }));
@@ -205,12 +220,17 @@
                         {"problem", toString(*error)}},
                        LogLevel::Warning);
         rollout->isReadingManifest = false;
-        scheduleStep(*rollout, ManifestRetryInterval, &VersionRollout::startIfNeeded);
-        if (m_environment.onOriginUnreachable)
+        ++rollout->manifestFailures;
+        const bool isPeer = error->code == ResultCode::NotSent;
+        scheduleStep(*rollout, isPeer ? PeerManifestRetryInterval : ManifestRetryInterval,
+                     &VersionRollout::startIfNeeded);
+        if (!isPeer && m_environment.onOriginUnreachable)
             m_environment.onOriginUnreachable();
         return;
     }
     rollout->manifest = std::make_shared<const Manifest>(std::get<0>(outcome));
+    rollout->manifestFailures = 0;
+    m_manifests->publish(key.model, key.version, rollout->manifest);
     m_environment.engine.listStaged(
             key.model, bindWeak<std::set<ChunkIndex>>(
                                [this, key](const Outcome<std::set<ChunkIndex>> &staged) {
@@ -337,7 +357,7 @@
     for (const Participant &it : m_participants)
         addresses.push_back(it.host.value());
     schedule.setEngines(addresses);
-    return schedule.loadTime(m_options.self.value(), served->version).value_or(now());
+    return schedule.loadTime(m_options.self.host.value(), served->version).value_or(now());
 }
 
 void VersionRollout::onOrderAccepted(const Key &key)
@@ -417,6 +437,12 @@
     }
 }
 
+void VersionRollout::onManifestRequest(ManifestRequest request)
+{
+    startSeeding();
+    m_manifests->onRequest(std::move(request));
+}
+
 void VersionRollout::onUploadFailed(UploadId upload)
 {
     run(m_planner.uploadFinished(now(), upload, false));
--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -165,6 +165,7 @@
 public:
     std::map<UploadId, ChunkBytes> served;
     std::map<UploadId, ResultCode> refused;
+    std::set<HostId> announcedTo;
 
     std::shared_ptr<CallHandle> fetch(const HostId &, const Digest &, std::uint32_t,
                                       std::function<void()>, Completion<std::string> done) override
@@ -172,7 +173,12 @@
         done(Error{ResultCode::NotSent, "no peers"});
         return nullptr;
     }
-    void announce(const HostId &, const HaveUpdate &) override {}
+    void fetchManifest(const HostId &, const ModelId &, std::uint64_t,
+                       Completion<Manifest> done) override
+    {
+        done(Error{ResultCode::NotSent, "no peers"});
+    }
+    void announce(const HostId &peer, const HaveUpdate &) override { announcedTo.insert(peer); }
     void serve(const ServeChunk &chunk, std::function<void(bool)> onFinished) override
     {
         served[chunk.upload] = chunk.bytes;
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -27,7 +27,7 @@
     static RolloutOptions options()
     {
         RolloutOptions it;
-        it.self = HostId("10.0.0.1");
+        it.self = {HostId("10.0.0.1"), ZoneId("z"), RegionId("r")};
         it.transfer.hostRate = 1e6;
         it.transfer.originRate = 1e6;
         it.transfer.maxBackoff = 500ms;
@@ -169,6 +169,24 @@
     }
 }
 
+// Load pattern: engines are added while the fleet serves, and their host processes start to load
+// before their own records are listed. Guards against such a host taking the region of the origin
+// for its own, so that it fetches all chunks over the links between the regions.
+TEST_CASE("A host that is missing from the list of participants exchanges chunks in its region")
+{
+    Fixture it;
+    const RegionId originRegion("far");
+    const HostId neighbour("10.0.0.2");
+    const HostId distant("10.9.0.1");
+    it.rollout.setOrigin(it.origin, originRegion);
+    it.rollout.setParticipants(
+            {{neighbour, ZoneId("z"), RegionId("r")}, {distant, ZoneId("f"), originRegion}});
+    it.rollout.setWantedVersion(TestModel, 1, std::nullopt);
+    it.scheduler.advance(30ms);
+    CHECK(it.peers.announcedTo.contains(neighbour));
+    CHECK_FALSE(it.peers.announcedTo.contains(distant));
+}
+
 TEST_CASE("VersionRollout with two versions in quick succession")
 {
     Fixture it;
