Ask the store only as often as the bounds demand

Intervals now follow from the bounds in force (revocation, configuration, draining, reconnection). Hosts ask for versions at a rate that is constant for the whole fleet (8 calls a second), which is safe because a host that learns of a newer version from a peer reads the versions at once; they learn of other hosts in batches of 10 s. An event that arrives early in a long watch call is no longer dated back to the start of the call before it.

Ruled out: list instead of watch for hosts (100 KB for each of 204 hosts over the links between the regions), serializable reads for keys and drains (may be seconds old), an empty watch response as confirmation of its end instead of its start (a cut call may look the same).

--- a/modules/fleet/include/godwit/fleet/backendfeed.h
+++ b/modules/fleet/include/godwit/fleet/backendfeed.h
@@ -2,6 +2,7 @@
 
 #include <godwit/fleet/fleetplatform.h>
 #include <godwit/mirror/prefixmirror.h>
+#include <godwit/settings/fleetsettings.h>
 
 #include <functional>
 #include <map>
@@ -14,8 +15,9 @@
 ///
 /// Records expire during an outage of the store although their servers are running; the servers
 /// register again soon after it. A record that is missing after an outage is therefore removed only
-/// if it has not returned within ReregistrationGrace of the end of the outage. A single failed call
-/// does not count as an outage: a server that leaves at that time must not be used any longer.
+/// if it has not returned within ReregistrationGrace of the end of the outage, or earlier if it was
+/// removed after the feed had caught up: it may be that of a server that leaves. A single failed
+/// call does not count as an outage, for the same reason.
 class BackendFeed
 {
 public:
@@ -33,7 +35,7 @@
     static constexpr Duration ReregistrationGrace = std::chrono::milliseconds(2500);
 
     BackendFeed(const FleetPlatform &platform, KeyValuePort &store, Scheduler &scheduler,
-                Random random, Handlers handlers);
+                const FleetBounds &bounds, Random random, Handlers handlers);
 
     void start() { m_mirror.start(); }
 
@@ -46,11 +48,13 @@
 
     const FleetPlatform &m_platform;
     Scheduler &m_scheduler;
+    Duration m_maxRemovalDelay; ///< Of a record that is removed while the feed is up to date.
     Handlers m_handlers;
     std::map<BackendId, BackendRecord> m_records;
     std::map<BackendId, std::unique_ptr<Timer>> m_pendingRemovals;
     std::optional<TimePoint> m_unreachableSince; ///< No call has succeeded since then.
     std::optional<TimePoint> m_outageEndedAt;
+    bool m_isUpToDate = false; ///< All changes since the last failed call have been reported.
     PrefixMirror m_mirror;
 };
 
--- a/modules/fleet/include/godwit/fleet/fleetplatform.h
+++ b/modules/fleet/include/godwit/fleet/fleetplatform.h
@@ -10,6 +10,7 @@
 #include <godwit/rollout/modelengineport.h>
 #include <godwit/rollout/weightoriginport.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -30,8 +31,10 @@
 struct FleetStoreOptions
 {
     HttpEndpoint endpoint;
-    Duration longPollTimeout{0}; ///< Time after which a watch call returns without events.
-    Duration batchDelay{0};      ///< Between a watch call with events and the next one.
+    /// Returns the time after which the next watch call returns without events.
+    std::function<Duration()> longPollTimeout;
+    Duration longPollGrace{0}; ///< Added to it; the connection counts as silent afterwards.
+    Duration batchDelay{0};    ///< Between a watch call with events and the next one.
 };
 
 /// A record written by the operator; monostate stands for a key that is not used.
--- a/modules/fleet/include/godwit/fleet/operatorfeed.h
+++ b/modules/fleet/include/godwit/fleet/operatorfeed.h
@@ -30,6 +30,9 @@
 
     void start() { m_mirror.start(); }
 
+    /// Reads the records again because there may be newer ones than the watch has reported.
+    void refresh() { m_mirror.refresh(); }
+
 private:
     void handlePut(const KeyValueEntry &entry, std::optional<TimePoint> notBefore);
     std::optional<VersionWindow> versionWindow(std::optional<TimePoint> notBefore) const;
--- a/modules/fleet/src/backendfeed.cpp
+++ b/modules/fleet/src/backendfeed.cpp
@@ -7,15 +7,24 @@
 
 namespace godwit {
 
+namespace {
+
+/// Left of the drain limit for the request that was sent last to arrive.
+constexpr Duration RemovalMargin = std::chrono::milliseconds(500);
+
+} // namespace
+
 BackendFeed::BackendFeed(const FleetPlatform &platform, KeyValuePort &store, Scheduler &scheduler,
-                         Random random, Handlers handlers)
+                         const FleetBounds &bounds, Random random, Handlers handlers)
     : m_platform(platform)
     , m_scheduler(scheduler)
+    , m_maxRemovalDelay(std::max(Duration::zero(), bounds.drainLimit - RemovalMargin))
     , m_handlers(std::move(handlers))
     , m_mirror(store, scheduler, random, std::string(platform.backendPrefix()),
                {[this](const KeyValueEntry &entry, std::optional<TimePoint>) { handlePut(entry); },
                 [this](const std::string &key) { handleRemoved(key); },
                 [this](TimePoint) {
+                    m_isUpToDate = true;
                     if (m_handlers.onUpToDate)
                         m_handlers.onUpToDate();
                 },
@@ -38,13 +47,6 @@
     BackendRecord &known = m_records[record.id];
     if (known == record)
         return;
-    logStateChange("backend_changed", {{"backend", record.id.value()},
-                                       {"service", record.service},
-                                       {"endpoint", toString(record.endpoint)},
-                                       {"draining", record.draining},
-                                       {"born_ms", record.startTimeMs},
-                                       {"models", record.models.size()},
-                                       {"revision", entry.modified.value}});
     known = record;
     m_handlers.onRecord(record);
 }
@@ -56,13 +58,15 @@
     if (it == m_records.end())
         return;
     const auto remove = [this, id] {
-        logStateChange("backend_removed", {{"backend", id.value()}});
         m_records.erase(id);
         m_handlers.onRemoved(id);
         // Last, because this may destroy the function itself.
         m_pendingRemovals.erase(id);
     };
-    const Duration remaining = remainingGrace();
+    Duration remaining = remainingGrace();
+    // A record that is removed while the watch is up to date may be that of a server that leaves.
+    if (m_isUpToDate)
+        remaining = std::min(remaining, m_maxRemovalDelay);
     if (!it->second.draining && remaining > Duration::zero())
         m_pendingRemovals[id] = m_scheduler.after(remaining, remove);
     else
@@ -72,11 +76,13 @@
 void BackendFeed::handleReachability(bool isReachable, const std::string &problem)
 {
     const TimePoint now = m_scheduler.now();
-    if (!isReachable)
+    if (!isReachable) {
         m_unreachableSince = now;
-    else if (const auto since = std::exchange(m_unreachableSince, std::nullopt);
-             since && now - *since >= MinOutageDuration)
+        m_isUpToDate = false;
+    } else if (const auto since = std::exchange(m_unreachableSince, std::nullopt);
+               since && now - *since >= MinOutageDuration) {
         m_outageEndedAt = now;
+    }
     logStateChange(isReachable ? "store_regained" : "store_lost",
                    {{"keys", std::string(m_platform.backendPrefix())}, {"problem", problem}},
                    isReachable ? LogLevel::Info : LogLevel::Warning);
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -6,17 +6,6 @@
 
 namespace {
 
-/// Interval at which a watch without events confirms the configuration: half a second less than the
-/// time after a confirmation within which requests may be rejected permanently.
-constexpr Duration OperatorLongPollTimeout = std::chrono::milliseconds(1000);
-/// A silent connection is detected after this time; a leaving backend server must be known within
-/// 2 s.
-constexpr Duration BackendLongPollTimeout = std::chrono::milliseconds(900);
-/// Batches the changes of many records when a version is loaded.
-constexpr Duration BackendBatchDelay = std::chrono::milliseconds(200);
-/// Subtracted from the key revocation time to obtain the maximum age of a confirmation that still
-/// lets a request pass.
-constexpr Duration RevocationMargin = std::chrono::milliseconds(400);
 /// Requests may wait in an engine for their first token, but must start before the deadline of the
 /// older version.
 constexpr Duration VersionMargin = std::chrono::milliseconds(500);
@@ -36,6 +25,7 @@
     options.zone = settings.zone;
     options.retryBudget = {bounds.retryBudgetRatio, bounds.retryBudgetSlack,
                            bounds.retryBudgetWindow};
+    options.maxDenialAge = maxDenialAge(bounds);
     if (bounds.strictRevocation)
         options.maxKeyAge = bounds.keyRevocationLimit - RevocationMargin;
     return options;
@@ -60,6 +50,16 @@
         options.idleTimeout = limits.idleTimeout + IdleMargin;
 }
 
+void logBackendChange(const BackendRecord &record)
+{
+    logStateChange("backend_changed", {{"backend", record.id.value()},
+                                       {"service", record.service},
+                                       {"endpoint", toString(record.endpoint)},
+                                       {"draining", record.draining},
+                                       {"born_ms", record.startTimeMs},
+                                       {"models", record.models.size()}});
+}
+
 } // namespace
 
 EntryProcess::EntryProcess(FleetSettings settings, std::string settingsFile,
@@ -73,8 +73,8 @@
                      return m_backendClient.stream(std::move(call), std::move(handlers));
                  }},
                 newRandom())
-    , m_operatorStore(openStore(OperatorLongPollTimeout, Duration::zero()))
-    , m_backendStore(openStore(BackendLongPollTimeout, BackendBatchDelay))
+    , m_operatorStore(openStore(operatorPollIntervals(m_settings.bounds)))
+    , m_backendStore(openStore(backendPollIntervals(m_settings.bounds)))
     , m_operatorFeed(
               m_platform, m_platform.operatorPrefix(), *m_operatorStore, m_scheduler,
               m_settings.bounds, newRandom(),
@@ -85,11 +85,15 @@
                    onVersionWanted(wanted, window);
                },
                [this](TimePoint asOf) { m_gateway.onConfigurationConfirmed(asOf); }})
-    , m_backendFeed(m_platform, *m_backendStore, m_scheduler, newRandom(),
+    , m_backendFeed(m_platform, *m_backendStore, m_scheduler, m_settings.bounds, newRandom(),
                     {[this](const BackendRecord &record) {
+                         logBackendChange(record);
                          m_gateway.backends().update(record, m_scheduler.now());
                      },
-                     [this](const BackendId &id) { m_gateway.backends().remove(id); }})
+                     [this](const BackendId &id) {
+                         logStateChange("backend_removed", {{"backend", id.value()}});
+                         m_gateway.backends().remove(id);
+                     }})
     , m_gracefulStop(m_scheduler, {[this] { m_clientServer->closeAfterReplies(); },
                                    [this] { m_clientServer->stopAccepting(); },
                                    [this] { return m_clientServer->openConnections(); },
--- a/modules/fleet/src/fleetprocessbase.cpp
+++ b/modules/fleet/src/fleetprocessbase.cpp
@@ -42,11 +42,18 @@
 
 FleetProcessBase::~FleetProcessBase() = default;
 
-std::unique_ptr<KeyValuePort> FleetProcessBase::openStore(Duration longPollTimeout,
+std::unique_ptr<KeyValuePort> FleetProcessBase::openStore(const PollIntervals &intervals)
+{
+    return openStore([timeout = intervals.longPollTimeout] { return timeout; },
+                     intervals.batchDelay);
+}
+
+std::unique_ptr<KeyValuePort> FleetProcessBase::openStore(std::function<Duration()> longPollTimeout,
                                                           Duration batchDelay)
 {
     return m_platform.createStore(m_storeClient, m_scheduler,
-                                  {toHttpEndpoint(m_settings.store), longPollTimeout, batchDelay});
+                                  {toHttpEndpoint(m_settings.store), std::move(longPollTimeout),
+                                   LongPollGrace, batchDelay});
 }
 
 Result<void> FleetProcessBase::open()
--- a/modules/fleet/src/fleetprocessbase.h
+++ b/modules/fleet/src/fleetprocessbase.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "storepolling.h"
+
 #include <godwit/base/random.h>
 #include <godwit/fleet/fleetplatform.h>
 #include <godwit/observe/metricsregistry.h>
@@ -53,7 +55,10 @@
                                                     std::function<HttpResponse()> response);
 
     /// Creates a client of the platform's store; a process may use several with different options.
-    std::unique_ptr<KeyValuePort> openStore(Duration longPollTimeout, Duration batchDelay);
+    std::unique_ptr<KeyValuePort> openStore(const PollIntervals &intervals);
+    /// As above, with a long-poll timeout that may differ between calls.
+    std::unique_ptr<KeyValuePort> openStore(std::function<Duration()> longPollTimeout,
+                                            Duration batchDelay);
 
     /// Returns a generator whose seed differs between processes and restarts.
     Random newRandom() { return Random(m_random()); }
--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -9,12 +9,8 @@
 
 namespace {
 
-/// A silent connection is detected after this time, which limits the delay of a new version.
-constexpr Duration OperatorLongPollTimeout = std::chrono::milliseconds(2500);
-/// Long, because the list of hosts is used only by transfers, which detect missing hosts
-/// themselves.
-constexpr Duration BackendLongPollTimeout = std::chrono::seconds(10);
-constexpr Duration BackendBatchDelay = std::chrono::seconds(2);
+/// Between two reads of the wanted versions that messages of peers cause.
+constexpr Duration MinVersionRefreshInterval = std::chrono::milliseconds(500);
 constexpr Duration MaintenanceInterval = std::chrono::seconds(3);
 constexpr double BitsPerByte = 8;
 /// Version of a model that is wanted before the operator has specified one.
@@ -60,12 +56,13 @@
     , m_engine(platform.createEngine(m_engineClient, toHttpEndpoint(m_settings.engine->endpoint)))
     , m_peerTransport(m_io, m_scheduler, HostId(m_settings.listen.peers.address),
                       m_settings.listen.peers.port, uploadLinks(m_settings))
-    , m_rollout(
-              rolloutOptions(m_settings),
-              {m_scheduler, *m_engine, m_peerTransport, [this] { m_configurationLookup.lookUp(); }},
-              newRandom())
-    , m_operatorStore(openStore(OperatorLongPollTimeout, Duration::zero()))
-    , m_backendStore(openStore(BackendLongPollTimeout, BackendBatchDelay))
+    , m_rollout(rolloutOptions(m_settings),
+                {m_scheduler, *m_engine, m_peerTransport,
+                 [this] { m_configurationLookup.lookUp(); }, [this] { refreshVersions(); }},
+                newRandom())
+    , m_operatorStore(openStore([this] { return versionPollTimeout(m_backendRecords.size()); },
+                                Duration::zero()))
+    , m_backendStore(openStore(participantPollIntervals()))
     , m_configurationLookup(m_platform, *m_operatorStore, m_scheduler, newRandom(),
                             [this](const GatewayConfiguration &configuration) {
                                 applyConfiguration(configuration);
@@ -78,7 +75,7 @@
                    m_rollout.setWantedVersion(wanted.model, wanted.version, window);
                },
                [](TimePoint) {}})
-    , m_backendFeed(m_platform, *m_backendStore, m_scheduler, newRandom(),
+    , m_backendFeed(m_platform, *m_backendStore, m_scheduler, m_settings.bounds, newRandom(),
                     {[this](const BackendRecord &record) {
                          m_backendRecords[record.id] = record;
                          m_participantsChanged = true;
@@ -125,6 +122,15 @@
     m_maintenanceTimer = m_scheduler.after(MaintenanceInterval, [this] { runMaintenance(); });
 }
 
+void HostProcess::refreshVersions()
+{
+    const TimePoint now = m_scheduler.now();
+    if (m_versionsRefreshedAt && now < *m_versionsRefreshedAt + MinVersionRefreshInterval)
+        return;
+    m_versionsRefreshedAt = now;
+    m_operatorFeed.refresh();
+}
+
 RegionId HostProcess::regionOf(const ZoneId &zone) const
 {
     const auto it = std::ranges::find(m_settings.zones, zone, &ZoneSettings::id);
--- a/modules/fleet/src/hostprocess.h
+++ b/modules/fleet/src/hostprocess.h
@@ -28,6 +28,7 @@
     void updateOrigin(const WeightOrigin &origin);
     void updateParticipants();
     void runMaintenance();
+    void refreshVersions();
     RegionId regionOf(const ZoneId &zone) const;
 
     HttpClient m_engineClient;
@@ -38,6 +39,7 @@
     std::optional<WeightOrigin> m_origin;
     std::map<BackendId, BackendRecord> m_backendRecords;
     bool m_participantsChanged = true; ///< Since the rollout was last told.
+    std::optional<TimePoint> m_versionsRefreshedAt;
     std::unique_ptr<KeyValuePort> m_operatorStore;
     std::unique_ptr<KeyValuePort> m_backendStore;
     ConfigurationLookup m_configurationLookup;
--- a/modules/fleet/tests/backendfeedtest.cpp
+++ b/modules/fleet/tests/backendfeedtest.cpp
@@ -16,6 +16,7 @@
             platform,
             store,
             scheduler,
+            FleetBounds(),
             Random(1),
             {[this](const BackendRecord &record) { log.push_back("record " + record.id.value()); },
              [this](const BackendId &id) { log.push_back("removed " + id.value()); }}};
@@ -73,6 +74,27 @@
             CHECK(it.log == std::vector<std::string>{"removed a"});
         }
     }
+    // Guards against a server that leaves right after an outage being used for the whole grace
+    // period, longer than a leaving server may be.
+    SECTION("a record that is removed after the feed has caught up is dropped within the drain "
+            "limit")
+    {
+        it.outage(3s);
+        it.remove("servers/a", 12);
+        it.scheduler.advance(FleetBounds().drainLimit - 400ms);
+        CHECK(it.log == std::vector<std::string>{"removed a"});
+    }
+    SECTION("a record that expired during the outage has the whole grace period")
+    {
+        it.store.handlers.onEnd(Error{ResultCode::PlatformTimeout, "silent"});
+        it.scheduler.advance(3s);
+        it.remove("servers/a", 12);
+        it.store.handlers.onConfirmed(StoreRevision{12}, it.scheduler.now());
+        it.scheduler.advance(BackendFeed::ReregistrationGrace - 50ms);
+        CHECK(it.log.empty());
+        it.scheduler.advance(100ms);
+        CHECK(it.log == std::vector<std::string>{"removed a"});
+    }
     SECTION("the grace period starts at the end of the outage, not at the removal event")
     {
         it.outage(3s);
--- a/modules/mirror/include/godwit/mirror/prefixmirror.h
+++ b/modules/mirror/include/godwit/mirror/prefixmirror.h
@@ -36,7 +36,8 @@
     static constexpr Duration MaxBackoff = std::chrono::milliseconds(1000);
     /// Upper bound of the time from a write to its event while a watch call is waiting. An event
     /// that arrives later than this after the start of the call reports a write within this time;
-    /// an earlier event may report a write from before the call.
+    /// an earlier event may report a write from before the call, but not one that the previous call
+    /// would have returned.
     static constexpr Duration MaxEventDelay = std::chrono::milliseconds(150);
 
     PrefixMirror(KeyValuePort &store, Scheduler &scheduler, Random random, std::string prefix,
@@ -47,12 +48,18 @@
 
     void start() { list(); }
 
+    /// Lists the keys once more while the watch goes on, because there may be changes that it has
+    /// not reported. Does nothing before the first list has succeeded, or while a list is in
+    /// progress.
+    void refresh();
+
     /// Time of the last failed call.
     std::optional<TimePoint> lastFailure() const { return m_lastFailure; }
 
 private:
     void list();
     void onList(TimePoint requestTime, const Outcome<KeyValueList> &outcome);
+    void applyList(TimePoint requestTime, const KeyValueList &found);
     void watch();
     void onWatchEvents(const std::vector<WatchEvent> &events);
     void onWatchConfirmed(StoreRevision current, TimePoint requestTime);
@@ -73,9 +80,11 @@
     StoreRevision m_revision;   ///< Revision up to which all writes have been reported.
     TimePoint m_watchCallStart; ///< Start of the current call of the watch.
     std::optional<TimePoint> m_confirmedAt;
+    std::optional<TimePoint> m_lastResponse; ///< Time of the last response of the watch.
     std::optional<TimePoint> m_lastFailure;
     Duration m_backoff = MinBackoff;
     bool m_reachable = true;
+    bool m_isListing = false;
     std::shared_ptr<CallHandle> m_watch;
     std::unique_ptr<Timer> m_retry;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/modules/mirror/src/prefixmirror.cpp
+++ b/modules/mirror/src/prefixmirror.cpp
@@ -20,8 +20,25 @@
         m_watch->cancel();
 }
 
+void PrefixMirror::refresh()
+{
+    if (m_isListing || !m_confirmedAt)
+        return;
+    m_isListing = true;
+    m_store.list(m_prefix, [this, alive = std::weak_ptr(m_alive),
+                            requestTime = m_scheduler.now()](const Outcome<KeyValueList> &outcome) {
+        if (!alive.lock())
+            return;
+        m_isListing = false;
+        // The watch reports a failure of the service.
+        if (const auto *found = std::get_if<KeyValueList>(&outcome))
+            applyList(requestTime, *found);
+    });
+}
+
 void PrefixMirror::list()
 {
+    m_isListing = true;
     const TimePoint requestTime = m_scheduler.now();
     m_store.list(m_prefix, [this, alive = std::weak_ptr(m_alive),
                             requestTime](const Outcome<KeyValueList> &outcome) {
@@ -32,12 +49,20 @@
 
 void PrefixMirror::onList(TimePoint requestTime, const Outcome<KeyValueList> &outcome)
 {
+    m_isListing = false;
     if (const auto *error = std::get_if<Error>(&outcome)) {
         onCallFailed(*error, &PrefixMirror::list);
         return;
     }
     onCallSucceeded();
     const auto &found = std::get<0>(outcome);
+    applyList(requestTime, found);
+    m_revision = std::max(m_revision, found.revision);
+    watch();
+}
+
+void PrefixMirror::applyList(TimePoint requestTime, const KeyValueList &found)
+{
     std::set<std::string> present;
     for (const KeyValueEntry &entry : found.entries) {
         present.insert(entry.key);
@@ -47,10 +72,8 @@
         if (!present.contains(key))
             remove(key, found.revision);
     }
-    m_revision = std::max(m_revision, found.revision);
-    m_confirmedAt = requestTime;
-    m_handlers.onConfirmed(requestTime);
-    watch();
+    m_confirmedAt = std::max(m_confirmedAt.value_or(requestTime), requestTime);
+    m_handlers.onConfirmed(*m_confirmedAt);
 }
 
 void PrefixMirror::watch()
@@ -94,8 +117,9 @@
 {
     onCallSucceeded();
     m_revision = std::max(m_revision, current);
-    m_confirmedAt = requestTime;
-    m_handlers.onConfirmed(requestTime);
+    m_lastResponse = m_scheduler.now();
+    m_confirmedAt = std::max(m_confirmedAt.value_or(requestTime), requestTime);
+    m_handlers.onConfirmed(*m_confirmedAt);
 }
 
 void PrefixMirror::onWatchEnd(const Outcome<Done> &outcome)
@@ -114,7 +138,11 @@
 std::optional<TimePoint> PrefixMirror::earliestEventTime() const
 {
     const TimePoint now = m_scheduler.now();
-    return now - m_watchCallStart > MaxEventDelay ? now - MaxEventDelay : m_confirmedAt;
+    if (now - m_watchCallStart > MaxEventDelay)
+        return now - MaxEventDelay;
+    if (m_confirmedAt && m_lastResponse)
+        return std::max(*m_confirmedAt, *m_lastResponse - MaxEventDelay);
+    return m_confirmedAt;
 }
 
 void PrefixMirror::apply(const KeyValueEntry &entry, std::optional<TimePoint> notBefore)
--- a/modules/mirror/tests/prefixmirrortest.cpp
+++ b/modules/mirror/tests/prefixmirrortest.cpp
@@ -111,6 +111,31 @@
             it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
             CHECK(it.notBefore.back() == confirmed);
         }
+        // A long call confirms nothing newer than its start, but it would have returned a write
+        // that was made while it waited.
+        SECTION("an event early in a watch call is not older than the response before it")
+        {
+            const TimePoint requested = it.scheduler.now();
+            it.scheduler.advance(20s);
+            it.store.watches[0].second.onConfirmed(StoreRevision{10}, requested);
+            const TimePoint responded = it.scheduler.now();
+            it.store.watches[0].second.onPollStarted();
+            it.scheduler.advance(100ms);
+            it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
+            CHECK(it.notBefore.back() == responded - PrefixMirror::MaxEventDelay);
+        }
+        SECTION("a refresh reports what a silent watch has missed, and keeps the watch")
+        {
+            it.log.clear();
+            it.mirror.refresh();
+            it.mirror.refresh();
+            REQUIRE(it.store.lists.size() == 2);
+            it.listed(14, {entry("p/a", "3", 12)});
+            CHECK(it.log == std::vector<std::string>{"put p/a=3", "removed p/b"});
+            CHECK(it.store.watches.size() == 1);
+            it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
+            CHECK(it.log.size() == 2);
+        }
     }
     SECTION("a lost connection is reported once and the watch resumes at its revision")
     {
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -37,6 +37,8 @@
         PeerTransport &peers;
         /// Called when the origin does not respond; its address may have changed. May be empty.
         std::function<void()> onOriginUnreachable = {};
+        /// A peer loads a version that setWantedVersion() has not been called with. May be empty.
+        std::function<void()> onNewerVersionSeen = {};
     };
 
     VersionRollout(RolloutOptions options, Environment environment, Random random);
@@ -114,6 +116,7 @@
     Rollout *find(const Digest &transfer);
     static Key keyOf(const Rollout &rollout) { return {rollout.model, rollout.version}; }
 
+    void reportIfNewer(const ModelId &model, std::uint64_t version) const;
     void onEngineReport(const Outcome<EngineReport> &outcome);
     void reconcile(const EngineReport &report, Rollout &rollout);
     void startIfNeeded(Rollout &rollout);
@@ -186,7 +189,7 @@
     RegionId m_originRegion;
     std::vector<Participant> m_participants;
     bool m_participantsKnown = false; ///< setParticipants() has been called.
-    EngineReport m_lastReport;
+    std::optional<EngineReport> m_lastReport;
     std::map<ModelId, Rollouts> m_rollouts;
     std::map<ModelId, LoadSchedule> m_loadSchedules;
     struct CachedChunk
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -6,6 +6,7 @@
 #include <godwit/weights/chunksource.h>
 
 #include <algorithm>
+#include <charconv>
 
 namespace godwit {
 
@@ -171,7 +172,8 @@
 void VersionRollout::startIfNeeded(Rollout &rollout)
 {
     const bool begun = rollout.manifest || rollout.isReadingManifest || rollout.retryTimer;
-    if (m_origin && m_participantsKnown && !rollout.isServing && !begun)
+    // Without a report, an engine that already serves the version would be loaded again.
+    if (m_origin && m_participantsKnown && m_lastReport && !rollout.isServing && !begun)
         readManifest(rollout);
 }
 
@@ -347,10 +349,12 @@
 
 TimePoint VersionRollout::orderTime(const Rollout &rollout)
 {
-    const auto served = std::ranges::find(m_lastReport.models, rollout.model, &ServedModel::model);
+    if (!rollout.hasWindow || !m_lastReport)
+        return now();
+    const auto served = std::ranges::find(m_lastReport->models, rollout.model, &ServedModel::model);
     // An engine that serves no version yet does not take turns: it cannot run requests until it has
     // loaded one.
-    if (!rollout.hasWindow || served == m_lastReport.models.end())
+    if (served == m_lastReport->models.end())
         return now();
     LoadSchedule &schedule = m_loadSchedules[rollout.model];
     std::vector<std::string> addresses;
@@ -413,9 +417,22 @@
 void VersionRollout::onHaveUpdate(const HostId &peer, const HaveUpdate &update)
 {
     startSeeding();
+    std::uint64_t version = 0;
+    const char *end = update.version.data() + update.version.size();
+    if (std::from_chars(update.version.data(), end, version).ptr == end)
+        reportIfNewer(ModelId(update.model), version);
     run(m_planner.peerHave(now(), peer, update));
 }
 
+void VersionRollout::reportIfNewer(const ModelId &model, std::uint64_t version) const
+{
+    const auto rollouts = m_rollouts.find(model);
+    const bool isNewer = rollouts != m_rollouts.end() && !rollouts->second.empty()
+                         && version > rollouts->second.back().version;
+    if (isNewer && m_environment.onNewerVersionSeen)
+        m_environment.onNewerVersionSeen();
+}
+
 void VersionRollout::onChunkRequest(const HostId &peer, const Digest &chunk, UploadId upload)
 {
     startSeeding();
@@ -440,6 +457,7 @@
 void VersionRollout::onManifestRequest(ManifestRequest request)
 {
     startSeeding();
+    reportIfNewer(request.model, request.version);
     m_manifests->onRequest(std::move(request));
 }
 
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -16,7 +16,9 @@
     FakeEngine engine{scheduler};
     NullPeerTransport peers;
     std::shared_ptr<FakeOrigin> origin = std::make_shared<FakeOrigin>(scheduler);
-    VersionRollout rollout{options(), {scheduler, engine, peers}, Random(4)};
+    int newerVersions = 0;
+    VersionRollout rollout{
+            options(), {scheduler, engine, peers, {}, [this] { ++newerVersions; }}, Random(4)};
 
     Fixture()
     {
@@ -169,6 +171,25 @@
     }
 }
 
+// A host whose watch of the store has gone silent must not wait for the end of a long call.
+TEST_CASE("VersionRollout reports a version that it learns of from a peer")
+{
+    Fixture it;
+    it.rollout.setWantedVersion(TestModel, 2, std::nullopt);
+    HaveUpdate update;
+    update.model = TestModel.value();
+    for (const char *version : {"1", "2", "", "2x"}) {
+        update.version = version;
+        it.rollout.onHaveUpdate(HostId("10.0.0.2"), update);
+    }
+    CHECK(it.newerVersions == 0);
+    update.version = "3";
+    it.rollout.onHaveUpdate(HostId("10.0.0.2"), update);
+    CHECK(it.newerVersions == 1);
+    it.rollout.onManifestRequest({TestModel, 4, [](const auto &) {}});
+    CHECK(it.newerVersions == 2);
+}
+
 // Load pattern: engines are added while the fleet serves, and their host processes start to load
 // before their own records are listed. Guards against such a host taking the region of the origin
 // for its own, so that it fetches all chunks over the links between the regions.
--- a/modules/settings/include/godwit/settings/fleetsettings.h
+++ b/modules/settings/include/godwit/settings/fleetsettings.h
@@ -28,6 +28,10 @@
     Duration versionChangeLimit = std::chrono::seconds(8);
     /// Time after an outage of the store during which the other limits do not apply.
     Duration reconnectionGracePeriod = std::chrono::seconds(3);
+    /// Time from the acceptance of a configuration to its use.
+    Duration configurationLimit = std::chrono::seconds(2);
+    /// Time after which a leaving backend server gets no new requests.
+    Duration drainLimit = std::chrono::seconds(2);
     double retryBudgetRatio = 0.1; ///< Retries as a fraction of the requests of a service.
     double retryBudgetSlack = 0;   ///< Additional retries per window.
     Duration retryBudgetWindow = std::chrono::seconds(10);
--- a/modules/settings/src/settingsparser.cpp
+++ b/modules/settings/src/settingsparser.cpp
@@ -179,6 +179,8 @@
     reader.boolean("strict_revocation", bounds.strictRevocation);
     reader.milliseconds("version_change_ms", bounds.versionChangeLimit, 0, LongestMs);
     reader.milliseconds("reconnection_ms", bounds.reconnectionGracePeriod, 0, LongestMs);
+    reader.milliseconds("configuration_ms", bounds.configurationLimit, 0, LongestMs);
+    reader.milliseconds("drain_ms", bounds.drainLimit, 0, LongestMs);
     reader.number("retry_share", bounds.retryBudgetRatio, 0, 1);
     reader.number("retry_slack", bounds.retryBudgetSlack, 0, 1e9);
     reader.seconds("retry_window_s", bounds.retryBudgetWindow, 0, LongestSeconds);
--- a/modules/weights/include/godwit/weights/haveupdate.h
+++ b/modules/weights/include/godwit/weights/haveupdate.h
@@ -20,6 +20,9 @@
     std::vector<ChunkIndex> added;   ///< Newly held.
     std::vector<ChunkIndex> removed; ///< Freed by the sender.
     std::uint32_t backlog = 0;       ///< Requests queued for an upload slot of the sender.
+    /// Model and version of the transfer, in full updates: the receiver may not know them yet.
+    std::string model;
+    std::string version;
 
     friend bool operator==(const HaveUpdate &, const HaveUpdate &) = default;
 };
@@ -40,7 +43,8 @@
             field("transfer", &HaveUpdate::transfer),    field("full", &HaveUpdate::full),
             field("want_reply", &HaveUpdate::wantReply), field("bitmap", &HaveUpdate::bitmap),
             field("added", &HaveUpdate::added),          field("removed", &HaveUpdate::removed),
-            field("backlog", &HaveUpdate::backlog)};
+            field("backlog", &HaveUpdate::backlog),      field("model", &HaveUpdate::model),
+            field("version", &HaveUpdate::version)};
 };
 
 } // namespace godwit
--- a/modules/weights/src/plannershare.cpp
+++ b/modules/weights/src/plannershare.cpp
@@ -141,6 +141,8 @@
     update.wantReply = wantReply;
     update.bitmap = encodeBitmap(transfer.held);
     update.backlog = m_uploads.backlog();
+    update.model = transfer.manifest().model.value();
+    update.version = transfer.manifest().version.value();
     m_actions.push_back(AnnounceHave{peer, std::move(update)});
 }
 
