Bound what a server in trouble costs, and answer what arrived before a stop

Causes, each shown by a test that failed before the change (ports: run without it; the listen queue, the idle connection and the interim responses failed, the timeouts never came): - a stop closed the listening socket with connections in its queue, and idle connections with a request in their receive buffer: requests of callers were reset without an answer; - every byte restarted the receive timeout, so a header, chunk extension or stale response that arrives byte by byte never ended; interim responses had no limit; unparsed bytes neither; - comments and parts of events kept a stalled stream alive; now only events do, and the timeout follows the usual gap of the backend server, so that a slow but sound stream is not cut; - a success without the id of its request was accepted on a reused connection; it is no answer now; - a body of undeclared length was buffered up to 64 MiB a request: now 1 MiB, and 32 MiB for all; an event up to 1 MiB: now 64 KiB; a discarded body has a limit; - an exception in one callback ended the process; it is logged as callback_failed now; - the timer of an attempt cancelled its call without a check for null.

--- a/modules/fleet/src/fleetprocessbase.cpp
+++ b/modules/fleet/src/fleetprocessbase.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <exception>
 
 #include <unistd.h>
 
@@ -65,8 +66,16 @@
 
 int FleetProcessBase::run()
 {
-    m_io.run();
-    return m_exitCode;
+    // An unexpected exception ends the callback that threw it, and with it at most one request or
+    // message. It must not end the others.
+    for (;;) {
+        try {
+            m_io.run();
+            return m_exitCode;
+        } catch (const std::exception &error) {
+            logStateChange("callback_failed", {{"problem", error.what()}}, LogLevel::Error);
+        }
+    }
 }
 
 void FleetProcessBase::finish(int exitCode)
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -124,6 +124,9 @@
     /// \a gap passed between two deliveries of events in a stream from \a id.
     void recordEventGap(const BackendId &id, Duration gap, TimePoint now);
 
+    /// Usual time between two deliveries of events in the streams of \a id; 0 if unknown.
+    Duration eventGap(const BackendId &id) const;
+
     std::size_t size() const { return m_backends.size(); }
 
     /// Number of requests of this process in progress at \a id.
--- a/modules/gateway/include/godwit/gateway/eventsplitter.h
+++ b/modules/gateway/include/godwit/gateway/eventsplitter.h
@@ -13,7 +13,7 @@
 class EventSplitter
 {
 public:
-    static constexpr std::size_t MaxEventBytes = 1024UL * 1024;
+    static constexpr std::size_t MaxEventBytes = 64UL * 1024;
 
     /// Appends \a bytes and returns the events that are complete. Drops events whose numeric id is
     /// not above that of an earlier event: a backend server that resumes a stream may repeat some.
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -92,6 +92,7 @@
     std::map<std::string, ObjectiveTracker> m_objectiveTrackers; ///< By service.
     std::shared_ptr<const RouteTable> m_routeTable;
     std::optional<TimePoint> m_configurationConfirmedAt;
+    std::size_t m_bufferedBytes = 0; ///< Of response bodies that are not complete.
     bool m_wasReady = false;
     std::set<std::shared_ptr<ForwardedRequest>> m_requests;
 };
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -254,6 +254,12 @@
     backend->eventGapAt = now;
 }
 
+Duration BackendPool::eventGap(const BackendId &id) const
+{
+    const auto it = m_backends.find(id);
+    return it == m_backends.end() ? Duration::zero() : fromSeconds(it->second.eventGapSeconds);
+}
+
 double BackendPool::estimateRequests(const Backend &backend, double meanRemote, TimePoint now) const
 {
     if (!backend.loadReportedAt)
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -19,7 +19,8 @@
 /// be repeated; it is then sent to another backend server.
 constexpr int SilenceTimeoutObjectives = 2;
 constexpr Duration MinSilenceTimeout = std::chrono::milliseconds(400);
-/// Timeout within such a stream, in maximum event gaps of the route.
+/// Timeout within such a stream, in maximum event gaps of the route or in measured gaps of the
+/// backend server, whichever are longer: a slow stream is not resumed elsewhere.
 constexpr int StallTimeoutGaps = 3;
 constexpr Duration MinStallTimeout = std::chrono::milliseconds(800);
 /// Attempts allowed in addition to those of the route, because rejected ones do not count towards
@@ -38,6 +39,13 @@
 /// Safety margin, so that prediction errors do not admit requests that start just too late.
 constexpr Duration StartMargin = std::chrono::milliseconds(20);
 
+/// Maximum size of a body without a declared length, and of the bodies of all requests that are
+/// buffered at a time. A faulty backend server may send bytes without end.
+constexpr std::size_t MaxUndeclaredBodyBytes = 1024UL * 1024;
+constexpr std::size_t MaxBufferedBytes = 32UL * 1024 * 1024;
+/// Maximum size of the body of a response that is discarded.
+constexpr std::size_t MaxDiscardedBytes = 64UL * 1024;
+
 constexpr std::uint32_t DefaultPriority = 5;
 
 constexpr int FirstServerError = 500;
@@ -183,8 +191,11 @@
     m_bufferedBody.clear();
     m_attemptInProgress = true;
     m_gateway.m_backends.onAttemptStarted(choice.id, m_urgency);
-    m_call = m_gateway.m_environment.send(callFor(choice), handlersFor(++m_attemptSerial));
+    HttpCall call = callFor(choice);
+    m_correlation = call.correlation;
+    m_call = m_gateway.m_environment.send(std::move(call), handlersFor(++m_attemptSerial));
     m_startTimer.reset();
+    m_stallTimer.reset();
     if (choice.startDeadline)
         cancelIfNotStartedBy(*choice.startDeadline + CancelDelay);
 }
@@ -198,7 +209,8 @@
                 if (!self || self->m_ended || !self->m_attemptInProgress
                     || self->m_attemptSerial != serial || self->m_bodyMode != BodyMode::None)
                     return;
-                self->m_call->cancel();
+                if (self->m_call)
+                    self->m_call->cancel();
                 self->fail(AttemptOutcome::Abandoned,
                            "the response did not start before the weights of the "
                            "backend server became outdated");
@@ -227,11 +239,33 @@
                 std::max(MinSilenceTimeout, SilenceTimeoutObjectives * route.objective);
         call.idleTimeout = std::min(call.idleTimeout, silence);
         if (route.kind == RouteKind::Streaming)
-            call.stallTimeout = std::max(MinStallTimeout, StallTimeoutGaps * route.maxEventGap);
+            call.stallTimeout = stallTimeout();
     }
     return call;
 }
 
+Duration ForwardedRequest::stallTimeout() const
+{
+    const Duration measured = m_gateway.m_backends.eventGap(m_attempts.back().backend);
+    return std::max(MinStallTimeout,
+                    StallTimeoutGaps * std::max(m_admission.route->maxEventGap, measured));
+}
+
+void ForwardedRequest::restartStallTimer()
+{
+    const Route &route = *m_admission.route;
+    if (!route.isRepeatable() || m_possibleRuns + 1 >= route.maxAttempts)
+        return;
+    const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+    m_stallTimer = m_gateway.m_environment.scheduler.after(
+            stallTimeout(), [weak, serial = m_attemptSerial] {
+                const auto self = weak.lock();
+                if (self && !self->m_ended && self->m_attemptInProgress
+                    && self->m_attemptSerial == serial)
+                    self->fail(AttemptOutcome::Silent, "no event within the stall timeout");
+            });
+}
+
 HttpStreamHandlers ForwardedRequest::handlersFor(std::uint64_t serial)
 {
     const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
@@ -267,8 +301,13 @@
     const bool cannotContinue =
             m_streaming
             && (!isSuccess(status) || m_responseHead.weightsVersion != m_weightsVersion);
+    // A late copy of another response may lack the id that would identify it.
+    const bool isUnidentified = m_correlation && !headers.find(m_correlation->header);
     const bool isUntrusted =
-            isSuccess(status) && (!m_responseHead.sealed || m_responseHead.isEncoded);
+            isSuccess(status)
+            && (!m_responseHead.sealed || m_responseHead.isEncoded || isUnidentified);
+    m_hasDeclaredLength = headers.find("Content-Length") != nullptr;
+    m_discardedBytes = 0;
     if (m_responseHead.notExecuted)
         m_bodyMode = BodyMode::Rejection;
     else if (cannotContinue || isUntrusted)
@@ -277,14 +316,34 @@
         m_bodyMode = BodyMode::Events;
     else
         m_bodyMode = m_streaming ? BodyMode::Unusable : BodyMode::Buffered;
+    if (m_bodyMode == BodyMode::Events)
+        restartStallTimer();
+}
+
+bool ForwardedRequest::isBodyTooLarge(std::size_t more) const
+{
+    return (!m_hasDeclaredLength && m_bufferedBody.size() + more > MaxUndeclaredBodyBytes)
+           || m_gateway.m_bufferedBytes + more > MaxBufferedBytes;
 }
 
 void ForwardedRequest::onData(std::string_view data)
 {
-    if (m_bodyMode == BodyMode::Events)
+    if (m_bodyMode == BodyMode::Events) {
         onEvents(data);
-    else if (m_bodyMode == BodyMode::Buffered)
+    } else if (m_bodyMode == BodyMode::Buffered) {
+        if (isBodyTooLarge(data.size())) {
+            fail(AttemptOutcome::Broken, "response body is too large");
+            return;
+        }
+        m_gateway.m_bufferedBytes += data.size();
         m_bufferedBody += data;
+    } else if ((m_discardedBytes += data.size()) > MaxDiscardedBytes) {
+        const bool isRejection = m_bodyMode == BodyMode::Rejection;
+        if (m_call)
+            m_call->cancel();
+        fail(isRejection ? AttemptOutcome::Rejected : AttemptOutcome::Broken,
+             "unusable response without an end");
+    }
 }
 
 void ForwardedRequest::onEvents(std::string_view data)
@@ -303,6 +362,7 @@
         m_reply->start(m_responseHead.status, m_responseHead.headers);
     }
     recordEventTiming();
+    restartStallTimer();
     m_reply->write(std::move(events));
 }
 
@@ -398,6 +458,8 @@
 {
     if (!std::exchange(m_attemptInProgress, false))
         return;
+    m_stallTimer.reset();
+    m_gateway.m_bufferedBytes -= m_bufferedBody.size();
     PastAttempt &attempt = m_attempts.back();
     attempt.outcome = outcome;
     if (!attempt.firstEventsAt)
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -73,6 +73,11 @@
     void onEnd(const Outcome<std::monostate> &outcome);
     void onComplete();
     void onEvents(std::string_view data);
+    /// Whether a body without a declared length, or all buffered bodies together, are too long.
+    bool isBodyTooLarge(std::size_t more) const;
+    /// Ends the attempt unless an event arrives within the stall timeout. Other bytes do not count.
+    void restartStallTimer();
+    Duration stallTimeout() const;
     /// Reports the start of the response, or the gap since its last events, to the pool.
     void recordEventTiming();
     void recordResponseStart(PastAttempt &attempt, TimePoint at);
@@ -104,6 +109,7 @@
     TimePoint m_deadline;      ///< The earlier of the deadlines of client and route.
     std::unique_ptr<Timer> m_deadlineTimer;
     std::unique_ptr<Timer> m_startTimer; ///< Of the current attempt.
+    std::unique_ptr<Timer> m_stallTimer; ///< Of the current attempt.
     std::vector<PastAttempt> m_attempts;
     std::shared_ptr<CallHandle> m_call;
     std::uint64_t m_attemptSerial = 0; ///< Callbacks of other attempts are ignored.
@@ -111,6 +117,10 @@
     std::optional<std::uint64_t> m_weightsVersion; ///< Of the start of the stream.
     BodyMode m_bodyMode = BodyMode::None;
     std::string m_bufferedBody;
+    std::size_t m_discardedBytes = 0; ///< Of the body of the current rejection.
+    bool m_hasDeclaredLength = false; ///< Of the body of the current response.
+    /// By which the response of the current attempt identifies this request.
+    std::optional<HttpCorrelation> m_correlation;
     EventSplitter m_eventSplitter;
     std::uint32_t m_possibleRuns = 0;                  ///< Attempts that may have been executed.
     RequestUrgency m_urgency = RequestUrgency::OnTime; ///< Of the current attempt.
--- a/modules/ports/include/godwit/ports/httpcall.h
+++ b/modules/ports/include/godwit/ports/httpcall.h
@@ -28,7 +28,8 @@
     HttpHeaders headers;
     std::string body;
     Duration connectTimeout = std::chrono::seconds(1);
-    /// Longest time without a byte in either direction.
+    /// Time to send the request, then to receive the header of the response, then the longest time
+    /// without a byte of its body.
     Duration idleTimeout = std::chrono::seconds(10);
     /// Replaces idleTimeout once a byte of the response body has arrived. 0 disables it.
     Duration stallTimeout{0};
--- a/modules/ports/src/clientconnection.cpp
+++ b/modules/ports/src/clientconnection.cpp
@@ -24,6 +24,11 @@
 /// Maximum number of responses to earlier calls that a connection may deliver. Beyond it the
 /// responses no longer match the requests, and the connection is closed.
 constexpr int MaxStaleResponses = 4;
+/// Maximum number of interim (1xx) responses before the final one.
+constexpr int MaxInterimResponses = 8;
+/// Maximum number of received bytes that the parser has not consumed: an incomplete header, chunk
+/// header or trailer. The body is consumed as it arrives.
+constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
 /// An idle connection is closed this long before the keep-alive timeout that its server announced,
 /// so that no request is sent while the server closes the connection.
 constexpr Duration KeepAliveSafetyMargin = std::chrono::milliseconds(500);
@@ -155,6 +160,7 @@
     m_idle = false;
     m_receivedBytes = false;
     m_bodyStarted = false;
+    m_interimResponses = 0;
     m_requestHeader = formatRequestHeader(m_call->request);
     resetParser();
     m_timer.set(m_call->request.idleTimeout);
@@ -188,8 +194,8 @@
     m_parser->onBody = [this](std::string_view data) {
         if (m_isStaleResponse)
             return;
-        if (!std::exchange(m_bodyStarted, true) && m_call && !m_call->paused)
-            m_timer.set(receiveTimeout());
+        m_bodyStarted = true;
+        restartReceiveTimer();
         if (m_call && m_call->handlers.onData)
             m_call->handlers.onData(data);
     };
@@ -204,6 +210,7 @@
     m_isStaleResponse = found && *found != expected->value;
     if (m_isStaleResponse)
         return;
+    restartReceiveTimer();
     m_keepAliveTimeout = parseKeepAliveTimeout(m_parser->headers.value("Keep-Alive"));
     if (m_call->handlers.onHeader)
         m_call->handlers.onHeader(m_parser->status, m_parser->headers);
@@ -267,11 +274,17 @@
     m_readSize = std::clamp(2 * n, MinReadSize, MaxReadSize);
     if (m_call->paused)
         m_timer.clear();
-    else
-        m_timer.set(receiveTimeout());
     parse();
 }
 
+void ClientConnection::restartReceiveTimer()
+{
+    // Only a complete header and bytes of the body count as progress. A server that sends other
+    // bytes now and then, or responses to earlier calls, would otherwise never time out.
+    if (m_call && !m_call->paused)
+        m_timer.set(receiveTimeout());
+}
+
 void ClientConnection::onReadFailed(const ErrorCode &ec)
 {
     ErrorCode parseError;
@@ -297,8 +310,13 @@
         if (!m_call || m_closed)
             return;
         m_buffer.consume(n);
-        if (ec == http::error::need_more)
+        if (ec == http::error::need_more) {
+            if (m_buffer.size() > MaxUnparsedBytes) {
+                failCall(ResultCode::PlatformBadReply, "header or chunk header without an end");
+                return;
+            }
             break;
+        }
         if (ec) {
             failCall(ResultCode::PlatformBadReply, ec.message());
             return;
@@ -308,6 +326,11 @@
                      "too many responses that belong to earlier calls");
             return;
         }
+        if (m_parser->is_done() && m_parser->status < 200
+            && ++m_interimResponses > MaxInterimResponses) {
+            failCall(ResultCode::PlatformBadReply, "too many interim responses");
+            return;
+        }
         if (m_parser->is_done() && (m_parser->status < 200 || m_isStaleResponse))
             resetParser();
     }
--- a/modules/ports/src/clientconnection.h
+++ b/modules/ports/src/clientconnection.h
@@ -93,6 +93,7 @@
     void onHeader();
     void onWritten(const CallPointer &call, const boost::system::error_code &ec, std::size_t n);
     void retry();
+    void restartReceiveTimer();
     void read();
     void onRead(const boost::system::error_code &ec, std::size_t n);
     void onReadFailed(const boost::system::error_code &ec);
@@ -117,6 +118,7 @@
     std::optional<HttpParser<false>> m_parser;
     std::optional<Duration> m_keepAliveTimeout; ///< Idle timeout announced by the server.
     int m_staleResponses = 0;
+    int m_interimResponses = 0;     ///< To the current call.
     bool m_isStaleResponse = false; ///< The current response belongs to an earlier call.
     bool m_idle = false;
     bool m_connecting = false;
--- a/modules/ports/src/httpserver.cpp
+++ b/modules/ports/src/httpserver.cpp
@@ -72,11 +72,13 @@
     {
         m_acceptor.async_accept([weak = weak_from_this()](ErrorCode ec, tcp::socket socket) {
             const auto self = weak.lock();
-            if (!self || ec == asio::error::operation_aborted || !self->m_shared->accepting)
+            if (!self || ec == asio::error::operation_aborted || self->m_isShutDown)
                 return;
-            if (!ec && self->m_shared->connections.size() < self->m_shared->options.connectionLimit)
+            // A connection that was accepted just before stop() is served like those before it.
+            if (!ec)
                 self->add(std::move(socket));
-            self->accept();
+            if (self->m_shared->accepting)
+                self->accept();
         });
     }
 
@@ -94,6 +96,7 @@
     void stop()
     {
         m_shared->accepting = false;
+        acceptQueued();
         ErrorCode ec;
         m_acceptor.close(ec);
         for (const auto &connection :
@@ -111,6 +114,7 @@
     void shutDown()
     {
         m_shared->accepting = false;
+        m_isShutDown = true;
         ErrorCode ec;
         m_acceptor.close(ec);
         closeAll(false);
@@ -118,8 +122,24 @@
     }
 
 private:
+    /// Accepts the connections in the listen queue. The system would reset them when the acceptor
+    /// is closed, although their callers may have sent requests.
+    void acceptQueued()
+    {
+        ErrorCode ec;
+        m_acceptor.non_blocking(true, ec);
+        while (!ec) {
+            tcp::socket socket(m_io);
+            m_acceptor.accept(socket, ec);
+            if (!ec)
+                add(std::move(socket));
+        }
+    }
+
     void add(tcp::socket socket)
     {
+        if (m_shared->connections.size() >= m_shared->options.connectionLimit)
+            return;
         const auto connection =
                 std::make_shared<ServerConnection>(m_io, std::move(socket), m_shared);
         m_shared->connections.insert(connection);
@@ -129,6 +149,7 @@
     asio::io_context &m_io;
     tcp::acceptor m_acceptor;
     std::shared_ptr<ServerState> m_shared;
+    bool m_isShutDown = false;
 };
 
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(asio::io_context &io,
--- a/modules/ports/src/serverconnection.cpp
+++ b/modules/ports/src/serverconnection.cpp
@@ -28,6 +28,9 @@
 /// a socket with unread input resets the connection, and the caller could lose the reply.
 constexpr Duration LingerTimeout = std::chrono::seconds(1);
 
+/// Time for the first request of a connection that is open when the server stops.
+constexpr Duration FirstRequestTimeout = std::chrono::milliseconds(500);
+
 std::string formatHeader(int status, const HttpHeaders &headers)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + ' ';
@@ -226,7 +229,14 @@
 void ServerConnection::closeAfterReply()
 {
     m_keepAlive = false;
-    if (m_phase == Phase::Idle)
+    if (m_phase != Phase::Idle)
+        return;
+    ErrorCode ec;
+    if (m_socket.available(ec) > 0)
+        return; // A request has arrived and is read next.
+    if (m_serial == 0)
+        m_timer.set(FirstRequestTimeout); // The first request may be on its way.
+    else
         close();
 }
 
--- /dev/null
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -0,0 +1,202 @@
+#include "loopback.h"
+
+#include <godwit/ports/httpclient.h>
+#include <godwit/ports/httpserver.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+using namespace godwit;
+using namespace std::chrono_literals;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+const boost::asio::ip::address Loopback = boost::asio::ip::make_address("127.0.0.1");
+
+/// Server that answers one request with `head` and then repeats `part`, every `interval` or as fast
+/// as it can, until the client closes the connection.
+class EndlessServer
+{
+public:
+    EndlessServer(boost::asio::io_context &io, std::string head, std::string part,
+                  Duration interval = Duration::zero())
+        : m_acceptor(io, {Loopback, 0})
+        , m_socket(io)
+        , m_timer(io)
+        , m_head(std::move(head))
+        , m_part(std::move(part))
+        , m_interval(interval)
+    {
+        m_acceptor.async_accept(m_socket, [this](auto) {
+            m_socket.async_read_some(boost::asio::buffer(m_request),
+                                     [this](auto, std::size_t) { write(m_head); });
+        });
+    }
+
+    HttpCall call() const
+    {
+        HttpCall call;
+        call.endpoint = {"127.0.0.1", m_acceptor.local_endpoint().port()};
+        call.correlation = HttpCorrelation{"X-Id", "2"};
+        call.idleTimeout = 300ms;
+        return call;
+    }
+
+    std::size_t sent = 0;
+
+private:
+    void write(const std::string &bytes)
+    {
+        boost::asio::async_write(m_socket, boost::asio::buffer(bytes),
+                                 [this](auto ec, std::size_t n) {
+                                     sent += n;
+                                     if (!ec)
+                                         scheduleNext();
+                                 });
+    }
+
+    void scheduleNext()
+    {
+        m_timer.expires_after(m_interval);
+        m_timer.async_wait([this](auto) { write(m_part); });
+    }
+
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::string m_head;
+    std::string m_part;
+    Duration m_interval;
+    std::array<char, 4096> m_request{};
+};
+
+ResultCode callUntilError(boost::asio::io_context &io, const HttpCall &call)
+{
+    HttpClient client(io);
+    std::optional<Outcome<HttpResponse>> result;
+    client.call(call, [&](Outcome<HttpResponse> outcome) { result = std::move(outcome); });
+    runUntil(io, [&] { return result.has_value(); });
+    const auto *error = std::get_if<Error>(&*result);
+    return error ? error->code : ResultCode::Ok;
+}
+
+} // namespace
+
+// Guards against a server in trouble that sends bytes which are no answer until the caller closes:
+// the call must end, and must not use more memory with every byte.
+TEST_CASE("A call ends although its server sends bytes without end")
+{
+    struct Row
+    {
+        const char *what;
+        std::string head;
+        std::string part;
+    };
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = status + "X-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string kilobyte(1024, 'x');
+    const auto row = GENERATE_COPY(
+            Row{"no HTTP", kilobyte, kilobyte}, Row{"one header line", status + "X-A: ", kilobyte},
+            Row{"header lines", status, "X-A: " + kilobyte + "\r\n"},
+            Row{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+            Row{"a chunk extension", chunked + "5;", kilobyte},
+            Row{"a chunk size", chunked, std::string(1024, '0')},
+            Row{"a trailer", chunked + "0\r\nX-A: ", kilobyte},
+            Row{"trailer lines", chunked + "0\r\n", "X-A: " + kilobyte + "\r\n"},
+            Row{"responses to earlier calls", "",
+                status + "X-Id: 1\r\nContent-Length: 1024\r\n\r\n" + kilobyte});
+    INFO(row.what);
+    constexpr std::size_t MaxAccepted = 8UL * 1024 * 1024; // mostly socket buffers
+    boost::asio::io_context io;
+    EndlessServer server(io, row.head, row.part);
+    const ResultCode code = callUntilError(io, server.call());
+    CHECK((code == ResultCode::PlatformBadReply || code == ResultCode::PlatformTimeout));
+    CHECK(server.sent < MaxAccepted);
+}
+
+// A server that sends a byte now and then restarted the timeout with each of them.
+TEST_CASE("A call times out although its server sends a byte now and then")
+{
+    const std::string head = GENERATE(
+            std::string("HTTP/1.1 200 OK\r\nX-A: "),
+            std::string("HTTP/1.1 200 OK\r\nX-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n5;"),
+            std::string("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9999\r\n\r\n"));
+    boost::asio::io_context io;
+    EndlessServer server(io, head, "x", 50ms);
+    CHECK(callUntilError(io, server.call()) == ResultCode::PlatformTimeout);
+}
+
+// Guards against requests that are cut off without an answer because the server stops at the moment
+// at which they arrive.
+TEST_CASE("A server that stops answers the requests that have reached it")
+{
+    boost::asio::io_context io;
+    auto outcome = capture([&] {
+        HttpServerOptions options;
+        return HttpServer::listen(io, options, [](const HttpRequest &request, const auto &reply) {
+            reply->send({200, {}, request.target});
+        });
+    });
+    REQUIRE(succeeded(outcome));
+    const auto server = std::move(std::get<0>(outcome));
+    const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::vector<std::unique_ptr<tcp::socket>> sockets;
+    const auto connect = [&]() -> tcp::socket & {
+        sockets.push_back(std::make_unique<tcp::socket>(io));
+        sockets.back()->connect({Loopback, server->boundPort()});
+        return *sockets.back();
+    };
+    const auto responseTo = [&](tcp::socket &socket) {
+        std::string received;
+        std::array<char, 4096> chunk{};
+        bool isClosed = false;
+        std::function<void()> read = [&] {
+            socket.async_read_some(boost::asio::buffer(chunk), [&](auto ec, std::size_t n) {
+                received.append(chunk.data(), n);
+                isClosed = ec || received.ends_with("/a");
+                if (!isClosed)
+                    read();
+            });
+        };
+        read();
+        runUntil(io, [&] { return isClosed; });
+        return received;
+    };
+
+    SECTION("in the listen queue")
+    {
+        constexpr int Connections = 20;
+        for (int i = 0; i < Connections; ++i)
+            boost::asio::write(connect(), boost::asio::buffer(request));
+        server->stopAccepting();
+        for (const auto &socket : sockets)
+            CHECK(responseTo(*socket).ends_with("/a"));
+    }
+    SECTION("on a connection that was idle")
+    {
+        tcp::socket &socket = connect();
+        boost::asio::write(socket, boost::asio::buffer(request));
+        REQUIRE(responseTo(socket).ends_with("/a"));
+        boost::asio::write(socket, boost::asio::buffer(request));
+        server->stopAccepting();
+        CHECK(responseTo(socket).ends_with("/a"));
+    }
+    SECTION("on a connection that has just been opened")
+    {
+        tcp::socket &socket = connect();
+        runUntil(io, [&] { return server->openConnections() == 1; });
+        server->stopAccepting();
+        boost::asio::write(socket, boost::asio::buffer(request));
+        CHECK(responseTo(socket).ends_with("/a"));
+    }
+    SECTION("but closes idle connections")
+    {
+        tcp::socket &socket = connect();
+        boost::asio::write(socket, boost::asio::buffer(request));
+        REQUIRE(responseTo(socket).ends_with("/a"));
+        server->stopAccepting();
+        runUntil(io, [&] { return server->openConnections() == 0; });
+    }
+}
--- a/modules/rollout/tests/bursttest.cpp
+++ b/modules/rollout/tests/bursttest.cpp
@@ -15,11 +15,11 @@
 constexpr double RegionLinkRate = 26e6 / 8 * RateScale;
 constexpr ChunkIndex ChunkCount = 96;
 
-bench::Scenario burstScenario(int hosts, std::uint64_t seed)
+bench::Scenario burstScenario(int hosts, int regions, std::uint64_t seed)
 {
     bench::Layout layout;
     layout.hosts = hosts;
-    layout.regions = 3;
+    layout.regions = regions;
     layout.hostRate = 0.9 * HostLinkRate; // The rest is reserved for requests.
     layout.originRate = HostLinkRate;
     layout.regionRate = RegionLinkRate;
@@ -42,10 +42,29 @@
     const auto hosts = GENERATE(20, 45, 76);
     const auto seed = GENERATE(1, 2);
     INFO(hosts << " hosts, seed " << seed);
-    bench::Scenario scenario = burstScenario(hosts, static_cast<std::uint64_t>(seed));
+    bench::Scenario scenario = burstScenario(hosts, 3, static_cast<std::uint64_t>(seed));
     scenario.startSpread = 600ms;
     const bench::RunResult result = bench::SwarmRun(scenario).run();
     CHECK(result.originCopies <= 1.3);
     CHECK(result.seconds > 0);
     CHECK(result.seconds <= 1.3 * bench::lowerBound(scenario) + toSeconds(scenario.startSpread));
 }
+
+// Load pattern: a version is named on hundreds of hosts in five regions. Guards against a time or a
+// number of connections of each host that grows with the fleet.
+TEST_CASE("A burst on hundreds of hosts takes hardly longer than on a few dozen")
+{
+    constexpr int Regions = 5;
+    constexpr int FewHosts = 60;
+    constexpr int ManyHosts = 300;
+    const auto run = [](int hosts) {
+        return bench::SwarmRun(burstScenario(hosts, Regions, 1)).run();
+    };
+    const bench::RunResult few = run(FewHosts);
+    const bench::RunResult many = run(ManyHosts);
+    REQUIRE(few.seconds > 0);
+    REQUIRE(many.seconds > 0);
+    CHECK(many.seconds <= 1.5 * few.seconds);
+    CHECK(many.originCopies <= 1.3);
+    CHECK(many.mostPeers <= 2 * few.mostPeers);
+}
--- a/modules/weights/bench/scenario.h
+++ b/modules/weights/bench/scenario.h
@@ -111,6 +111,7 @@
     double originCopies = 0;
     double regionCopies = 0; ///< On the busiest link between two regions.
     double messagesPerHostSecond = 0;
+    std::size_t mostPeers = 0; ///< Other hosts that one host exchanged messages with, at most.
 };
 
 inline RunResult makeResult(const Scenario &scenario, const Network &network, bool complete,
--- a/modules/weights/bench/swarmrun.h
+++ b/modules/weights/bench/swarmrun.h
@@ -41,7 +41,11 @@
         }
         const double limit = 40 * lowerBound(m_scenario) + 60;
         m_simulation.run(TimePoint(fromSeconds(limit)), [this] { return m_unfinishedHosts == 0; });
-        return makeResult(m_scenario, m_network, m_unfinishedHosts == 0, m_simulation.now());
+        RunResult result =
+                makeResult(m_scenario, m_network, m_unfinishedHosts == 0, m_simulation.now());
+        for (const Host &host : m_hosts)
+            result.mostPeers = std::max(result.mostPeers, host.peers.size());
+        return result;
     }
 
     std::uint64_t sum(std::uint64_t TransferCounters::*counter) const
@@ -60,6 +64,7 @@
         bool servable;
         std::map<ChunkRequestId, FlowPtr> incoming;
         std::optional<TimePoint> tickAt;
+        std::set<int> peers = {}; ///< Hosts that it exchanged messages with.
     };
 
     static HostId hostId(int host) { return HostId("host" + std::to_string(host)); }
@@ -135,6 +140,8 @@
 
     void sendMessage(int from, int to, std::function<TransferActions(TransferPlanner &)> event)
     {
+        host(from).peers.insert(to);
+        host(to).peers.insert(from);
         m_network.message(from, to, [this, to, event = std::move(event)] {
             if (host(to).alive)
                 apply(to, event(host(to).planner));
--- a/modules/weights/src/plannerevents.cpp
+++ b/modules/weights/src/plannerevents.cpp
@@ -87,10 +87,10 @@
         supersedeOtherVersions(transfer->manifest(), *transfer);
     updateRetained(*transfer);
     rebuildChecks(*transfer);
-    for (const HostId &peer : transfer->regionMembers) {
-        if (peer != m_self)
-            sendFullUpdate(*transfer, peer, true);
-    }
+    // Each host tells only its neighbours: connections to all hosts of a region would take more
+    // memory than the chunks.
+    for (const HostId &peer : transfer->neighbours)
+        sendFullUpdate(*transfer, peer, true);
     m_transfers.emplace(id, std::move(transfer));
 }
 
@@ -318,7 +318,6 @@
 
 void TransferPlanner::Impl::refreshViews(Transfer &transfer)
 {
-    constexpr std::size_t MaxRefreshedPeers = 8;
     if (transfer.verified.full()) {
         transfer.refreshAt.reset();
         return;
@@ -328,10 +327,19 @@
     if (m_now < *transfer.refreshAt)
         return;
     transfer.refreshAt = m_now + jittered(m_settings.viewRefreshInterval, m_random);
-    const std::size_t n = transfer.regionMembers.size();
+    // Without progress the neighbours may all be gone, or may not know this host yet.
+    const ChunkIndex verified = transfer.verified.count();
+    const bool hasProgress = std::exchange(transfer.verifiedAtRefresh, verified) != verified;
+    requestViews(transfer, hasProgress ? transfer.neighbours : transfer.regionMembers);
+}
+
+void TransferPlanner::Impl::requestViews(Transfer &transfer, const std::vector<HostId> &peers)
+{
+    constexpr std::size_t MaxRefreshedPeers = 8;
+    const std::size_t n = peers.size();
     const std::size_t first = n > 0 ? m_random.below(n) : 0;
     for (std::size_t i = 0; i < std::min(n, MaxRefreshedPeers); ++i) {
-        const HostId &peer = transfer.regionMembers[(first + i) % n];
+        const HostId &peer = peers[(first + i) % n];
         if (peer != m_self)
             sendFullUpdate(transfer, peer, true);
     }
--- a/modules/weights/src/plannerimpl.h
+++ b/modules/weights/src/plannerimpl.h
@@ -34,6 +34,8 @@
     void chunkLost(const Digest &id, ChunkIndex chunk);
     void completeChunk(Transfer &transfer, ChunkIndex chunk);
     void refreshViews(Transfer &transfer);
+    /// Asks some of \a peers what they hold.
+    void requestViews(Transfer &transfer, const std::vector<HostId> &peers);
     void chunkFailed(ChunkRequestId request, ResultCode code, Duration retryAfter);
     void engineAccepted(const Digest &id, ChunkIndex chunk);
     void engineLoaded(const Digest &id);
--- a/modules/weights/src/transfer.h
+++ b/modules/weights/src/transfer.h
@@ -121,6 +121,7 @@
     bool servable = false;
     std::optional<TimePoint> freeAt;    ///< After the load: when unretained chunks are freed.
     std::optional<TimePoint> refreshAt; ///< Next time at which peers are asked what they hold.
+    ChunkIndex verifiedAtRefresh = 0;   ///< Number of verified chunks at the last such time.
 
 private:
     std::size_t path(ChunkIndex chunk) const;
