--- a/modules/fleet/include/godwit/fleet/backendfeed.h
+++ b/modules/fleet/include/godwit/fleet/backendfeed.h
@@ -23,7 +23,8 @@
 public:
     struct Handlers
     {
-        std::function<void(const BackendRecord &)> onRecord;
+        /// A record was written at \a revision.
+        std::function<void(const BackendRecord &, StoreRevision revision)> onRecord;
         std::function<void(const BackendId &)> onRemoved;
         /// All changes that one call to the store returned have been reported. May be empty.
         std::function<void()> onUpToDate = {};
--- a/modules/fleet/src/backendfeed.cpp
+++ b/modules/fleet/src/backendfeed.cpp
@@ -48,7 +48,7 @@
     if (known == record)
         return;
     known = record;
-    m_handlers.onRecord(record);
+    m_handlers.onRecord(record, entry.modified);
 }
 
 void BackendFeed::handleRemoved(const std::string &key)
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -50,14 +50,15 @@
         options.idleTimeout = limits.idleTimeout + IdleMargin;
 }
 
-void logBackendChange(const BackendRecord &record)
+void logBackendChange(const BackendRecord &record, StoreRevision revision)
 {
     logStateChange("backend_changed", {{"backend", record.id.value()},
                                        {"service", record.service},
                                        {"endpoint", toString(record.endpoint)},
                                        {"draining", record.draining},
                                        {"born_ms", record.startTimeMs},
-                                       {"models", record.models.size()}});
+                                       {"models", record.models.size()},
+                                       {"revision", revision.value}});
 }
 
 } // namespace
@@ -86,8 +87,8 @@
                },
                [this](TimePoint asOf) { m_gateway.onConfigurationConfirmed(asOf); }})
     , m_backendFeed(m_platform, *m_backendStore, m_scheduler, m_settings.bounds, newRandom(),
-                    {[this](const BackendRecord &record) {
-                         logBackendChange(record);
+                    {[this](const BackendRecord &record, StoreRevision revision) {
+                         logBackendChange(record, revision);
                          m_gateway.backends().update(record, m_scheduler.now());
                      },
                      [this](const BackendId &id) {
--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -76,7 +76,7 @@
                },
                [](TimePoint) {}})
     , m_backendFeed(m_platform, *m_backendStore, m_scheduler, m_settings.bounds, newRandom(),
-                    {[this](const BackendRecord &record) {
+                    {[this](const BackendRecord &record, StoreRevision) {
                          m_backendRecords[record.id] = record;
                          m_participantsChanged = true;
                      },
--- a/modules/fleet/tests/backendfeedtest.cpp
+++ b/modules/fleet/tests/backendfeedtest.cpp
@@ -12,14 +12,15 @@
 struct Fixture : FeedFixture
 {
     std::vector<std::string> log;
-    BackendFeed feed{
-            platform,
-            store,
-            scheduler,
-            FleetBounds(),
-            Random(1),
-            {[this](const BackendRecord &record) { log.push_back("record " + record.id.value()); },
-             [this](const BackendId &id) { log.push_back("removed " + id.value()); }}};
+    BackendFeed feed{platform,
+                     store,
+                     scheduler,
+                     FleetBounds(),
+                     Random(1),
+                     {[this](const BackendRecord &record, StoreRevision) {
+                          log.push_back("record " + record.id.value());
+                      },
+                      [this](const BackendId &id) { log.push_back("removed " + id.value()); }}};
 
     Fixture()
     {
