Date a version from what the store has confirmed, not from a delayed response

A configuration of 1,400 routes, written at 17.9 s, was on its way to 35 entry processes when version 2 was named at 18.0 s.

--- a/modules/mirror/include/godwit/mirror/prefixmirror.h
+++ b/modules/mirror/include/godwit/mirror/prefixmirror.h
@@ -34,11 +34,13 @@
 public:
     static constexpr Duration MinBackoff = std::chrono::milliseconds(30);
     static constexpr Duration MaxBackoff = std::chrono::milliseconds(1000);
-    /// Upper bound of the time from a write to its event while a watch call is waiting. An event
-    /// that arrives later than this after the start of the call reports a write within this time;
-    /// an earlier event may report a write from before the call, but not one that the previous call
-    /// would have returned.
-    static constexpr Duration MaxEventDelay = std::chrono::milliseconds(150);
+    /// Upper bound of the time from a write to its event while a watch call is waiting. Links may
+    /// be busy with the same event for other processes.
+    static constexpr Duration MaxEventDelay = std::chrono::milliseconds(400);
+    /// An event that arrives within this time of the start of its call may report a write from
+    /// before the call, since the last confirmation: the response of the previous call may have
+    /// been delayed, by a large value for example.
+    static constexpr Duration ImmediateEvent = std::chrono::milliseconds(150);
 
     PrefixMirror(KeyValuePort &store, Scheduler &scheduler, Random random, std::string prefix,
                  MirrorHandlers handlers);
@@ -80,7 +82,6 @@
     StoreRevision m_revision;   ///< Revision up to which all writes have been reported.
     TimePoint m_watchCallStart; ///< Start of the current call of the watch.
     std::optional<TimePoint> m_confirmedAt;
-    std::optional<TimePoint> m_lastResponse; ///< Time of the last response of the watch.
     std::optional<TimePoint> m_lastFailure;
     Duration m_backoff = MinBackoff;
     bool m_reachable = true;
--- a/modules/mirror/src/prefixmirror.cpp
+++ b/modules/mirror/src/prefixmirror.cpp
@@ -117,7 +117,6 @@
 {
     onCallSucceeded();
     m_revision = std::max(m_revision, current);
-    m_lastResponse = m_scheduler.now();
     m_confirmedAt = std::max(m_confirmedAt.value_or(requestTime), requestTime);
     m_handlers.onConfirmed(*m_confirmedAt);
 }
@@ -138,11 +137,9 @@
 std::optional<TimePoint> PrefixMirror::earliestEventTime() const
 {
     const TimePoint now = m_scheduler.now();
-    if (now - m_watchCallStart > MaxEventDelay)
-        return now - MaxEventDelay;
-    if (m_confirmedAt && m_lastResponse)
-        return std::max(*m_confirmedAt, *m_lastResponse - MaxEventDelay);
-    return m_confirmedAt;
+    if (!m_confirmedAt || now - m_watchCallStart <= ImmediateEvent)
+        return m_confirmedAt;
+    return std::max(*m_confirmedAt, now - MaxEventDelay);
 }
 
 void PrefixMirror::apply(const KeyValueEntry &entry, std::optional<TimePoint> notBefore)
--- a/modules/mirror/tests/prefixmirrortest.cpp
+++ b/modules/mirror/tests/prefixmirrortest.cpp
@@ -111,18 +111,20 @@
             it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
             CHECK(it.notBefore.back() == confirmed);
         }
-        // A long call confirms nothing newer than its start, but it would have returned a write
-        // that was made while it waited.
-        SECTION("an event early in a watch call is not older than the response before it")
+        // Load pattern: a configuration of hundreds of kilobytes is sent to all entry processes,
+        // and a version is named meanwhile. Guards against the version being taken for newer than
+        // it is, so that engines with older weights would be used after their time.
+        SECTION("an event early in a watch call may have been written while the response before it "
+                "was on its way")
         {
             const TimePoint requested = it.scheduler.now();
-            it.scheduler.advance(20s);
-            it.store.watches[0].second.onConfirmed(StoreRevision{10}, requested);
-            const TimePoint responded = it.scheduler.now();
+            it.scheduler.advance(1500ms);
+            it.store.watches[0].second.onEvents({{entry("p/large", "x", 11), false}});
+            it.store.watches[0].second.onConfirmed(StoreRevision{11}, requested);
             it.store.watches[0].second.onPollStarted();
-            it.scheduler.advance(100ms);
+            it.scheduler.advance(20ms);
             it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
-            CHECK(it.notBefore.back() == responded - PrefixMirror::MaxEventDelay);
+            CHECK(it.notBefore.back() == requested);
         }
         SECTION("a refresh reports what a silent watch has missed, and keeps the watch")
         {
