--- a/standins/tests/fleetstoretest.cpp
+++ b/standins/tests/fleetstoretest.cpp
@@ -21,7 +21,9 @@
     HttpClient client{io};
     AsioScheduler scheduler{io};
     platform::PlatformStore store{
-            client, scheduler, {standin.endpoint(), 50ms, Duration{0}, 500ms}};
+            client,
+            scheduler,
+            {standin.endpoint(), [] { return Duration(50ms); }, Duration{0}, 600ms, 500ms}};
 
     template <typename T>
     Outcome<T> wait(const std::function<void(Completion<T>)> &call)
