Date versions that arrive with a large configuration from the last confirmation

The entry process had dated the version 400 ms before its event arrived, but the event came with, or right after, a configuration of 1,400 routes, which takes a second on links that seven entry processes of a region share. Events of a large response and of the one after it now date from the last confirmation, which is sound. The new section of prefixmirrortest fails without the change.

--- a/modules/mirror/include/godwit/mirror/prefixmirror.h
+++ b/modules/mirror/include/godwit/mirror/prefixmirror.h
@@ -42,6 +42,10 @@
     /// been delayed, by a large value for example.
     static constexpr Duration ImmediateEvent = std::chrono::milliseconds(150);
 
+    /// A response with larger values than this takes longer than MaxEventDelay on a busy link, and
+    /// so may the next one. Their events are dated from the last confirmation.
+    static constexpr std::size_t LargeResponseBytes = 32UL * 1024;
+
     PrefixMirror(KeyValuePort &store, Scheduler &scheduler, Random random, std::string prefix,
                  MirrorHandlers handlers);
     ~PrefixMirror();
@@ -86,6 +90,8 @@
     Duration m_backoff = MinBackoff;
     bool m_reachable = true;
     bool m_isListing = false;
+    bool m_isLargeResponse = false;      ///< Of the current response of the watch.
+    bool m_isAfterLargeResponse = false; ///< Of the response before it.
     std::shared_ptr<CallHandle> m_watch;
     std::unique_ptr<Timer> m_retry;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/modules/mirror/src/prefixmirror.cpp
+++ b/modules/mirror/src/prefixmirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace godwit {
 
@@ -103,6 +104,10 @@
 void PrefixMirror::onWatchEvents(const std::vector<WatchEvent> &events)
 {
     onCallSucceeded();
+    std::size_t bytes = 0;
+    for (const WatchEvent &event : events)
+        bytes += event.entry.value.size();
+    m_isLargeResponse = bytes > LargeResponseBytes;
     const auto notBefore = earliestEventTime();
     for (const WatchEvent &event : events) {
         if (event.deleted)
@@ -117,6 +122,7 @@
 {
     onCallSucceeded();
     m_revision = std::max(m_revision, current);
+    m_isAfterLargeResponse = std::exchange(m_isLargeResponse, false);
     m_confirmedAt = std::max(m_confirmedAt.value_or(requestTime), requestTime);
     m_handlers.onConfirmed(*m_confirmedAt);
 }
@@ -137,7 +143,8 @@
 std::optional<TimePoint> PrefixMirror::earliestEventTime() const
 {
     const TimePoint now = m_scheduler.now();
-    if (!m_confirmedAt || now - m_watchCallStart <= ImmediateEvent)
+    if (!m_confirmedAt || now - m_watchCallStart <= ImmediateEvent || m_isLargeResponse
+        || m_isAfterLargeResponse)
         return m_confirmedAt;
     return std::max(*m_confirmedAt, now - MaxEventDelay);
 }
--- a/modules/mirror/tests/prefixmirrortest.cpp
+++ b/modules/mirror/tests/prefixmirrortest.cpp
@@ -126,6 +126,28 @@
             it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
             CHECK(it.notBefore.back() == requested);
         }
+        // The response with the configuration takes a second on the links that all of them share.
+        SECTION("an event in a large response, or in the one after it, dates from the last "
+                "confirmation")
+        {
+            const TimePoint requested = it.scheduler.now();
+            const std::string large(PrefixMirror::LargeResponseBytes + 1, 'x');
+            it.scheduler.advance(1500ms);
+            it.store.watches[0].second.onEvents(
+                    {{entry("p/large", large, 11), false}, {entry("p/a", "3", 12), false}});
+            CHECK(it.notBefore.back() == requested);
+            const TimePoint next = it.scheduler.now();
+            it.store.watches[0].second.onConfirmed(StoreRevision{12}, requested);
+            it.store.watches[0].second.onPollStarted();
+            it.scheduler.advance(900ms);
+            it.store.watches[0].second.onEvents({{entry("p/a", "4", 13), false}});
+            CHECK(it.notBefore.back() == requested);
+            it.store.watches[0].second.onConfirmed(StoreRevision{13}, next);
+            it.store.watches[0].second.onPollStarted();
+            it.scheduler.advance(900ms);
+            it.store.watches[0].second.onEvents({{entry("p/a", "5", 14), false}});
+            CHECK(it.notBefore.back() == it.scheduler.now() - PrefixMirror::MaxEventDelay);
+        }
         SECTION("a refresh reports what a silent watch has missed, and keeps the watch")
         {
             it.log.clear();
