--- a/modules/rollout/tests/manifestexchangetest.cpp
+++ b/modules/rollout/tests/manifestexchangetest.cpp
@@ -186,8 +186,10 @@
 
 TEST_CASE("The sources of a manifest form a tree")
 {
+    constexpr int Hosts = 41;
     std::vector<Participant> participants;
-    for (int i = 0; i < 41; ++i)
+    participants.reserve(Hosts);
+    for (int i = 0; i < Hosts; ++i)
         participants.push_back({HostId("h" + std::to_string(i)), ZoneId("z"), RegionId("r")});
     std::map<HostId, std::size_t> children;
     for (const Participant &it : participants) {
