--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -117,7 +117,7 @@
     std::optional<std::uint64_t> m_weightsVersion; ///< Of the start of the stream.
     BodyMode m_bodyMode = BodyMode::None;
     std::string m_bufferedBody;
-    std::size_t m_discardedBytes = 0; ///< Of the body of the current rejection.
+    std::size_t m_discardedBytes = 0; ///< Of the body of the current response, which is not used.
     bool m_hasDeclaredLength = false; ///< Of the body of the current response.
     /// By which the response of the current attempt identifies this request.
     std::optional<HttpCorrelation> m_correlation;
--- /dev/null
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -0,0 +1,217 @@
+// The part of ForwardedRequest that passes the response to an attempt on to the client.
+#include "forwardedrequest.h"
+
+#include <algorithm>
+
+namespace godwit {
+
+namespace {
+
+/// Timeout within a stream that may be repeated, in maximum event gaps of the route or in measured
+/// gaps of the backend server, whichever are longer: a slow stream is not resumed elsewhere.
+constexpr int StallTimeoutGaps = 3;
+constexpr Duration MinStallTimeout = std::chrono::milliseconds(800);
+/// Maximum size of a body without a declared length, and of the bodies of all requests that are
+/// buffered at a time. A faulty backend server may send bytes without end.
+constexpr std::size_t MaxUndeclaredBodyBytes = 1024UL * 1024;
+constexpr std::size_t MaxBufferedBytes = 32UL * 1024 * 1024;
+/// Maximum size of the body of a response that is discarded.
+constexpr std::size_t MaxDiscardedBytes = 64UL * 1024;
+
+constexpr int FirstServerError = 500;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+AttemptOutcome outcomeOf(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::PlatformUnreachable:
+        return AttemptOutcome::Unreachable;
+    case ResultCode::PlatformTimeout:
+        return AttemptOutcome::Silent;
+    default:
+        return AttemptOutcome::Broken;
+    }
+}
+
+} // namespace
+
+Duration ForwardedRequest::stallTimeout() const
+{
+    const Duration measured = m_gateway.m_backends.eventGap(m_attempts.back().backend);
+    return std::max(MinStallTimeout,
+                    StallTimeoutGaps * std::max(m_admission.route->maxEventGap, measured));
+}
+
+void ForwardedRequest::restartStallTimer()
+{
+    const Route &route = *m_admission.route;
+    if (!route.isRepeatable() || m_possibleRuns + 1 >= route.maxAttempts)
+        return;
+    const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+    m_stallTimer = m_gateway.m_environment.scheduler.after(
+            stallTimeout(), [weak, serial = m_attemptSerial] {
+                const auto self = weak.lock();
+                if (self && !self->m_ended && self->m_attemptInProgress
+                    && self->m_attemptSerial == serial)
+                    self->fail(AttemptOutcome::Silent, "no event within the stall timeout");
+            });
+}
+
+void ForwardedRequest::onHead(int status, const HttpHeaders &headers)
+{
+    m_responseHead = m_gateway.m_environment.protocol.readResponse(status, headers);
+    if (m_responseHead.load)
+        m_gateway.m_backends.recordLoad(m_attempts.back().backend, *m_responseHead.load, now());
+    // A stream can be resumed neither by an error response nor by other weights.
+    const bool cannotContinue =
+            m_streaming
+            && (!isSuccess(status) || m_responseHead.weightsVersion != m_weightsVersion);
+    // A late copy of another response may lack the id that would identify it.
+    const bool isUnidentified = m_correlation && !headers.find(m_correlation->header);
+    const bool isUntrusted =
+            isSuccess(status)
+            && (!m_responseHead.sealed || m_responseHead.isEncoded || isUnidentified);
+    m_hasDeclaredLength = headers.find("Content-Length") != nullptr;
+    m_discardedBytes = 0;
+    if (m_responseHead.notExecuted)
+        m_bodyMode = BodyMode::Rejection;
+    else if (cannotContinue || isUntrusted)
+        m_bodyMode = BodyMode::Unusable;
+    else if (isSuccess(status) && m_responseHead.isEventStream)
+        m_bodyMode = BodyMode::Events;
+    else
+        m_bodyMode = m_streaming ? BodyMode::Unusable : BodyMode::Buffered;
+    if (m_bodyMode == BodyMode::Events)
+        restartStallTimer();
+}
+
+bool ForwardedRequest::isBodyTooLarge(std::size_t more) const
+{
+    return (!m_hasDeclaredLength && m_bufferedBody.size() + more > MaxUndeclaredBodyBytes)
+           || m_gateway.m_bufferedBytes + more > MaxBufferedBytes;
+}
+
+void ForwardedRequest::onData(std::string_view data)
+{
+    if (m_bodyMode == BodyMode::Events) {
+        onEvents(data);
+    } else if (m_bodyMode == BodyMode::Buffered) {
+        if (isBodyTooLarge(data.size())) {
+            fail(AttemptOutcome::Broken, "response body is too large");
+            return;
+        }
+        m_gateway.m_bufferedBytes += data.size();
+        m_bufferedBody += data;
+    } else if ((m_discardedBytes += data.size()) > MaxDiscardedBytes) {
+        const bool isRejection = m_bodyMode == BodyMode::Rejection;
+        if (m_call)
+            m_call->cancel();
+        fail(isRejection ? AttemptOutcome::Rejected : AttemptOutcome::Broken,
+             "unusable response without an end");
+    }
+}
+
+void ForwardedRequest::onEvents(std::string_view data)
+{
+    std::string events = m_eventSplitter.feed(data);
+    if (m_eventSplitter.isEventTooLarge()) {
+        fail(AttemptOutcome::Broken, "event in the response stream is too large");
+        return;
+    }
+    if (events.empty())
+        return;
+    if (!m_streaming) {
+        m_streaming = true;
+        m_weightsVersion = m_responseHead.weightsVersion;
+        m_gateway.m_environment.metrics.recordFirstEvent(now() - m_arrivedAt);
+        m_reply->start(m_responseHead.status, m_responseHead.headers);
+    }
+    recordEventTiming();
+    restartStallTimer();
+    m_reply->write(std::move(events));
+}
+
+void ForwardedRequest::recordEventTiming()
+{
+    const TimePoint arrived = now();
+    PastAttempt &attempt = m_attempts.back();
+    if (attempt.lastEventsAt)
+        m_gateway.m_backends.recordEventGap(attempt.backend, arrived - *attempt.lastEventsAt,
+                                            arrived);
+    else
+        recordResponseStart(attempt, arrived);
+    attempt.lastEventsAt = arrived;
+}
+
+void ForwardedRequest::recordResponseStart(PastAttempt &attempt, TimePoint at)
+{
+    attempt.firstEventsAt = at;
+    m_gateway.m_backends.onResponseStarted(attempt.backend, m_urgency);
+    // Under load, the delay would also contain the error of this process in estimating the load of
+    // the others.
+    if (attempt.foundFreeSlot)
+        m_gateway.m_backends.recordStartDelay(
+                attempt.backend, at - attempt.sentAt - attempt.predictedStartDelay, at);
+}
+
+void ForwardedRequest::onEnd(const Outcome<std::monostate> &outcome)
+{
+    if (const auto *error = std::get_if<Error>(&outcome))
+        fail(outcomeOf(error->code), error->detail);
+    else
+        onComplete();
+}
+
+void ForwardedRequest::onComplete()
+{
+    switch (m_bodyMode) {
+    case BodyMode::Rejection: {
+        // It may be the same process with weights other than those that produced the start of the
+        // stream.
+        const bool isOther = m_responseHead.otherProcess && !m_weightsVersion;
+        fail(isOther ? AttemptOutcome::OtherProcess : AttemptOutcome::Rejected,
+             "status " + std::to_string(m_responseHead.status));
+        return;
+    }
+    case BodyMode::None:
+    case BodyMode::Unusable:
+        fail(AttemptOutcome::Broken,
+             "unusable response with status " + std::to_string(m_responseHead.status));
+        return;
+    case BodyMode::Events:
+        if (m_eventSplitter.hasPartialEvent()) {
+            fail(AttemptOutcome::Broken, "response stream ended in the middle of an event");
+            return;
+        }
+        if (!m_streaming)
+            m_reply->start(m_responseHead.status, m_responseHead.headers);
+        m_reply->finish();
+        endAttempt(AttemptOutcome::Complete);
+        finishRequest(m_responseHead.status, ResultCode::Ok, {});
+        return;
+    case BodyMode::Buffered:
+        if (m_responseHead.status >= FirstServerError && mayRetryAfterFailure())
+            fail(AttemptOutcome::Failed, "status " + std::to_string(m_responseHead.status));
+        else
+            sendBufferedResponse();
+        return;
+    }
+}
+
+void ForwardedRequest::sendBufferedResponse()
+{
+    endAttempt(m_responseHead.status >= FirstServerError ? AttemptOutcome::Failed
+                                                         : AttemptOutcome::Complete);
+    HttpResponse response;
+    response.status = m_responseHead.status;
+    response.headers = m_responseHead.headers;
+    response.body = std::move(m_bufferedBody);
+    m_reply->send(std::move(response));
+    finishRequest(m_responseHead.status, ResultCode::Ok, {});
+}
+
+} // namespace godwit
