--- a/modules/weights/include/godwit/weights/transfersettings.h
+++ b/modules/weights/include/godwit/weights/transfersettings.h
@@ -28,8 +28,8 @@
     std::uint32_t regionWindow = 3;       ///< Chunks that may be missing before the one requested.
 
     /// Outstanding requests are limited to what arrives within this time at the measured rate, but
-    /// to no less than two chunks, or one if it takes longer itself: a longer queue would delay
-    /// other traffic on the link. 0 means no limit.
+    /// to no less than two chunks: a longer queue would delay other traffic on the link. 0 means no
+    /// limit.
     Duration maxQueueTime{0};
 
     std::uint32_t regionUploadSlots = 4; ///< Concurrent uploads to other regions.
--- a/modules/weights/src/plannerfetch.cpp
+++ b/modules/weights/src/plannerfetch.cpp
@@ -14,10 +14,9 @@
 constexpr std::size_t ScanWords = 64;            // bounds the search of one request to 4,096 chunks
 constexpr std::uint32_t MaxEndgameRequests = 2;  // concurrent requests for one chunk
 constexpr double RateWindowSeconds = 0.25;       // measuring window of the receive rate
-constexpr double RateGain = 0.5;     // weight of the newest window in the moving average
-constexpr double MinOutstanding = 2; // requests; fewer would leave the link idle in between
-constexpr double MinOutstandingOnSlowLink = 1; // a chunk takes longer than the queue may
-constexpr double ScheduleSpeedup = 1.1;        // keeps the path busy; regionWindow bounds the lead
+constexpr double RateGain = 0.5;        // weight of the newest window in the moving average
+constexpr double MinOutstanding = 2;    // requests; fewer would leave the link idle in between
+constexpr double ScheduleSpeedup = 1.1; // keeps the path busy; regionWindow bounds the lead
 
 } // namespace
 
@@ -364,8 +363,7 @@
     }
     const double queue = m_receiveRate * toSeconds(m_settings.maxQueueTime);
     const double chunks = queue / transfer.manifest().chunkBytes;
-    const double limit = chunks < 1 ? MinOutstandingOnSlowLink : std::max(MinOutstanding, chunks);
-    return static_cast<double>(m_requests.size()) < limit;
+    return static_cast<double>(m_requests.size()) < std::max(MinOutstanding, chunks);
 }
 
 bool TransferPlanner::Impl::request(Transfer &transfer, ChunkIndex chunk, Path path,
