Log how old a named version may be, and count responses that start with outdated weights

With a version that is dated too late, requests begin late for the callers but not for the process; with a cancellation that arrives late, for both.

No decision changes.

--- a/modules/fleet/include/godwit/fleet/operatorfeed.h
+++ b/modules/fleet/include/godwit/fleet/operatorfeed.h
@@ -36,8 +36,11 @@
 private:
     void handlePut(const KeyValueEntry &entry, std::optional<TimePoint> notBefore);
     std::optional<VersionWindow> versionWindow(std::optional<TimePoint> notBefore) const;
+    void logWantedVersion(const WantedVersion &wanted, StoreRevision revision,
+                          const std::optional<VersionWindow> &window) const;
 
     const FleetPlatform &m_platform;
+    Scheduler &m_scheduler;
     FleetBounds m_bounds;
     Handlers m_handlers;
     PrefixMirror m_mirror;
--- a/modules/fleet/src/operatorfeed.cpp
+++ b/modules/fleet/src/operatorfeed.cpp
@@ -10,6 +10,7 @@
                            KeyValuePort &store, Scheduler &scheduler, const FleetBounds &bounds,
                            Random random, Handlers handlers)
     : m_platform(platform)
+    , m_scheduler(scheduler)
     , m_bounds(bounds)
     , m_handlers(std::move(handlers))
     , m_mirror(store, scheduler, random, std::string(prefix),
@@ -39,6 +40,22 @@
     return window;
 }
 
+void OperatorFeed::logWantedVersion(const WantedVersion &wanted, StoreRevision revision,
+                                    const std::optional<VersionWindow> &window) const
+{
+    boost::json::object fields{{"model", wanted.model.value()},
+                               {"version", wanted.version},
+                               {"revision", revision.value}};
+    if (window) {
+        const TimePoint now = m_scheduler.now();
+        fields["announced_ms_ago"] = toMilliseconds(now - window->announcedAt);
+        fields["grace_ms"] = toMilliseconds(window->gracePeriod);
+        if (const auto failure = m_mirror.lastFailure())
+            fields["store_failed_ms_ago"] = toMilliseconds(now - *failure);
+    }
+    logStateChange("version_wanted", fields);
+}
+
 void OperatorFeed::handlePut(const KeyValueEntry &entry, std::optional<TimePoint> notBefore)
 {
     auto decoded = capture([&] { return m_platform.decodeOperatorRecord(entry); });
@@ -51,10 +68,9 @@
     if (auto *configuration = std::get_if<GatewayConfiguration>(&record)) {
         m_handlers.onConfiguration(std::move(*configuration));
     } else if (const auto *wanted = std::get_if<WantedVersion>(&record)) {
-        logStateChange("version_wanted", {{"model", wanted->model.value()},
-                                          {"version", wanted->version},
-                                          {"revision", entry.modified.value}});
-        m_handlers.onVersion(*wanted, versionWindow(notBefore));
+        const auto window = versionWindow(notBefore);
+        logWantedVersion(*wanted, entry.modified, window);
+        m_handlers.onVersion(*wanted, window);
     }
 }
 
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -97,6 +97,9 @@
     /// Engines that serve an older version of \a model get no new requests from \a deadline on.
     void requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline);
 
+    /// Time at which the version \a served becomes outdated; none if no newer version is announced.
+    std::optional<TimePoint> versionExpiry(const ModelId &model, std::uint64_t served) const;
+
     /// Starts the staggered loading of \a version of \a model by the engines.
     void announceVersion(const ModelId &model, std::uint64_t version, const VersionWindow &window);
 
@@ -172,8 +175,6 @@
     bool isEligible(const Backend &backend, const BackendQuery &query, const Service *service,
                     TimePoint now) const;
     std::uint64_t requiredVersion(const ModelId &model, TimePoint now) const;
-    /// Time at which the version \a served becomes outdated; none if no newer version is announced.
-    std::optional<TimePoint> versionExpiry(const ModelId &model, std::uint64_t served) const;
     std::optional<TimePoint> versionExpiry(const BackendRecord &record, const ModelId &model) const;
     /// Penalty, in seconds, for a backend server whose event gaps exceed the median.
     double eventGapPenalty(const Backend &backend, double medianGap, TimePoint now) const;
--- a/modules/gateway/include/godwit/gateway/gatewaymetrics.h
+++ b/modules/gateway/include/godwit/gateway/gatewaymetrics.h
@@ -24,11 +24,14 @@
     void recordAttempt(AttemptOutcome outcome);
     void recordRetry(std::string_view reason);
     void recordClientDisconnect() { m_clientDisconnects.add(1); }
+    /// A response started with weights that were outdated by then.
+    void recordOutdatedStart() { m_outdatedStarts.add(1); }
 
 private:
     MetricsRegistry &m_registry;
     Counter &m_requests;
     Counter &m_clientDisconnects;
+    Counter &m_outdatedStarts;
     Summary &m_responseTime;
     Summary &m_firstEventTime;
 };
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -156,8 +156,10 @@
         return;
     }
     const auto &choice = std::get<BackendChoice>(found);
-    m_attempts.push_back({choice.id, choice.predictedStartDelay, choice.hasFreeSlot, now(),
-                          std::nullopt, std::nullopt, std::nullopt});
+    m_attempts.push_back({.backend = choice.id,
+                          .predictedStartDelay = choice.predictedStartDelay,
+                          .foundFreeSlot = choice.hasFreeSlot,
+                          .sentAt = now()});
     m_bodyMode = BodyMode::None;
     m_bufferedBody.clear();
     m_attemptInProgress = true;
@@ -380,9 +382,16 @@
                 {"end", std::string(it.outcome ? toString(*it.outcome) : "none")}};
         if (it.firstEventsAt)
             attempt["start_ms"] = toMilliseconds(*it.firstEventsAt - it.sentAt);
+        if (it.weightsVersion)
+            attempt["weights"] = *it.weightsVersion;
+        if (it.outdatedFor)
+            attempt["outdated_ms"] = toMilliseconds(*it.outdatedFor);
         attempts.push_back(std::move(attempt));
     }
-    const bool isFailure = code != ResultCode::Ok || m_attempts.size() > 1;
+    const bool isFailure = code != ResultCode::Ok || m_attempts.size() > 1
+                           || std::ranges::any_of(m_attempts, [](const PastAttempt &it) {
+                                  return it.outdatedFor.has_value();
+                              });
     logRequest(isFailure ? RequestLogKind::Failure : RequestLogKind::Answer,
                {{"request", m_request.id.value()},
                 {"route", m_admission.route->name},
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -48,9 +48,12 @@
         Duration predictedStartDelay{0};
         bool foundFreeSlot = true;
         TimePoint sentAt;
-        std::optional<TimePoint> firstEventsAt;
-        std::optional<TimePoint> lastEventsAt;
-        std::optional<AttemptOutcome> outcome;
+        std::optional<TimePoint> firstEventsAt = {};
+        std::optional<TimePoint> lastEventsAt = {};
+        std::optional<std::uint64_t> weightsVersion = {}; ///< Stated by the response.
+        /// Time from the expiry of its weights to the start of the response, if it started later.
+        std::optional<Duration> outdatedFor = {};
+        std::optional<AttemptOutcome> outcome = {};
     };
 
     void startAttempt();
@@ -81,6 +84,7 @@
     /// Reports the start of the response, or the gap since its last events, to the pool.
     void recordEventTiming();
     void recordResponseStart(PastAttempt &attempt, TimePoint at);
+    void recordWeights(PastAttempt &attempt, TimePoint at);
     /// Whether a safe request that failed at its backend server is retried at another one. Consumes
     /// a retry if so.
     bool mayRetryAfterFailure();
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -150,6 +150,7 @@
 void ForwardedRequest::recordResponseStart(PastAttempt &attempt, TimePoint at)
 {
     attempt.firstEventsAt = at;
+    recordWeights(attempt, at);
     m_gateway.m_backends.onResponseStarted(attempt.backend, m_urgency);
     // Under load, the delay would also contain the error of this process in estimating the load of
     // the others.
@@ -158,6 +159,19 @@
                 attempt.backend, at - attempt.sentAt - attempt.predictedStartDelay, at);
 }
 
+void ForwardedRequest::recordWeights(PastAttempt &attempt, TimePoint at)
+{
+    attempt.weightsVersion = m_responseHead.weightsVersion;
+    if (!attempt.weightsVersion)
+        return;
+    const auto expiry =
+            m_gateway.m_backends.versionExpiry(m_request.model, *attempt.weightsVersion);
+    if (!expiry || at <= *expiry)
+        return;
+    attempt.outdatedFor = at - *expiry;
+    m_gateway.m_environment.metrics.recordOutdatedStart();
+}
+
 void ForwardedRequest::onEnd(const Outcome<std::monostate> &outcome)
 {
     if (const auto *error = std::get_if<Error>(&outcome))
--- a/modules/gateway/src/gatewaymetrics.cpp
+++ b/modules/gateway/src/gatewaymetrics.cpp
@@ -23,6 +23,8 @@
     , m_clientDisconnects(
               registry.counter("godwit_clients_left_total",
                                "Clients that closed their connection before the answer."))
+    , m_outdatedStarts(registry.counter("godwit_outdated_starts_total",
+                                        "Responses that started with outdated weights."))
     , m_responseTime(registry.summary("godwit_answer_seconds",
                                       "Time from a request to the end of its answer."))
     , m_firstEventTime(registry.summary("godwit_first_event_seconds",
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -274,6 +274,20 @@
         CHECK(first->cancelled);
         CHECK(it.backendCalls.size() == 2);
     }
+    // Without it nobody can tell from outside whether old weights were used for too long.
+    SECTION("a response that starts with outdated weights is counted")
+    {
+        Counter &outdated = it.registry.counter("godwit_outdated_starts_total", "");
+        first->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+        first->data("id: 1\ndata: a\n\n");
+        CHECK(outdated.value() == 0);
+        it.gateway.handle(request, std::make_shared<ClientView>());
+        it.scheduler.advance(400ms);
+        const auto &second = it.backendCalls.back();
+        second->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+        second->data("id: 1\ndata: a\n\n");
+        CHECK(outdated.value() == 1);
+    }
     SECTION("a response that has started continues")
     {
         first->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
