Date a version from the last time at which the store certainly did not have it

Nothing limits that delay: the links between regions also carry pieces of weights, streams and configurations.

The class of fault: a bound that must hold is derived from an assumed delay. An event now has two times. The earliest one is sound whatever the delay: the service did not have the write then, because a list did not show it or a call waited to its end without it, which confirms a second more than the time at which that call was sent. Entry processes stop older versions by it. The expected one assumes the usual delay and serves the schedule of loads, which no bound rests on; hosts and entries share it as before.

Ruled out: an extended window after a lost connection (it ends before the machine counts again, since the last failure must be over 5 s after the announcement), a stale record of the engine (the staging area holds the newest version by then); a late cancellation is not ruled out.

The new sections of prefixmirrortest and operatorfeedtest fail with the earliest time set as before.

--- a/modules/fleet/include/godwit/fleet/operatorfeed.h
+++ b/modules/fleet/include/godwit/fleet/operatorfeed.h
@@ -34,8 +34,10 @@
     void refresh() { m_mirror.refresh(); }
 
 private:
-    void handlePut(const KeyValueEntry &entry, std::optional<TimePoint> notBefore);
-    std::optional<VersionWindow> versionWindow(std::optional<TimePoint> notBefore) const;
+    void handlePut(const KeyValueEntry &entry, const std::optional<WriteTime> &time);
+    std::optional<VersionWindow> versionWindow(const std::optional<WriteTime> &time) const;
+    /// Time until which versions older than one that was announced at \a announcedAt may serve.
+    TimePoint olderVersionsEnd(TimePoint announcedAt) const;
     void logWantedVersion(const WantedVersion &wanted, StoreRevision revision,
                           const std::optional<VersionWindow> &window) const;
 
--- a/modules/fleet/src/backendfeed.cpp
+++ b/modules/fleet/src/backendfeed.cpp
@@ -21,7 +21,7 @@
     , m_maxRemovalDelay(std::max(Duration::zero(), bounds.drainLimit - RemovalMargin))
     , m_handlers(std::move(handlers))
     , m_mirror(store, scheduler, random, std::string(platform.backendPrefix()),
-               {[this](const KeyValueEntry &entry, std::optional<TimePoint>) { handlePut(entry); },
+               {[this](const KeyValueEntry &entry, const auto &) { handlePut(entry); },
                 [this](const std::string &key) { handleRemoved(key); },
                 [this](TimePoint) {
                     m_isUpToDate = true;
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -140,8 +140,7 @@
     BackendPool &backends = m_gateway.backends();
     if (window)
         backends.announceVersion(wanted.model, wanted.version, *window);
-    const TimePoint deadline =
-            window ? std::max(now, window->announcedAt + window->gracePeriod - VersionMargin) : now;
+    const TimePoint deadline = window ? std::max(now, window->earliestEnd() - VersionMargin) : now;
     backends.requireVersion(wanted.model, wanted.version, deadline);
 }
 
--- a/modules/fleet/src/operatorfeed.cpp
+++ b/modules/fleet/src/operatorfeed.cpp
@@ -14,8 +14,8 @@
     , m_bounds(bounds)
     , m_handlers(std::move(handlers))
     , m_mirror(store, scheduler, random, std::string(prefix),
-               {[this](const KeyValueEntry &entry, std::optional<TimePoint> notBefore) {
-                    handlePut(entry, notBefore);
+               {[this](const KeyValueEntry &entry, const std::optional<WriteTime> &time) {
+                    handlePut(entry, time);
                 },
                 [](const std::string &) {},
                 [this](TimePoint asOf) { m_handlers.onConfirmed(asOf); },
@@ -26,18 +26,22 @@
                 }})
 {}
 
-std::optional<VersionWindow> OperatorFeed::versionWindow(std::optional<TimePoint> notBefore) const
+TimePoint OperatorFeed::olderVersionsEnd(TimePoint announcedAt) const
 {
-    if (!notBefore)
-        return std::nullopt;
-    VersionWindow window{*notBefore, m_bounds.versionChangeLimit};
+    const TimePoint end = announcedAt + m_bounds.versionChangeLimit;
     // A version specified during an outage need not be in effect immediately after it. The last
     // failed call is a lower bound for the end of the outage.
-    if (const auto failure = m_mirror.lastFailure())
-        window.gracePeriod =
-                std::max(window.gracePeriod,
-                         *failure + m_bounds.reconnectionGracePeriod - window.announcedAt);
-    return window;
+    const auto failure = m_mirror.lastFailure();
+    return failure ? std::max(end, *failure + m_bounds.reconnectionGracePeriod) : end;
+}
+
+std::optional<VersionWindow> OperatorFeed::versionWindow(const std::optional<WriteTime> &time) const
+{
+    if (!time)
+        return std::nullopt;
+    const TimePoint end = olderVersionsEnd(time->expected);
+    return VersionWindow{time->expected, end - time->expected,
+                         end - olderVersionsEnd(time->earliest)};
 }
 
 void OperatorFeed::logWantedVersion(const WantedVersion &wanted, StoreRevision revision,
@@ -50,13 +54,14 @@
         const TimePoint now = m_scheduler.now();
         fields["announced_ms_ago"] = toMilliseconds(now - window->announcedAt);
         fields["grace_ms"] = toMilliseconds(window->gracePeriod);
+        fields["uncertainty_ms"] = toMilliseconds(window->uncertainty);
         if (const auto failure = m_mirror.lastFailure())
             fields["store_failed_ms_ago"] = toMilliseconds(now - *failure);
     }
     logStateChange("version_wanted", fields);
 }
 
-void OperatorFeed::handlePut(const KeyValueEntry &entry, std::optional<TimePoint> notBefore)
+void OperatorFeed::handlePut(const KeyValueEntry &entry, const std::optional<WriteTime> &time)
 {
     auto decoded = capture([&] { return m_platform.decodeOperatorRecord(entry); });
     if (const auto *error = std::get_if<Error>(&decoded)) {
@@ -68,7 +73,7 @@
     if (auto *configuration = std::get_if<GatewayConfiguration>(&record)) {
         m_handlers.onConfiguration(std::move(*configuration));
     } else if (const auto *wanted = std::get_if<WantedVersion>(&record)) {
-        const auto window = versionWindow(notBefore);
+        const auto window = versionWindow(time);
         logWantedVersion(*wanted, entry.modified, window);
         m_handlers.onVersion(*wanted, window);
     }
--- a/modules/fleet/tests/operatorfeedtest.cpp
+++ b/modules/fleet/tests/operatorfeedtest.cpp
@@ -68,6 +68,17 @@
         CHECK(it.olderVersionsDeadline()
               >= it.scheduler.now() + it.bounds.versionChangeLimit - 500ms);
     }
+    // Guards against an entry process that sends requests to older weights for too long because the
+    // event of the version was delayed on a busy link.
+    SECTION("older versions are certain to serve only from the last time at which it was absent")
+    {
+        const TimePoint absent = it.scheduler.now();
+        it.scheduler.advance(900ms);
+        it.setVersion(2, 11);
+        const VersionWindow window = it.versions.back().second.value();
+        CHECK(window.earliestEnd() == absent + it.bounds.versionChangeLimit);
+        CHECK(window.end() > window.earliestEnd());
+    }
     // A version is specified during an outage of the store that lasts longer than its version
     // change may take. Guards against excluding all engines as soon as the outage ends, which is
     // seconds before any host has received the weights.
@@ -84,6 +95,7 @@
         it.setVersion(2, 11);
         CHECK(it.olderVersionsDeadline() == lastFailure + it.bounds.reconnectionGracePeriod);
         CHECK(it.olderVersionsDeadline() > it.scheduler.now());
+        CHECK(it.versions.back().second->earliestEnd() == it.olderVersionsDeadline());
         CHECK(it.versions.back().second->gracePeriod > it.bounds.versionChangeLimit);
     }
 }
--- a/modules/gateway/include/godwit/gateway/loadschedule.h
+++ b/modules/gateway/include/godwit/gateway/loadschedule.h
@@ -13,8 +13,14 @@
 /// Period after the announcement of a version in which older versions may still serve.
 struct VersionWindow
 {
-    TimePoint announcedAt;
+    TimePoint announcedAt; ///< Estimate.
     Duration gracePeriod{0};
+    /// The period may end this much earlier, because the announcement may be older than estimated.
+    Duration uncertainty{0};
+
+    TimePoint end() const { return announcedAt + gracePeriod; }
+    /// Older versions may certainly serve until then.
+    TimePoint earliestEnd() const { return end() - uncertainty; }
 
     friend bool operator==(const VersionWindow &, const VersionWindow &) = default;
 };
--- a/modules/gateway/src/loadschedule.cpp
+++ b/modules/gateway/src/loadschedule.cpp
@@ -59,9 +59,7 @@
             + std::chrono::duration_cast<Duration>(FirstLoadShare * newest.gracePeriod);
     const auto firstMissed =
             std::ranges::upper_bound(m_announcedVersions, served, {}, &AnnouncedVersion::version);
-    const TimePoint last =
-            std::max(first, firstMissed->window.announcedAt + firstMissed->window.gracePeriod
-                                    - LastLoadMargin);
+    const TimePoint last = std::max(first, firstMissed->window.end() - LastLoadMargin);
     return first + std::chrono::duration_cast<Duration>(rank->second * (last - first));
 }
 
--- a/modules/mirror/include/godwit/mirror/prefixmirror.h
+++ b/modules/mirror/include/godwit/mirror/prefixmirror.h
@@ -13,12 +13,20 @@
 
 namespace godwit {
 
+/// When a key was written, as far as the responses of the service tell.
+struct WriteTime
+{
+    TimePoint earliest; ///< The service did not have the write before; any delay is covered.
+    TimePoint expected; ///< Estimate that assumes the usual delay of an event; not before earliest.
+
+    friend bool operator==(const WriteTime &, const WriteTime &) = default;
+};
+
 /// Callbacks of a PrefixMirror, called on the thread of its KeyValuePort.
 struct MirrorHandlers
 {
-    /// The key was written. \a notBefore is the latest time at which the service is known not to
-    /// have had the write; empty if the key existed when the mirror started.
-    std::function<void(const KeyValueEntry &, std::optional<TimePoint> notBefore)> onPut;
+    /// The key was written at \a time; empty if the key existed when the mirror started.
+    std::function<void(const KeyValueEntry &, const std::optional<WriteTime> &time)> onPut;
     std::function<void(const std::string &key)> onRemoved;
     /// All writes that the service had accepted by \a requestTime have been reported.
     std::function<void(TimePoint requestTime)> onConfirmed;
@@ -34,18 +42,14 @@
 public:
     static constexpr Duration MinBackoff = std::chrono::milliseconds(30);
     static constexpr Duration MaxBackoff = std::chrono::milliseconds(1000);
-    /// Upper bound of the time from a write to its event while a watch call is waiting. Links may
-    /// be busy with the same event for other processes.
-    static constexpr Duration MaxEventDelay = std::chrono::milliseconds(400);
+    /// Usual upper bound of the time from a write to its event while a watch call is waiting. Busy
+    /// links delay it further, so that only estimates may rest on it.
+    static constexpr Duration UsualEventDelay = std::chrono::milliseconds(400);
     /// An event that arrives within this time of the start of its call may report a write from
     /// before the call, since the last confirmation: the response of the previous call may have
     /// been delayed, by a large value for example.
     static constexpr Duration ImmediateEvent = std::chrono::milliseconds(150);
 
-    /// A response with larger values than this takes longer than MaxEventDelay on a busy link, and
-    /// so may the next one. Their events are dated from the last confirmation.
-    static constexpr std::size_t LargeResponseBytes = 32UL * 1024;
-
     PrefixMirror(KeyValuePort &store, Scheduler &scheduler, Random random, std::string prefix,
                  MirrorHandlers handlers);
     ~PrefixMirror();
@@ -70,8 +74,10 @@
     void onWatchEvents(const std::vector<WatchEvent> &events);
     void onWatchConfirmed(StoreRevision current, TimePoint requestTime);
     void onWatchEnd(const Outcome<Done> &outcome);
-    void apply(const KeyValueEntry &entry, std::optional<TimePoint> notBefore);
-    std::optional<TimePoint> earliestEventTime() const;
+    void apply(const KeyValueEntry &entry, const std::optional<WriteTime> &time);
+    std::optional<WriteTime> eventWriteTime() const;
+    /// No write before \a time is missing among those that have been reported.
+    void recordCompleteUntil(TimePoint time);
     void remove(const std::string &key, StoreRevision revision);
     void onCallFailed(const Error &error, void (PrefixMirror::*retryCall)());
     void onCallSucceeded();
@@ -86,12 +92,13 @@
     StoreRevision m_revision;   ///< Revision up to which all writes have been reported.
     TimePoint m_watchCallStart; ///< Start of the current call of the watch.
     std::optional<TimePoint> m_confirmedAt;
+    /// Writes that are reported from now on were made after this time. Later than m_confirmedAt if
+    /// a call has waited without an event.
+    std::optional<TimePoint> m_completeUntil;
     std::optional<TimePoint> m_lastFailure;
     Duration m_backoff = MinBackoff;
     bool m_reachable = true;
     bool m_isListing = false;
-    bool m_isLargeResponse = false;      ///< Of the current response of the watch.
-    bool m_isAfterLargeResponse = false; ///< Of the response before it.
     std::shared_ptr<CallHandle> m_watch;
     std::unique_ptr<Timer> m_retry;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/modules/mirror/src/prefixmirror.cpp
+++ b/modules/mirror/src/prefixmirror.cpp
@@ -64,16 +64,20 @@
 
 void PrefixMirror::applyList(TimePoint requestTime, const KeyValueList &found)
 {
+    std::optional<WriteTime> listed;
+    if (m_completeUntil)
+        listed = WriteTime{*m_completeUntil, *m_completeUntil};
     std::set<std::string> present;
     for (const KeyValueEntry &entry : found.entries) {
         present.insert(entry.key);
-        apply(entry, m_confirmedAt);
+        apply(entry, listed);
     }
     for (const auto &[key, revision] : std::map(m_keys)) {
         if (!present.contains(key))
             remove(key, found.revision);
     }
     m_confirmedAt = std::max(m_confirmedAt.value_or(requestTime), requestTime);
+    recordCompleteUntil(requestTime);
     m_handlers.onConfirmed(*m_confirmedAt);
 }
 
@@ -90,6 +94,10 @@
         if (guard())
             onWatchEvents(events);
     };
+    handlers.onQuietUntil = [this, guard](TimePoint time) {
+        if (guard())
+            recordCompleteUntil(time);
+    };
     handlers.onConfirmed = [this, guard](StoreRevision current, TimePoint requestTime) {
         if (guard())
             onWatchConfirmed(current, requestTime);
@@ -104,16 +112,12 @@
 void PrefixMirror::onWatchEvents(const std::vector<WatchEvent> &events)
 {
     onCallSucceeded();
-    std::size_t bytes = 0;
-    for (const WatchEvent &event : events)
-        bytes += event.entry.value.size();
-    m_isLargeResponse = bytes > LargeResponseBytes;
-    const auto notBefore = earliestEventTime();
+    const auto time = eventWriteTime();
     for (const WatchEvent &event : events) {
         if (event.deleted)
             remove(event.entry.key, event.entry.modified);
         else
-            apply(event.entry, notBefore);
+            apply(event.entry, time);
         m_revision = std::max(m_revision, event.entry.modified);
     }
 }
@@ -122,8 +126,8 @@
 {
     onCallSucceeded();
     m_revision = std::max(m_revision, current);
-    m_isAfterLargeResponse = std::exchange(m_isLargeResponse, false);
     m_confirmedAt = std::max(m_confirmedAt.value_or(requestTime), requestTime);
+    recordCompleteUntil(requestTime);
     m_handlers.onConfirmed(*m_confirmedAt);
 }
 
@@ -140,22 +144,29 @@
     }
 }
 
-std::optional<TimePoint> PrefixMirror::earliestEventTime() const
+std::optional<WriteTime> PrefixMirror::eventWriteTime() const
 {
+    if (!m_completeUntil)
+        return std::nullopt;
     const TimePoint now = m_scheduler.now();
-    if (!m_confirmedAt || now - m_watchCallStart <= ImmediateEvent || m_isLargeResponse
-        || m_isAfterLargeResponse)
-        return m_confirmedAt;
-    return std::max(*m_confirmedAt, now - MaxEventDelay);
+    WriteTime time{*m_completeUntil, *m_completeUntil};
+    if (now - m_watchCallStart > ImmediateEvent)
+        time.expected = std::max(time.earliest, now - UsualEventDelay);
+    return time;
+}
+
+void PrefixMirror::recordCompleteUntil(TimePoint time)
+{
+    m_completeUntil = std::max(m_completeUntil.value_or(time), time);
 }
 
-void PrefixMirror::apply(const KeyValueEntry &entry, std::optional<TimePoint> notBefore)
+void PrefixMirror::apply(const KeyValueEntry &entry, const std::optional<WriteTime> &time)
 {
     StoreRevision &known = m_keys[entry.key];
     if (entry.modified <= known)
         return;
     known = entry.modified;
-    m_handlers.onPut(entry, notBefore);
+    m_handlers.onPut(entry, time);
 }
 
 void PrefixMirror::remove(const std::string &key, StoreRevision revision)
--- a/modules/mirror/tests/prefixmirrortest.cpp
+++ b/modules/mirror/tests/prefixmirrortest.cpp
@@ -53,15 +53,15 @@
     VirtualScheduler scheduler;
     FakeStore store;
     std::vector<std::string> log;
-    std::vector<std::optional<TimePoint>> notBefore;
+    std::vector<std::optional<WriteTime>> times;
     std::optional<TimePoint> confirmedAt;
     PrefixMirror mirror{store,
                         scheduler,
                         Random(1),
                         "p/",
-                        {[this](const KeyValueEntry &it, std::optional<TimePoint> earliest) {
+                        {[this](const KeyValueEntry &it, const std::optional<WriteTime> &time) {
                              log.push_back("put " + it.key + '=' + it.value);
-                             notBefore.push_back(earliest);
+                             times.push_back(time);
                          },
                          [this](const std::string &key) { log.push_back("removed " + key); },
                          [this](TimePoint asked) { confirmedAt = asked; },
@@ -90,7 +90,7 @@
         REQUIRE(it.store.watches.size() == 1);
         CHECK(it.store.watches[0].first == StoreRevision{11});
         CHECK(it.confirmedAt == it.scheduler.now());
-        CHECK_FALSE(it.notBefore[0]);
+        CHECK_FALSE(it.times[0]);
 
         SECTION("an event older than the known revision is ignored")
         {
@@ -98,22 +98,46 @@
             it.store.watches[0].second.onEvents({{entry("p/a", "0", 5), false}});
             CHECK(it.log.empty());
         }
-        SECTION("an event late in a watch call reports a recent write")
+        SECTION("an event late in a watch call probably reports a recent write")
         {
             it.scheduler.advance(800ms);
             it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
-            CHECK(it.notBefore.back() == it.scheduler.now() - PrefixMirror::MaxEventDelay);
+            CHECK(it.times.back()->expected == it.scheduler.now() - PrefixMirror::UsualEventDelay);
+        }
+        // Links between regions carry pieces of weights, streams and configurations as well.
+        // Guards against a version that is taken for newer than it is, so that engines with older
+        // weights would be used after their time.
+        SECTION("an event that was delayed on its way may be as old as the last confirmation")
+        {
+            const TimePoint confirmed = it.scheduler.now();
+            it.scheduler.advance(1500ms);
+            const TimePoint written = it.scheduler.now();
+            it.scheduler.advance(900ms);
+            it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
+            CHECK(it.times.back()->earliest <= written);
+            CHECK(it.times.back()->earliest == confirmed);
+        }
+        SECTION("an event was written after the end of a call that waited in vain")
+        {
+            it.scheduler.advance(1050ms);
+            const TimePoint quietUntil = it.scheduler.now() - 50ms;
+            it.store.watches[0].second.onQuietUntil(quietUntil);
+            it.store.watches[0].second.onConfirmed(StoreRevision{11}, it.scheduler.now() - 1050ms);
+            it.store.watches[0].second.onPollStarted();
+            it.scheduler.advance(900ms);
+            it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
+            CHECK(it.times.back()->earliest == quietUntil);
+            CHECK(it.confirmedAt == quietUntil - 1000ms);
         }
         SECTION("an event early in a watch call may be as old as the last confirmation")
         {
             const TimePoint confirmed = it.scheduler.now();
             it.scheduler.advance(100ms);
             it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
-            CHECK(it.notBefore.back() == confirmed);
+            CHECK(it.times.back() == WriteTime{confirmed, confirmed});
         }
         // Load pattern: a configuration of hundreds of kilobytes is sent to all entry processes,
-        // and a version is named meanwhile. Guards against the version being taken for newer than
-        // it is, so that engines with older weights would be used after their time.
+        // and a version is named meanwhile.
         SECTION("an event early in a watch call may have been written while the response before it "
                 "was on its way")
         {
@@ -124,29 +148,29 @@
             it.store.watches[0].second.onPollStarted();
             it.scheduler.advance(20ms);
             it.store.watches[0].second.onEvents({{entry("p/a", "3", 12), false}});
-            CHECK(it.notBefore.back() == requested);
+            CHECK(it.times.back() == WriteTime{requested, requested});
         }
         // The response with the configuration takes a second on the links that all of them share.
-        SECTION("an event in a large response, or in the one after it, dates from the last "
+        SECTION("an event in a large response, or in the one after it, may be as old as the last "
                 "confirmation")
         {
             const TimePoint requested = it.scheduler.now();
-            const std::string large(PrefixMirror::LargeResponseBytes + 1, 'x');
+            const std::string large(64UL * 1024, 'x');
             it.scheduler.advance(1500ms);
             it.store.watches[0].second.onEvents(
                     {{entry("p/large", large, 11), false}, {entry("p/a", "3", 12), false}});
-            CHECK(it.notBefore.back() == requested);
+            CHECK(it.times.back()->earliest == requested);
             const TimePoint next = it.scheduler.now();
             it.store.watches[0].second.onConfirmed(StoreRevision{12}, requested);
             it.store.watches[0].second.onPollStarted();
             it.scheduler.advance(900ms);
             it.store.watches[0].second.onEvents({{entry("p/a", "4", 13), false}});
-            CHECK(it.notBefore.back() == requested);
+            CHECK(it.times.back()->earliest == requested);
             it.store.watches[0].second.onConfirmed(StoreRevision{13}, next);
             it.store.watches[0].second.onPollStarted();
             it.scheduler.advance(900ms);
             it.store.watches[0].second.onEvents({{entry("p/a", "5", 14), false}});
-            CHECK(it.notBefore.back() == it.scheduler.now() - PrefixMirror::MaxEventDelay);
+            CHECK(it.times.back()->earliest == next);
         }
         SECTION("a refresh reports what a silent watch has missed, and keeps the watch")
         {
--- a/modules/ports/include/godwit/ports/watchhandlers.h
+++ b/modules/ports/include/godwit/ports/watchhandlers.h
@@ -22,6 +22,9 @@
     /// Called when a watch that polls the service sends a request. Adapters that use one endless
     /// call do not call it.
     std::function<void()> onPollStarted = {};
+    /// Called when the service answered only at the end of the wait that the request allowed: no
+    /// watched key was written before \a time.
+    std::function<void(TimePoint time)> onQuietUntil = {};
     /// Called when all writes that the service had accepted at \a requestTime have been reported.
     /// Adapters of services that do not confirm their watches do not call it.
     std::function<void(StoreRevision current, TimePoint requestTime)> onConfirmed = {};
--- a/standins/tests/fleetstoretest.cpp
+++ b/standins/tests/fleetstoretest.cpp
@@ -7,7 +7,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
+#include <string>
+#include <vector>
 
 using namespace godwit;
 using namespace std::chrono_literals;
@@ -109,13 +112,45 @@
     }
 }
 
+// Guards against a watch that claims to have waited although the service answered with an event: a
+// version would be taken for newer than it is.
+TEST_CASE("PlatformStore tells whether a watch call has waited in vain")
+{
+    Fixture it;
+    std::vector<std::string> log;
+    TimePoint pollStart;
+    TimePoint quietUntil;
+    WatchHandlers handlers;
+    handlers.onPollStarted = [&] { pollStart = it.scheduler.now(); };
+    handlers.onQuietUntil = [&](TimePoint time) {
+        log.emplace_back("quiet");
+        quietUntil = time;
+        CHECK(time >= pollStart + 50ms);
+        CHECK(time <= it.scheduler.now());
+    };
+    handlers.onEvents = [&](const auto &) { log.emplace_back("event"); };
+    handlers.onConfirmed = [&](StoreRevision, TimePoint requestTime) {
+        log.emplace_back("confirmed");
+        CHECK(requestTime >= pollStart - 1ms);
+    };
+    handlers.onEnd = [](const Outcome<Done> &) {};
+    const auto watch = it.store.watch("p/", StoreRevision{1}, handlers);
+    runUntil(it.io, [&] { return log.size() == 2; });
+    CHECK(log == std::vector<std::string>{"quiet", "confirmed"});
+    it.standin.put("p/a", "1");
+    runUntil(it.io, [&] { return std::ranges::find(log, "event") != log.end(); });
+    runUntil(it.io, [&] { return log.back() == "confirmed"; });
+    CHECK(log[log.size() - 2] == "event");
+    watch->cancel();
+}
+
 TEST_CASE("PrefixMirror follows the simulated store through refused calls and a compaction")
 {
     Fixture it;
     std::map<std::string, std::string> seen;
     bool confirmed = false;
     PrefixMirror mirror(it.store, it.scheduler, Random(1), "p/",
-                        {[&](const KeyValueEntry &entry, std::optional<TimePoint>) {
+                        {[&](const KeyValueEntry &entry, const std::optional<WriteTime> &) {
                              seen[entry.key] = entry.value;
                          },
                          [&](const std::string &key) { seen.erase(key); },
