Stop content that crashes backend servers, with what all entry processes have seen

CrashSuspects attributes a crash to the content of the requests that waited for their response there, as far as no engine has ever begun to answer it; after the second crash the content is suspended. CrashReportExchange gives each process the crashes that the others have seen, through one key each in the store.

The tests are new; the gateway without the change sends all of their requests on.

--- /dev/null
+++ b/modules/fleet/include/godwit/fleet/crashreportexchange.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <godwit/gateway/crashreport.h>
+#include <godwit/mirror/prefixmirror.h>
+#include <godwit/ports/keyvalueport.h>
+#include <godwit/ports/scheduler.h>
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace godwit {
+
+/// What one entry process tells the others about crashes of backend servers.
+struct CrashKnowledge
+{
+    std::vector<CrashReport> crashes;
+    std::vector<ContentKey> harmless; ///< Suspects of others to which an answer has begun here.
+
+    friend bool operator==(const CrashKnowledge &, const CrashKnowledge &) = default;
+};
+
+/// Exchanges crash reports between entry processes through the key-value service. Each process
+/// writes one key, under a lease, with what it has learned in the last ten minutes, and watches the
+/// keys of all. Without the service each process learns by itself; what could not be written is
+/// written later. Callbacks run on the thread of the KeyValuePort.
+class CrashReportExchange
+{
+public:
+    struct Handlers
+    {
+        std::function<void(const CrashReport &)> onCrash;
+        std::function<void(const ContentKey &)> onHarmless;
+    };
+
+    static constexpr std::string_view Prefix = "crashes/";
+    /// Life of a report, also if the process that wrote it ends.
+    static constexpr Duration ReportLifetime = std::chrono::minutes(10);
+    /// Reports of crashes that happen together are written together.
+    static constexpr Duration BatchDelay = std::chrono::milliseconds(20);
+    static constexpr Duration RetryDelay = std::chrono::milliseconds(500);
+    static constexpr std::size_t MaxReports = 64;
+    static constexpr std::size_t MaxHarmlessKeys = 64;
+
+    /// \a name identifies this process among all entry processes.
+    CrashReportExchange(KeyValuePort &store, Scheduler &scheduler, Random random,
+                        const std::string &name, Handlers handlers);
+
+    void start() { m_mirror.start(); }
+
+    void publish(const CrashReport &report);
+    void publishHarmless(const ContentKey &key);
+
+private:
+    struct TimedReport
+    {
+        TimePoint at;
+        CrashReport report;
+    };
+
+    void handlePut(const KeyValueEntry &entry);
+    void scheduleWrite(Duration delay);
+    void write();
+    void requestLease();
+    void writeWithLease();
+    void onWritten(const Outcome<StoreRevision> &outcome);
+    void readRevision();
+    std::string encodeKnowledge() const;
+    void dropExpired();
+
+    /// Wraps \a function in a completion that does nothing once this object has been destroyed.
+    template <typename T, typename Function>
+    Completion<T> bindWeak(Function function)
+    {
+        return [alive = std::weak_ptr(m_alive), function](const Outcome<T> &outcome) {
+            if (!alive.expired())
+                function(outcome);
+        };
+    }
+
+    KeyValuePort &m_store;
+    Scheduler &m_scheduler;
+    std::string m_key;
+    Handlers m_handlers;
+    std::deque<TimedReport> m_reports; ///< Oldest first.
+    std::deque<ContentKey> m_harmless;
+    std::optional<LeaseId> m_lease;
+    TimePoint m_leaseGrantedAt;
+    StoreRevision m_revision; ///< Of the last write of the own key; 0 if it does not exist.
+    bool m_isWriting = false;
+    bool m_isChanged = false; ///< Since the write in progress began.
+    std::unique_ptr<Timer> m_writeTimer;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+    PrefixMirror m_mirror;
+};
+
+} // namespace godwit
--- /dev/null
+++ b/modules/fleet/src/crashreportexchange.cpp
@@ -0,0 +1,174 @@
+#include <godwit/fleet/crashreportexchange.h>
+
+#include <godwit/base/json.h>
+#include <godwit/observe/log.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace godwit {
+
+template <>
+struct JsonFields<BackendInstance>
+{
+    static constexpr auto table = std::tuple{field("backend", &BackendInstance::id),
+                                             field("born_ms", &BackendInstance::startTimeMs)};
+};
+
+template <>
+struct JsonFields<CrashReport>
+{
+    static constexpr auto table = std::tuple{field("instance", &CrashReport::instance),
+                                             field("suspects", &CrashReport::suspects)};
+};
+
+template <>
+struct JsonFields<CrashKnowledge>
+{
+    static constexpr auto table = std::tuple{field("crashes", &CrashKnowledge::crashes),
+                                             field("harmless", &CrashKnowledge::harmless)};
+};
+
+CrashReportExchange::CrashReportExchange(KeyValuePort &store, Scheduler &scheduler, Random random,
+                                         const std::string &name, Handlers handlers)
+    : m_store(store)
+    , m_scheduler(scheduler)
+    , m_key(std::string(Prefix) + name)
+    , m_handlers(std::move(handlers))
+    , m_mirror(store, scheduler, random, std::string(Prefix),
+               {[this](const KeyValueEntry &entry, const auto &) { handlePut(entry); },
+                [](const std::string &) {}, [](TimePoint) {},
+                [](bool reachable, const std::string &problem) {
+                    logStateChange(reachable ? "store_regained" : "store_lost",
+                                   {{"keys", std::string(Prefix)}, {"problem", problem}},
+                                   reachable ? LogLevel::Info : LogLevel::Warning);
+                }})
+{}
+
+void CrashReportExchange::handlePut(const KeyValueEntry &entry)
+{
+    if (entry.key == m_key)
+        return;
+    const auto decoded = capture([&] { return parseJson<CrashKnowledge>(entry.value); });
+    if (const auto *error = std::get_if<Error>(&decoded)) {
+        logStateChange("crash_report_refused", {{"key", entry.key}, {"problem", toString(*error)}},
+                       LogLevel::Warning);
+        return;
+    }
+    const auto &knowledge = std::get<0>(decoded);
+    for (const ContentKey &it : knowledge.harmless)
+        m_handlers.onHarmless(it);
+    for (const CrashReport &it : knowledge.crashes)
+        m_handlers.onCrash(it);
+}
+
+void CrashReportExchange::publish(const CrashReport &report)
+{
+    m_reports.push_back({m_scheduler.now(), report});
+    if (m_reports.size() > MaxReports)
+        m_reports.pop_front();
+    scheduleWrite(BatchDelay);
+}
+
+void CrashReportExchange::publishHarmless(const ContentKey &key)
+{
+    if (std::ranges::find(m_harmless, key) != m_harmless.end())
+        return;
+    m_harmless.push_back(key);
+    if (m_harmless.size() > MaxHarmlessKeys)
+        m_harmless.pop_front();
+    scheduleWrite(BatchDelay);
+}
+
+void CrashReportExchange::scheduleWrite(Duration delay)
+{
+    m_isChanged = true;
+    if (m_isWriting || m_writeTimer)
+        return;
+    m_writeTimer = m_scheduler.after(delay, [this] {
+        const auto timer = std::move(m_writeTimer);
+        write();
+    });
+}
+
+void CrashReportExchange::write()
+{
+    m_isWriting = true;
+    m_isChanged = false;
+    dropExpired();
+    // A report lives for at least half of the lifetime.
+    if (m_lease && m_scheduler.now() < m_leaseGrantedAt + ReportLifetime / 2)
+        writeWithLease();
+    else
+        requestLease();
+}
+
+void CrashReportExchange::requestLease()
+{
+    const TimePoint requestedAt = m_scheduler.now();
+    m_store.grantLease(ReportLifetime,
+                       bindWeak<LeaseId>([this, requestedAt](const Outcome<LeaseId> &outcome) {
+                           if (const auto *error = std::get_if<Error>(&outcome)) {
+                               onWritten(*error);
+                               return;
+                           }
+                           m_lease = std::get<0>(outcome);
+                           m_leaseGrantedAt = requestedAt;
+                           writeWithLease();
+                       }));
+}
+
+void CrashReportExchange::writeWithLease()
+{
+    m_store.compareAndSwap(m_key, m_revision, encodeKnowledge(), *m_lease,
+                           bindWeak<StoreRevision>([this](const Outcome<StoreRevision> &outcome) {
+                               onWritten(outcome);
+                           }));
+}
+
+void CrashReportExchange::onWritten(const Outcome<StoreRevision> &outcome)
+{
+    const auto *error = std::get_if<Error>(&outcome);
+    if (!error) {
+        m_revision = std::get<0>(outcome);
+        m_isWriting = false;
+        if (m_isChanged)
+            scheduleWrite(BatchDelay);
+        return;
+    }
+    if (error->code == ResultCode::LeaseExpired)
+        m_lease.reset();
+    logStateChange("crash_report_not_written", {{"key", m_key}, {"problem", toString(*error)}},
+                   LogLevel::Warning);
+    // An earlier write, or that of an earlier process of this name, may have taken effect.
+    readRevision();
+}
+
+void CrashReportExchange::readRevision()
+{
+    m_store.get(m_key, bindWeak<std::optional<KeyValueEntry>>(
+                               [this](const Outcome<std::optional<KeyValueEntry>> &outcome) {
+                                   if (const auto *found =
+                                               std::get_if<std::optional<KeyValueEntry>>(&outcome))
+                                       m_revision = *found ? (*found)->modified : StoreRevision{};
+                                   m_isWriting = false;
+                                   scheduleWrite(RetryDelay);
+                               }));
+}
+
+std::string CrashReportExchange::encodeKnowledge() const
+{
+    CrashKnowledge knowledge;
+    for (const TimedReport &it : m_reports)
+        knowledge.crashes.push_back(it.report);
+    knowledge.harmless.assign(m_harmless.begin(), m_harmless.end());
+    return toJsonText(knowledge);
+}
+
+void CrashReportExchange::dropExpired()
+{
+    while (!m_reports.empty() && m_scheduler.now() >= m_reports.front().at + ReportLifetime)
+        m_reports.pop_front();
+}
+
+} // namespace godwit
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -72,10 +72,13 @@
                 {m_scheduler, m_platform.callerProtocol(), m_gatewayMetrics,
                  [this](HttpCall call, HttpStreamHandlers handlers) {
                      return m_backendClient.stream(std::move(call), std::move(handlers));
-                 }},
+                 },
+                 [this](const CrashReport &report) { m_crashReports.publish(report); },
+                 [this](const ContentKey &key) { m_crashReports.publishHarmless(key); }},
                 newRandom())
     , m_operatorStore(openStore(operatorPollIntervals(m_settings.bounds)))
     , m_backendStore(openStore(backendPollIntervals(m_settings.bounds)))
+    , m_crashStore(openStore(crashReportPollIntervals()))
     , m_operatorFeed(
               m_platform, m_platform.operatorPrefix(), *m_operatorStore, m_scheduler,
               m_settings.bounds, newRandom(),
@@ -95,6 +98,9 @@
                          logStateChange("backend_removed", {{"backend", id.value()}});
                          m_gateway.backends().remove(id);
                      }})
+    , m_crashReports(*m_crashStore, m_scheduler, newRandom(), m_settings.listen.callers.address,
+                     {[this](const CrashReport &report) { mergeCrashReport(report); },
+                      [this](const ContentKey &key) { m_gateway.recordHarmless(key); }})
     , m_gracefulStop(m_scheduler, {[this] { m_clientServer->closeAfterReplies(); },
                                    [this] { m_clientServer->stopAccepting(); },
                                    [this] { return m_clientServer->openConnections(); },
@@ -122,6 +128,7 @@
                       }));
     m_operatorFeed.start();
     m_backendFeed.start();
+    m_crashReports.start();
     return {};
 }
 
@@ -133,6 +140,12 @@
     m_gateway.setConfiguration(std::make_shared<const RouteTable>(std::move(configuration)));
 }
 
+void EntryProcess::mergeCrashReport(const CrashReport &report)
+{
+    for (const ContentKey &it : m_gateway.mergeCrashReport(report))
+        m_crashReports.publishHarmless(it);
+}
+
 void EntryProcess::onVersionWanted(const WantedVersion &wanted,
                                    const std::optional<VersionWindow> &window)
 {
--- a/modules/fleet/src/entryprocess.h
+++ b/modules/fleet/src/entryprocess.h
@@ -4,6 +4,7 @@
 #include "gracefulstop.h"
 
 #include <godwit/fleet/backendfeed.h>
+#include <godwit/fleet/crashreportexchange.h>
 #include <godwit/fleet/operatorfeed.h>
 #include <godwit/gateway/gateway.h>
 
@@ -22,6 +23,7 @@
 
 private:
     void applyConfiguration(GatewayConfiguration configuration);
+    void mergeCrashReport(const CrashReport &report);
     void onVersionWanted(const WantedVersion &wanted, const std::optional<VersionWindow> &window);
     void onStopped(std::size_t requestsLeft);
 
@@ -30,8 +32,10 @@
     Gateway m_gateway;
     std::unique_ptr<KeyValuePort> m_operatorStore;
     std::unique_ptr<KeyValuePort> m_backendStore;
+    std::unique_ptr<KeyValuePort> m_crashStore;
     OperatorFeed m_operatorFeed;
     BackendFeed m_backendFeed;
+    CrashReportExchange m_crashReports;
     std::unique_ptr<HttpServer> m_clientServer;
     std::unique_ptr<HttpServer> m_readinessServer;
     GracefulStop m_gracefulStop;
--- a/modules/fleet/src/storepolling.cpp
+++ b/modules/fleet/src/storepolling.cpp
@@ -56,6 +56,11 @@
                       MinVersionPollTimeout, MaxVersionPollTimeout);
 }
 
+PollIntervals crashReportPollIntervals()
+{
+    return {seconds(5), milliseconds(50)};
+}
+
 PollIntervals participantPollIntervals()
 {
     return {seconds(25), seconds(10)};
--- a/modules/fleet/src/storepolling.h
+++ b/modules/fleet/src/storepolling.h
@@ -38,6 +38,11 @@
 /// version tells others.
 Duration versionPollTimeout(std::size_t hosts);
 
+/// Intervals with which an entry process watches the crash reports of the others. There are none
+/// most of the time; the timeout bounds the time until a connection that has gone silent is
+/// noticed.
+PollIntervals crashReportPollIntervals();
+
 /// Intervals with which a host process watches the other hosts, which it needs only for transfers.
 PollIntervals participantPollIntervals();
 
--- /dev/null
+++ b/modules/fleet/tests/crashreportexchangetest.cpp
@@ -0,0 +1,155 @@
+#include <godwit/fleet/crashreportexchange.h>
+
+#include "fakeplatform.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace godwit;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Store that keeps the calls of one process; the test completes them.
+class RecordingStore : public FakeStore
+{
+public:
+    struct Write
+    {
+        std::string key;
+        StoreRevision expected;
+        std::string value;
+        LeaseId lease;
+        Completion<StoreRevision> done;
+    };
+    std::vector<Completion<LeaseId>> leases;
+    std::vector<Write> writes;
+
+    void compareAndSwap(std::string key, StoreRevision expected, std::string value, LeaseId lease,
+                        Completion<StoreRevision> done) override
+    {
+        writes.push_back({std::move(key), expected, std::move(value), lease, std::move(done)});
+    }
+    void grantLease(Duration, Completion<LeaseId> done) override { leases.push_back(done); }
+};
+
+struct Process
+{
+    VirtualScheduler &scheduler;
+    RecordingStore store;
+    std::vector<CrashReport> crashes;
+    std::vector<ContentKey> harmless;
+    CrashReportExchange exchange;
+
+    Process(VirtualScheduler &scheduler, const std::string &name)
+        : scheduler(scheduler)
+        , exchange(store, scheduler, Random(1), name,
+                   {[this](const CrashReport &it) { crashes.push_back(it); },
+                    [this](const ContentKey &it) { harmless.push_back(it); }})
+    {
+        exchange.start();
+        store.completeList(10, {});
+    }
+
+    void receive(const RecordingStore::Write &write, std::uint64_t revision)
+    {
+        store.handlers.onEvents(
+                {{{write.key, write.value, StoreRevision{revision}, write.lease}, false}});
+    }
+};
+
+CrashReport report(const std::string &backend)
+{
+    return {{BackendId(backend), 7}, {ContentKey("k1"), ContentKey("k2")}};
+}
+
+} // namespace
+
+TEST_CASE("CrashReportExchange passes reports on to the other entry processes")
+{
+    VirtualScheduler scheduler;
+    Process writer(scheduler, "one");
+    Process reader(scheduler, "two");
+    writer.exchange.publish(report("b1"));
+    writer.exchange.publish(report("b2"));
+    scheduler.advance(CrashReportExchange::BatchDelay);
+    REQUIRE(writer.store.leases.size() == 1);
+    writer.store.leases[0](LeaseId{5});
+    REQUIRE(writer.store.writes.size() == 1);
+    const auto write = writer.store.writes[0];
+    CHECK(write.lease == LeaseId{5});
+    CHECK(write.expected == StoreRevision{0});
+
+    SECTION("crashes that happen together in one write")
+    {
+        reader.receive(write, 11);
+        CHECK(reader.crashes == std::vector{report("b1"), report("b2")});
+        writer.receive(write, 11);
+        CHECK(writer.crashes.empty());
+    }
+    SECTION("a later one with the same lease, at the revision of the last write")
+    {
+        write.done(StoreRevision{11});
+        writer.exchange.publishHarmless(ContentKey("k3"));
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        REQUIRE(writer.store.writes.size() == 2);
+        CHECK(writer.store.leases.size() == 1);
+        CHECK(writer.store.writes[1].expected == StoreRevision{11});
+        reader.receive(writer.store.writes[1], 12);
+        CHECK(reader.harmless == std::vector{ContentKey("k3")});
+        CHECK(reader.crashes.size() == 2);
+    }
+    SECTION("what is learned during a write follows it")
+    {
+        writer.exchange.publish(report("b3"));
+        scheduler.advance(1s);
+        CHECK(writer.store.writes.size() == 1);
+        write.done(StoreRevision{11});
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        REQUIRE(writer.store.writes.size() == 2);
+        reader.receive(writer.store.writes[1], 12);
+        CHECK(reader.crashes.size() == 3);
+    }
+    // A lost response leaves open whether the write has taken effect.
+    SECTION("a write whose response is lost is repeated at the revision that is found")
+    {
+        write.done(Error{ResultCode::PlatformReplyLost, "reset"});
+        REQUIRE(writer.store.getCalls == 1);
+        writer.store.getDone(std::optional(
+                KeyValueEntry{"crashes/one", write.value, StoreRevision{14}, LeaseId{5}}));
+        scheduler.advance(CrashReportExchange::RetryDelay);
+        REQUIRE(writer.store.writes.size() == 2);
+        CHECK(writer.store.writes[1].expected == StoreRevision{14});
+    }
+    SECTION("a lease that has ended is replaced")
+    {
+        write.done(Error{ResultCode::LeaseExpired, "gone"});
+        writer.store.getDone(std::optional<KeyValueEntry>());
+        scheduler.advance(CrashReportExchange::RetryDelay);
+        REQUIRE(writer.store.leases.size() == 2);
+    }
+    SECTION("reports that are older than their life are not written again")
+    {
+        write.done(StoreRevision{11});
+        scheduler.advance(CrashReportExchange::ReportLifetime);
+        writer.exchange.publish(report("b4"));
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        REQUIRE(writer.store.leases.size() == 2);
+        writer.store.leases[1](LeaseId{6});
+        reader.receive(writer.store.writes.back(), 12);
+        CHECK(reader.crashes == std::vector{report("b4")});
+    }
+    // One malformed message must not end the process or the watch.
+    SECTION("a record that cannot be read is ignored")
+    {
+        for (const std::string text : {"", "{", "[]", "{\"crashes\":3}", "\xff"}) {
+            RecordingStore::Write malformed = write;
+            malformed.value = text;
+            reader.receive(malformed, 20);
+        }
+        reader.receive(write, 40);
+        CHECK(reader.crashes.size() == 2);
+    }
+}
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -4,6 +4,7 @@
 #include <godwit/base/time.h>
 #include <godwit/gateway/backendload.h>
 #include <godwit/gateway/backendrecord.h>
+#include <godwit/gateway/crashreport.h>
 #include <godwit/gateway/gatewayconfiguration.h>
 #include <godwit/gateway/loadschedule.h>
 
@@ -132,6 +133,9 @@
 
     std::size_t size() const { return m_backends.size(); }
 
+    /// The run of \a id that its record describes; without a start time if it is not known.
+    BackendInstance instance(const BackendId &id) const;
+
     /// Number of requests of this process in progress at \a id.
     std::uint32_t inProgress(const BackendId &id) const;
 
--- a/modules/gateway/include/godwit/gateway/clientrequest.h
+++ b/modules/gateway/include/godwit/gateway/clientrequest.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace godwit {
 
@@ -23,6 +24,8 @@
     std::string key;                       ///< API key of the customer; empty if there is none.
     std::optional<Duration> clientTimeout; ///< How long the client waits from its request on.
     ModelId model;                         ///< Empty if the request is not for a model.
+    /// Ids of the parts of the prompt, in order. The last one belongs to this request alone.
+    std::vector<std::string> promptParts;
     std::uint32_t promptTokens = 0;
     std::uint32_t maxOutputTokens = 0;
     std::optional<std::uint32_t> expectedOutputTokens; ///< Estimate of the client.
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include <godwit/base/random.h>
 #include <godwit/gateway/backendpool.h>
 #include <godwit/gateway/callerprotocol.h>
+#include <godwit/gateway/crashsuspects.h>
 #include <godwit/gateway/gatewaymetrics.h>
 #include <godwit/gateway/gatewayoptions.h>
 #include <godwit/gateway/objectivetracker.h>
@@ -38,6 +39,10 @@
         const CallerProtocol &protocol;
         GatewayMetrics &metrics;
         Send send; ///< HttpClient::stream(), or a fake in tests.
+        /// A backend server crashed; the other entry processes should know. May be empty.
+        std::function<void(const CrashReport &)> onCrash = {};
+        /// Content that was suspended is harmless; the others should know. May be empty.
+        std::function<void(const ContentKey &)> onHarmless = {};
     };
 
     Gateway(const GatewayOptions &options, Environment environment, Random random);
@@ -52,6 +57,12 @@
     /// The current configuration includes everything that the store had accepted at \a requestedAt.
     void onConfigurationConfirmed(TimePoint requestedAt);
 
+    /// Takes over the report of a crash that another entry process has seen, and cancels requests
+    /// that must not run because of it. Returns suspects that are known here to be harmless.
+    std::vector<ContentKey> mergeCrashReport(const CrashReport &report);
+    /// Another entry process knows \a key to be harmless.
+    void recordHarmless(const ContentKey &key) { m_crashSuspects.recordHarmless(key); }
+
     void handle(HttpRequest request, std::shared_ptr<HttpReply> reply);
 
     /// Whether requests can be served: a configuration is known, and for each of its models an
@@ -76,6 +87,12 @@
     void refuse(HttpReply &reply, const RequestId &id, int status, const Error &error,
                 Duration retryAfter);
     Duration withJitter(Duration duration);
+    /// \a instance crashed while a request with \a content waited for its response.
+    void recordCrash(const BackendInstance &instance, const RequestContent &content);
+    /// A backend server has begun to answer a request with \a content.
+    void recordStart(const RequestContent &content);
+    /// Cancels the attempts that have not started and whose content is suspended.
+    void cancelSuspended();
     /// Estimates the time that a client spent on earlier attempts at the same request from how far
     /// \a clientTimeout has shrunk below the usual one.
     Duration estimateEarlierWait(const std::string &route, const CustomerId &customer,
@@ -86,6 +103,7 @@
     Random m_random;
     BackendPool m_backends;
     WindowedRetryBudget m_retryBudget;
+    CrashSuspects m_crashSuspects;
     /// Longest client timeout by route and customer, slowly decaying. Kept by customer because
     /// customers may use different timeouts.
     std::map<std::pair<std::string, CustomerId>, Duration> m_longestClientTimeouts;
--- a/modules/gateway/include/godwit/gateway/gatewaymetrics.h
+++ b/modules/gateway/include/godwit/gateway/gatewaymetrics.h
@@ -24,6 +24,8 @@
     void recordAttempt(AttemptOutcome outcome);
     void recordRetry(std::string_view reason);
     void recordClientDisconnect() { m_clientDisconnects.add(1); }
+    /// A request was refused or cancelled because its content crashes backend servers.
+    void recordSuspended() { m_suspended.add(1); }
     /// A response started with weights that were outdated by then.
     void recordOutdatedStart() { m_outdatedStarts.add(1); }
 
@@ -32,6 +34,7 @@
     Counter &m_requests;
     Counter &m_clientDisconnects;
     Counter &m_outdatedStarts;
+    Counter &m_suspended;
     Summary &m_responseTime;
     Summary &m_firstEventTime;
 };
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -543,6 +543,12 @@
     backend->loadReportedAt = now;
 }
 
+BackendInstance BackendPool::instance(const BackendId &id) const
+{
+    const auto it = m_backends.find(id);
+    return {id, it == m_backends.end() ? 0 : it->second.record.startTimeMs};
+}
+
 std::uint32_t BackendPool::inProgress(const BackendId &id) const
 {
     const auto it = m_backends.find(id);
--- /dev/null
+++ b/modules/gateway/src/crashsuspects.cpp
@@ -0,0 +1,165 @@
+#include <godwit/gateway/crashsuspects.h>
+
+#include <algorithm>
+
+namespace godwit {
+
+namespace {
+
+std::vector<ContentKey> allKeys(const RequestContent &content)
+{
+    std::vector<ContentKey> keys = content.sharedParts;
+    keys.push_back(content.whole);
+    return keys;
+}
+
+} // namespace
+
+CrashSuspects::Decision CrashSuspects::decide(const RequestContent &content, TimePoint now)
+{
+    const std::vector<ContentKey> suspended = suspendedKeys(content, now);
+    if (suspended.empty())
+        return Decision::Run;
+    if (std::ranges::any_of(suspended, [this](const ContentKey &it) { return isCertain(it); })) {
+        for (const ContentKey &it : suspended)
+            extendSuspension(it, now);
+        return Decision::Refuse;
+    }
+    if (now < m_nextTrialAt || !hasOtherSuspendedPart(suspended, now))
+        return Decision::Refuse;
+    m_nextTrialAt = now + TrialInterval;
+    return Decision::Trial;
+}
+
+bool CrashSuspects::isSuspended(const RequestContent &content, TimePoint now) const
+{
+    return !suspendedKeys(content, now).empty();
+}
+
+std::vector<ContentKey> CrashSuspects::suspendedKeys(const RequestContent &content,
+                                                     TimePoint now) const
+{
+    std::vector<ContentKey> keys;
+    if (m_suspects.empty())
+        return keys;
+    for (const ContentKey &it : allKeys(content)) {
+        const auto suspect = m_suspects.find(it);
+        if (suspect != m_suspects.end() && now < suspect->second.suspendedUntil)
+            keys.push_back(it);
+    }
+    return keys;
+}
+
+bool CrashSuspects::isCertain(const ContentKey &key) const
+{
+    return m_suspects.at(key).crashes.size() >= CertainCrashes;
+}
+
+bool CrashSuspects::hasOtherSuspendedPart(const std::vector<ContentKey> &keys, TimePoint now) const
+{
+    return std::ranges::any_of(m_suspects, [&](const auto &it) {
+        return !isWholeRequest(it.first) && now < it.second.suspendedUntil
+               && std::ranges::find(keys, it.first) == keys.end();
+    });
+}
+
+void CrashSuspects::extendSuspension(const ContentKey &key, TimePoint now)
+{
+    if (!isCertain(key))
+        return;
+    Suspect &suspect = m_suspects.at(key);
+    suspect.suspendedUntil = now + LongSuspension;
+    suspect.expiresAt = now + LongSuspension;
+}
+
+bool CrashSuspects::isHarmless(const ContentKey &key) const
+{
+    return m_harmlessParts.contains(key) || m_harmlessRequests.contains(key);
+}
+
+std::vector<ContentKey> CrashSuspects::recordStart(const RequestContent &content)
+{
+    m_harmlessRequests.add(content.whole);
+    for (const ContentKey &it : content.sharedParts)
+        m_harmlessParts.add(it);
+    std::vector<ContentKey> cleared;
+    if (m_suspects.empty())
+        return cleared;
+    for (const ContentKey &it : allKeys(content)) {
+        const auto suspect = m_suspects.find(it);
+        if (suspect == m_suspects.end())
+            continue;
+        if (suspect->second.crashes.size() >= MinCrashes)
+            cleared.push_back(it);
+        m_suspects.erase(suspect);
+    }
+    return cleared;
+}
+
+std::optional<CrashReport> CrashSuspects::recordCrash(const BackendInstance &instance,
+                                                      const RequestContent &content, TimePoint now)
+{
+    evict(now);
+    CrashReport report{instance, {}};
+    for (const ContentKey &it : allKeys(content)) {
+        if (!isHarmless(it) && addCrash(it, instance, now))
+            report.suspects.push_back(it);
+    }
+    if (report.suspects.empty())
+        return std::nullopt;
+    return report;
+}
+
+std::vector<ContentKey> CrashSuspects::merge(const CrashReport &report, TimePoint now)
+{
+    evict(now);
+    std::vector<ContentKey> harmless;
+    for (const ContentKey &it : report.suspects) {
+        if (isHarmless(it))
+            harmless.push_back(it);
+        else
+            addCrash(it, report.instance, now);
+    }
+    return harmless;
+}
+
+void CrashSuspects::recordHarmless(const ContentKey &key)
+{
+    m_harmlessParts.add(key);
+    m_suspects.erase(key);
+}
+
+bool CrashSuspects::addCrash(const ContentKey &key, const BackendInstance &instance, TimePoint now)
+{
+    Suspect &suspect = m_suspects[key];
+    if (!suspect.crashes.insert(instance).second)
+        return false;
+    const std::size_t crashes = suspect.crashes.size();
+    suspect.expiresAt = now + LongSuspension;
+    if (crashes >= CertainCrashes) {
+        suspect.suspendedUntil = now + LongSuspension;
+        clearExplainedBy(key);
+    } else if (crashes >= MinCrashes)
+        suspect.suspendedUntil = now + ShortSuspension;
+    return true;
+}
+
+void CrashSuspects::clearExplainedBy(const ContentKey &key)
+{
+    const std::set<BackendInstance> &explained = m_suspects.at(key).crashes;
+    std::erase_if(m_suspects, [&explained](const auto &it) {
+        const auto &crashes = it.second.crashes;
+        return crashes.size() < explained.size() && std::ranges::includes(explained, crashes);
+    });
+}
+
+void CrashSuspects::evict(TimePoint now)
+{
+    std::erase_if(m_suspects, [now](const auto &it) { return now >= it.second.expiresAt; });
+    while (m_suspects.size() >= MaxSuspects) {
+        m_suspects.erase(std::ranges::min_element(
+                m_suspects, {}, [](const auto &it) { return it.second.expiresAt; }));
+    }
+}
+
+} // namespace godwit
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -61,6 +61,7 @@
     : m_gateway(gateway)
     , m_admission(std::move(admission))
     , m_request(std::move(request))
+    , m_content(describeContent(m_request, m_admission.service, m_admission.customer))
     , m_reply(std::move(reply))
     , m_arrivedAt(now())
 {
@@ -142,8 +143,43 @@
     return m_gateway.m_backends.choose(query, now());
 }
 
+void ForwardedRequest::refuseSuspended()
+{
+    const std::string detail = "requests with this content crashed backend servers";
+    m_gateway.m_environment.metrics.recordSuspended();
+    if (m_possibleRuns > 0 || m_streaming)
+        giveUp(AttemptOutcome::Broken, detail);
+    else
+        refuse(ResultCode::PoisonSuspected, detail, CrashSuspects::ShortSuspension);
+}
+
+bool ForwardedRequest::hasResponseStarted() const
+{
+    if (m_bodyMode == BodyMode::Events)
+        return m_attempts.back().firstEventsAt.has_value();
+    return m_bodyMode != BodyMode::None;
+}
+
+void ForwardedRequest::cancelIfSuspended()
+{
+    if (m_ended || !m_attemptInProgress || hasResponseStarted() || m_isTrial
+        || !m_gateway.m_crashSuspects.isSuspended(m_content, now()))
+        return;
+    if (m_call)
+        m_call->cancel();
+    endAttempt(AttemptOutcome::Abandoned);
+    ++m_possibleRuns;
+    refuseSuspended();
+}
+
 void ForwardedRequest::startAttempt()
 {
+    const auto decision = m_gateway.m_crashSuspects.decide(m_content, now());
+    m_isTrial = decision == CrashSuspects::Decision::Trial;
+    if (decision == CrashSuspects::Decision::Refuse) {
+        refuseSuspended();
+        return;
+    }
     const auto found = chooseBackend();
     if (const auto *none = std::get_if<NoBackend>(&found)) {
         const bool full = none->reason == NoBackend::Reason::AllFull;
@@ -157,6 +193,7 @@
     }
     const auto &choice = std::get<BackendChoice>(found);
     m_attempts.push_back({.backend = choice.id,
+                          .instance = m_gateway.m_backends.instance(choice.id),
                           .predictedStartDelay = choice.predictedStartDelay,
                           .foundFreeSlot = choice.hasFreeSlot,
                           .sentAt = now()});
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -31,6 +31,9 @@
     /// Sends the first attempt. The gateway keeps the object alive until the request has ended.
     void start();
 
+    /// Gives up if the content of the request is suspended and no response has started.
+    void cancelIfSuspended();
+
 private:
     /// How the body of the current response is handled.
     enum class BodyMode {
@@ -45,6 +48,7 @@
     struct PastAttempt
     {
         BackendId backend;
+        BackendInstance instance;
         Duration predictedStartDelay{0};
         bool foundFreeSlot = true;
         TimePoint sentAt;
@@ -57,6 +61,10 @@
     };
 
     void startAttempt();
+    /// Ends the request because its content crashes backend servers.
+    void refuseSuspended();
+    /// Whether the backend server has begun to answer the current attempt.
+    bool hasResponseStarted() const;
     HttpCall callFor(const BackendChoice &choice) const;
     /// Cancels the attempt at \a time if its response has not started by then, and sends the
     /// request elsewhere.
@@ -107,6 +115,7 @@
     Gateway &m_gateway;
     Admission m_admission;
     ClientRequest m_request;
+    RequestContent m_content;
     std::shared_ptr<HttpReply> m_reply;
     TimePoint m_arrivedAt;
     Duration m_earlierWait{0}; ///< Estimate of the time that the client spent on earlier attempts.
@@ -130,6 +139,7 @@
     RequestUrgency m_urgency = RequestUrgency::OnTime; ///< Of the current attempt.
     bool m_streaming = false;                          ///< The head of the response has been sent.
     bool m_attemptInProgress = false;
+    bool m_isTrial = false; ///< The current attempt runs although its content is suspended.
     bool m_ended = false;
 };
 
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -85,6 +85,8 @@
         m_bodyMode = BodyMode::Events;
     else
         m_bodyMode = m_streaming ? BodyMode::Unusable : BodyMode::Buffered;
+    if (m_bodyMode == BodyMode::Buffered)
+        m_gateway.recordStart(m_content);
     if (m_bodyMode == BodyMode::Events)
         restartStallTimer();
 }
@@ -152,6 +154,7 @@
     attempt.firstEventsAt = at;
     recordWeights(attempt, at);
     m_gateway.m_backends.onResponseStarted(attempt.backend, m_urgency);
+    m_gateway.recordStart(m_content);
     // Under load, the delay would also contain the error of this process in estimating the load of
     // the others.
     if (attempt.foundFreeSlot)
@@ -174,10 +177,18 @@
 
 void ForwardedRequest::onEnd(const Outcome<std::monostate> &outcome)
 {
-    if (const auto *error = std::get_if<Error>(&outcome))
-        fail(outcomeOf(error->code), error->detail);
-    else
+    const auto *error = std::get_if<Error>(&outcome);
+    if (!error) {
         onComplete();
+        return;
+    }
+    // A crash closes the connection before the response has begun.
+    const bool mayBeCrash = error->code == ResultCode::PlatformReplyLost && !hasResponseStarted();
+    if (mayBeCrash)
+        m_gateway.recordCrash(m_attempts.back().instance, m_content);
+    fail(outcomeOf(error->code), error->detail);
+    if (mayBeCrash)
+        m_gateway.cancelSuspended();
 }
 
 void ForwardedRequest::onComplete()
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -18,6 +18,16 @@
 /// decay, clients that switch to a shorter timeout would be taken for clients that retry.
 constexpr int ClientTimeoutDecayRequests = 300;
 
+void logCrash(const CrashReport &report)
+{
+    boost::json::array suspects;
+    for (const ContentKey &it : report.suspects)
+        suspects.emplace_back(it.value());
+    logStateChange("backend_crash_suspected", {{"backend", report.instance.id.value()},
+                                               {"born_ms", report.instance.startTimeMs},
+                                               {"suspects", std::move(suspects)}});
+}
+
 } // namespace
 
 Gateway::Gateway(const GatewayOptions &options, Environment environment, Random random)
@@ -79,6 +89,40 @@
     return spent <= longest / 2 ? spent : Duration::zero();
 }
 
+void Gateway::recordCrash(const BackendInstance &instance, const RequestContent &content)
+{
+    const auto report =
+            m_crashSuspects.recordCrash(instance, content, m_environment.scheduler.now());
+    if (!report)
+        return;
+    logCrash(*report);
+    if (m_environment.onCrash)
+        m_environment.onCrash(*report);
+}
+
+void Gateway::recordStart(const RequestContent &content)
+{
+    for (const ContentKey &it : m_crashSuspects.recordStart(content)) {
+        logStateChange("content_cleared", {{"content", it.value()}});
+        if (m_environment.onHarmless)
+            m_environment.onHarmless(it);
+    }
+}
+
+std::vector<ContentKey> Gateway::mergeCrashReport(const CrashReport &report)
+{
+    auto harmless = m_crashSuspects.merge(report, m_environment.scheduler.now());
+    cancelSuspended();
+    return harmless;
+}
+
+void Gateway::cancelSuspended()
+{
+    // The end of a request changes the set.
+    for (const auto &request : std::set(m_requests))
+        request->cancelIfSuspended();
+}
+
 std::optional<Error> Gateway::checkAccess(const ClientRequest &request, const Route &route,
                                           CustomerId &customer,
                                           std::optional<std::uint32_t> &priority) const
--- a/modules/gateway/src/gatewaymetrics.cpp
+++ b/modules/gateway/src/gatewaymetrics.cpp
@@ -25,6 +25,8 @@
                                "Clients that closed their connection before the answer."))
     , m_outdatedStarts(registry.counter("godwit_outdated_starts_total",
                                         "Responses that started with outdated weights."))
+    , m_suspended(registry.counter("godwit_suspended_requests_total",
+                                   "Requests with content that crashes backend servers."))
     , m_responseTime(registry.summary("godwit_answer_seconds",
                                       "Time from a request to the end of its answer."))
     , m_firstEventTime(registry.summary("godwit_first_event_seconds",
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -144,3 +144,105 @@
         CHECK(it.backendCalls.size() == 2);
     }
 }
+
+// Requests with one part in their prompts crash each engine that begins to answer them, and no two
+// are alike. Guards against a gateway that sends the next one to the next engine.
+TEST_CASE("Gateway stops sending content that crashes backend servers")
+{
+    Fixture it;
+    it.configure();
+    int number = 0;
+    // The last part of a prompt belongs to its request alone.
+    const auto send = [&](const std::string &target, const std::string &parts) {
+        auto view = std::make_shared<ClientView>();
+        HttpRequest request;
+        request.method = "POST";
+        request.target = target;
+        request.body = std::to_string(++number);
+        request.headers = {{"id", "r"}, {"Host", "h"}, {"key", "k"}, {"parts", parts + "l"}};
+        it.gateway.handle(std::move(request), view);
+        return view;
+    };
+    const auto answer = [&](BackendCall &call) {
+        call.head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+        call.data(event(1));
+        call.complete();
+    };
+    send("/stream/x", "ab");
+    answer(*it.backendCalls.back());
+
+    SECTION("a resumable request that crashes two of them is not sent to a third one")
+    {
+        const auto view = send("/stream/x", "acb");
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        REQUIRE(it.backendCalls.size() == 3);
+        REQUIRE(it.crashReports.size() == 1);
+        CHECK(it.crashReports[0].suspects.size() == 2);
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        CHECK(it.backendCalls.size() == 3);
+        CHECK(view->status == 502);
+
+        SECTION("nor are other requests with its part, of which it is said that they did not run")
+        {
+            const auto next = send("/stream/y", "acd");
+            CHECK(it.backendCalls.size() == 3);
+            CHECK(next->status == 503);
+            CHECK(next->headers.find("Retry-After"));
+        }
+        SECTION("while sound ones of the same route, customer and beginning run")
+        {
+            const auto next = send("/stream/x", "ab");
+            REQUIRE(it.backendCalls.size() == 4);
+            answer(*it.backendCalls.back());
+            CHECK(next->finished);
+            CHECK(next->status == 200);
+        }
+    }
+    SECTION("a server that sends the head of its response and ends has crashed as well")
+    {
+        send("/stream/x", "acb");
+        it.backendCalls.back()->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        CHECK(it.crashReports.size() == 1);
+    }
+    SECTION("a response that is broken off later was no crash by its request")
+    {
+        send("/stream/x", "acb");
+        it.backendCalls.back()->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+        it.backendCalls.back()->data(event(1));
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        CHECK(it.crashReports.empty());
+    }
+    SECTION("a report of another process cancels what waits at a backend server")
+    {
+        send("/stream/x", "acb");
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        const auto waiting = it.backendCalls.back();
+        const ContentKey part = it.crashReports.at(0).suspects.at(0);
+        CHECK(it.gateway.mergeCrashReport({{BackendId("elsewhere"), 1}, {part}}).empty());
+        CHECK(waiting->cancelled);
+        CHECK(send("/stream/y", "acd")->status == 503);
+
+        SECTION("until that process says that it is harmless")
+        {
+            it.gateway.recordHarmless(part);
+            const std::size_t calls = it.backendCalls.size();
+            send("/stream/y", "acd");
+            CHECK(it.backendCalls.size() == calls + 1);
+        }
+    }
+    SECTION("a booking that crashes two servers is not run by a third one")
+    {
+        const auto book = [&] {
+            --number;
+            return send("/book/x", "");
+        };
+        send("/book/x", "");
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        book();
+        CHECK(it.backendCalls.size() == 3);
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        CHECK(book()->status == 503);
+        CHECK(it.backendCalls.size() == 3);
+    }
+}
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -12,7 +12,7 @@
 
 using namespace std::chrono_literals;
 
-/// Protocol with short header names: id, key, patience, last.
+/// Protocol with short header names: id, key, patience, last, parts (single letters).
 class TestProtocol : public CallerProtocol
 {
 public:
@@ -27,8 +27,11 @@
         request.method = http.method;
         request.target = http.target;
         request.host = http.headers.value("Host");
+        request.body = http.body;
         request.key = http.headers.value("key");
         request.model = ModelId(std::string(http.headers.value("model")));
+        for (const char part : http.headers.value("parts"))
+            request.promptParts.emplace_back(1, part);
         const std::string *clientTimeout = http.headers.find("patience");
         request.clientTimeout =
                 std::chrono::milliseconds(clientTimeout ? std::stoi(*clientTimeout) : 2000);
@@ -131,6 +134,7 @@
     MetricsRegistry registry;
     GatewayMetrics metrics{registry};
     std::vector<std::shared_ptr<BackendCall>> backendCalls;
+    std::vector<CrashReport> crashReports;
     Gateway gateway{options(),
                     {scheduler, protocol, metrics,
                      [this](HttpCall call, HttpStreamHandlers handlers) {
@@ -139,7 +143,8 @@
                          backendCall->handlers = std::move(handlers);
                          backendCalls.push_back(backendCall);
                          return backendCall;
-                     }},
+                     },
+                     [this](const CrashReport &report) { crashReports.push_back(report); }},
                     Random(5)};
 
     static GatewayOptions options()
