Count the prefill before sending a request to an engine whose weights expire

Callers saw: streams that must not be repeated ended with 502 shortly before the grace period of an older version ended, because they were sent to an engine on which their prompt could not be read in time.

Cause: the comparison with the start deadline used the wait for a slot and the learned start delay, and nothing at all for a free slot. That is meant for the objective, which refuses no request because of its own prompt. With the start deadline it leaves the cancellation as the only guard.

The comparison with the start deadline now uses wait, prefill and start delay for every engine; the one with the objective is unchanged.

Evidence: both new sections of backendpooltest ("a request with a long prompt is not sent to a free slot whose weights expire during its prefill", "nor one whose first event usually comes after they expire") failed before: the engine was chosen.

--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -405,7 +405,9 @@
         // again.
         const Duration delay = fromSeconds(wait > 0 ? wait + startDelay : 0);
         const auto startDeadline = versionExpiry(it->record, query.model);
-        if (delay > query.maxQueueDelay || (startDeadline && now + delay > *startDeadline))
+        // Unlike the objective, this limit holds for the start itself, including the prefill.
+        const TimePoint firstEventAt = now + fromSeconds(start + startDelay);
+        if (delay > query.maxQueueDelay || (startDeadline && firstEventAt > *startDeadline))
             continue;
         const double cost = start + load / slots * UtilizationPenaltySeconds
                             + (it->record.zone == m_zone ? 0 : CrossZonePenaltySeconds)
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -258,6 +258,31 @@
         it.pool.requireVersion(Model, 2, it.now + 50ms);
         CHECK(it.choose(tolerant) == "none");
     }
+    // Guards against a request whose prefill ends after the weights have become outdated. Only its
+    // cancellation would then prevent the late start, and a request that must not be repeated fails
+    // with it.
+    SECTION("a request with a long prompt is not sent to a free slot whose weights expire during "
+            "its prefill")
+    {
+        auto longPrompt = query();
+        longPrompt.promptTokens = 30'000;
+        longPrompt.maxQueueDelay = 2s;
+        it.pool.requireVersion(Model, 2, it.now + 300ms);
+        CHECK(it.choose(query()) != "none");
+        CHECK(it.choose(longPrompt) == "none");
+        it.pool.update(engine(3, "there", 2), it.now);
+        CHECK(it.choose(longPrompt) == "e3");
+    }
+    // The learned delay belongs to the start as well, also at an engine with a free slot.
+    SECTION("nor one whose first event usually comes after they expire")
+    {
+        for (int i = 0; i < 200; ++i)
+            it.pool.recordStartDelay(BackendId("e1"), 150ms, it.now);
+        it.pool.requireVersion(Model, 2, it.now + 250ms);
+        CHECK(it.choose(query()) != "none");
+        it.now += 150ms;
+        CHECK(it.choose(query()) == "none");
+    }
     // An engine that is about to load weights waits for its longest request while its other slots
     // are empty. Long requests then make many engines unavailable at a time.
     SECTION("an engine that loads soon gets the requests that end before")
