Cancel streams without an event when the weights become outdated

Callers saw: a stream could begin on an older version after its grace period although the attempt had not delivered anything when the weights became outdated.

Cause: the cancellation took any head for the start of the response. An engine that sends its head on admission and its first event later disabled the cancellation.

For event streams the first event counts now, unless the head states a version that is not outdated. Other responses count from their head, as before.

Evidence: the section "a stream of which only the head has arrived is cancelled as well" of gatewaytest failed before: the call was not cancelled and not sent elsewhere.

--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -173,6 +173,17 @@
         cancelIfNotStartedBy(*choice.startDeadline + CancelDelay);
 }
 
+bool ForwardedRequest::mayStartOutdated() const
+{
+    if (m_bodyMode != BodyMode::Events)
+        return m_bodyMode == BodyMode::None;
+    // The head of an event stream may be sent on admission, before the engine works on the request.
+    const auto &stated = m_responseHead.weightsVersion;
+    const bool isNewest =
+            stated && !m_gateway.m_backends.versionExpiry(m_request.model, *stated).has_value();
+    return !m_attempts.back().firstEventsAt && !isNewest;
+}
+
 void ForwardedRequest::cancelIfNotStartedBy(TimePoint time)
 {
     const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
@@ -180,7 +191,7 @@
             std::max(Duration::zero(), time - now()), [weak, serial = m_attemptSerial] {
                 const auto self = weak.lock();
                 if (!self || self->m_ended || !self->m_attemptInProgress
-                    || self->m_attemptSerial != serial || self->m_bodyMode != BodyMode::None)
+                    || self->m_attemptSerial != serial || !self->mayStartOutdated())
                     return;
                 if (self->m_call)
                     self->m_call->cancel();
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -61,6 +61,9 @@
     /// Cancels the attempt at \a time if its response has not started by then, and sends the
     /// request elsewhere.
     void cancelIfNotStartedBy(TimePoint time);
+    /// Whether the response to the current attempt has not started, and may start with weights that
+    /// are outdated or become so.
+    bool mayStartOutdated() const;
     HttpStreamHandlers handlersFor(std::uint64_t serial);
     /// The shortest objective among this request and the common ones of its service, which share
     /// the queues.
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -274,6 +274,21 @@
         CHECK(first->cancelled);
         CHECK(it.backendCalls.size() == 2);
     }
+    // A server may send the head when it admits a stream, long before it begins to work on it.
+    // Guards against an attempt that begins on outdated weights because of its early head.
+    SECTION("a stream of which only the head has arrived is cancelled as well")
+    {
+        first->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+        it.scheduler.advance(600ms);
+        CHECK(first->cancelled);
+        CHECK(it.backendCalls.size() == 2);
+    }
+    SECTION("unless the head states the newer version")
+    {
+        first->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "2"}});
+        it.scheduler.advance(600ms);
+        CHECK_FALSE(first->cancelled);
+    }
     // Without it nobody can tell from outside whether old weights were used for too long.
     SECTION("a response that starts with outdated weights is counted")
     {
