Cancel requests that were sent before a version was announced

Callers saw: a request that waited at an engine for longer than the grace period of an older version could begin on it afterwards.

Cause: the timer of the cancellation was set only when an attempt was sent. BackendPool::requireVersion() reached no request in progress, so that a request sent before the announcement, with a deadline beyond the grace period, had no timer.

Gateway::requireVersion() hands the version to the pool and sets the timer of each request in progress. An attempt remembers the version that its engine had by its record, in place of the start deadline of the choice, because the deadline may change and the record may be gone by then.

Evidence: the section "so is an attempt that was sent before the version was announced" of gatewaytest failed with a requireVersion() that only calls the pool: the call was not cancelled.

--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -137,11 +137,10 @@
                                    const std::optional<VersionWindow> &window)
 {
     const TimePoint now = m_scheduler.now();
-    BackendPool &backends = m_gateway.backends();
     if (window)
-        backends.announceVersion(wanted.model, wanted.version, *window);
+        m_gateway.backends().announceVersion(wanted.model, wanted.version, *window);
     const TimePoint deadline = window ? std::max(now, window->earliestEnd() - VersionMargin) : now;
-    backends.requireVersion(wanted.model, wanted.version, deadline);
+    m_gateway.requireVersion(wanted.model, wanted.version, deadline);
 }
 
 void EntryProcess::beginShutdown()
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -57,8 +57,9 @@
     HttpEndpoint endpoint;
     Duration predictedStartDelay{0}; ///< Until the response starts.
     bool hasFreeSlot = true;         ///< The request does not queue behind others.
-    /// The backend server must not start the request later: its weights are outdated from then on.
-    std::optional<TimePoint> startDeadline;
+    /// Of the requested model, by the record of the backend server; none for a service without
+    /// models. The request must not start there after the versionExpiry() of this version.
+    std::optional<std::uint64_t> weightsVersion;
 
     friend bool operator==(const BackendChoice &, const BackendChoice &) = default;
 };
@@ -95,6 +96,7 @@
     void setServices(const std::vector<ServiceDescription> &services);
 
     /// Engines that serve an older version of \a model get no new requests from \a deadline on.
+    /// Gateway::requireVersion() applies it to requests in progress as well.
     void requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline);
 
     /// Time at which the version \a served becomes outdated; none if no newer version is announced.
@@ -175,7 +177,8 @@
     bool isEligible(const Backend &backend, const BackendQuery &query, const Service *service,
                     TimePoint now) const;
     std::uint64_t requiredVersion(const ModelId &model, TimePoint now) const;
-    std::optional<TimePoint> versionExpiry(const BackendRecord &record, const ModelId &model) const;
+    static std::optional<std::uint64_t> servedVersion(const BackendRecord &record,
+                                                      const ModelId &model);
     /// Penalty, in seconds, for a backend server whose event gaps exceed the median.
     double eventGapPenalty(const Backend &backend, double medianGap, TimePoint now) const;
     /// Delay, in seconds, beyond the predicted start of a response of \a backend.
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -52,6 +52,11 @@
     /// The current configuration includes everything that the store had accepted at \a requestedAt.
     void onConfigurationConfirmed(TimePoint requestedAt);
 
+    /// From \a deadline on, engines that serve an older version of \a model get no new requests.
+    /// Requests that have not started there shortly after it are cancelled, including those that
+    /// are in progress now.
+    void requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline);
+
     void handle(HttpRequest request, std::shared_ptr<HttpReply> reply);
 
     /// Whether requests can be served: a configuration is known, and for each of its models an
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -169,11 +169,11 @@
     return earliest;
 }
 
-std::optional<TimePoint> BackendPool::versionExpiry(const BackendRecord &record,
-                                                    const ModelId &model) const
+std::optional<std::uint64_t> BackendPool::servedVersion(const BackendRecord &record,
+                                                        const ModelId &model)
 {
     const auto served = std::ranges::find(record.models, model, &ServedModel::model);
-    return served == record.models.end() ? std::nullopt : versionExpiry(model, served->version);
+    return served == record.models.end() ? std::nullopt : std::optional(served->version);
 }
 
 bool BackendPool::isEligible(const Backend &backend, const BackendQuery &query,
@@ -404,7 +404,8 @@
         // A free slot is used whatever the start delay; otherwise the delay could not be measured
         // again.
         const Duration delay = fromSeconds(wait > 0 ? wait + startDelay : 0);
-        const auto startDeadline = versionExpiry(it->record, query.model);
+        const auto served = servedVersion(it->record, query.model);
+        const auto startDeadline = served ? versionExpiry(query.model, *served) : std::nullopt;
         // Unlike the objective, this limit holds for the start itself, including the prefill.
         const TimePoint firstEventAt = now + fromSeconds(start + startDelay);
         if (delay > query.maxQueueDelay || (startDeadline && firstEventAt > *startDeadline))
@@ -417,7 +418,7 @@
                             + m_random.uniform() * JitterSeconds;
         if (!best || cost < bestCost) {
             best = BackendChoice{it->record.id, it->record.endpoint, fromSeconds(start), wait <= 0,
-                                 startDeadline};
+                                 served};
             bestCost = cost;
         }
     }
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -159,6 +159,7 @@
     m_attempts.push_back({.backend = choice.id,
                           .predictedStartDelay = choice.predictedStartDelay,
                           .foundFreeSlot = choice.hasFreeSlot,
+                          .recordedVersion = choice.weightsVersion,
                           .sentAt = now()});
     m_bodyMode = BodyMode::None;
     m_bufferedBody.clear();
@@ -169,8 +170,17 @@
     m_call = m_gateway.m_environment.send(std::move(call), handlersFor(++m_attemptSerial));
     m_startTimer.reset();
     m_stallTimer.reset();
-    if (choice.startDeadline)
-        cancelIfNotStartedBy(*choice.startDeadline + CancelDelay);
+    limitStart();
+}
+
+void ForwardedRequest::limitStart()
+{
+    if (!m_attemptInProgress || !m_attempts.back().recordedVersion)
+        return;
+    const auto expiry =
+            m_gateway.m_backends.versionExpiry(m_request.model, *m_attempts.back().recordedVersion);
+    if (expiry)
+        cancelIfNotStartedBy(*expiry + CancelDelay);
 }
 
 bool ForwardedRequest::mayStartOutdated() const
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -31,6 +31,10 @@
     /// Sends the first attempt. The gateway keeps the object alive until the request has ended.
     void start();
 
+    /// Cancels the current attempt soon after its weights become outdated if its response has not
+    /// started by then. Called again when a newer version is announced.
+    void limitStart();
+
 private:
     /// How the body of the current response is handled.
     enum class BodyMode {
@@ -47,6 +51,8 @@
         BackendId backend;
         Duration predictedStartDelay{0};
         bool foundFreeSlot = true;
+        /// Of the weights, by the record of the backend server.
+        std::optional<std::uint64_t> recordedVersion = {};
         TimePoint sentAt;
         std::optional<TimePoint> firstEventsAt = {};
         std::optional<TimePoint> lastEventsAt = {};
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -49,6 +49,13 @@
             std::max(m_configurationConfirmedAt.value_or(requestedAt), requestedAt);
 }
 
+void Gateway::requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline)
+{
+    m_backends.requireVersion(model, version, deadline);
+    for (const auto &it : m_requests)
+        it->limitStart();
+}
+
 bool Gateway::isReady()
 {
     if (!m_wasReady && m_routeTable && m_configurationConfirmedAt)
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -289,6 +289,22 @@
         it.scheduler.advance(600ms);
         CHECK_FALSE(first->cancelled);
     }
+    // The grace period may end before the deadline of a request that was sent before it began.
+    // Guards against such a request waiting in a queue until the weights are outdated.
+    SECTION("so is an attempt that was sent before the version was announced")
+    {
+        it.scheduler.advance(400ms);
+        it.gateway.handle(request, std::make_shared<ClientView>());
+        const auto earlier = it.backendCalls.back();
+        REQUIRE(earlier->backend() == "b2");
+        it.gateway.requireVersion(model, 3, it.scheduler.now() + 300ms);
+        serve(3, 3);
+        it.scheduler.advance(500ms);
+        CHECK_FALSE(earlier->cancelled);
+        it.scheduler.advance(100ms);
+        CHECK(earlier->cancelled);
+        CHECK(it.backendCalls.back()->backend() == "b3");
+    }
     // Without it nobody can tell from outside whether old weights were used for too long.
     SECTION("a response that starts with outdated weights is counted")
     {
