Bound older versions by the start of the last failed call to the store

Callers saw: after an outage of the store, requests could begin on an older version up to 1.6 s too late, the time that a silent call takes to fail.

Cause: a version that was named during an outage need not be in force until the reconnection period after it. PrefixMirror::lastFailure(), the time at which a call failed, was taken for a lower bound of the end of the outage. The store may be back as soon as the call was sent; only its start is such a bound.

PrefixMirror reports start and failure of the last failed call. The earliest end of the window, which bounds the requests, uses the start. The expected end keeps the time of the failure: it serves the schedule of loads, and the calls of host processes last up to 20 s, so that their starts would make all hosts load at once. The log line version_wanted says how long the failed call took.

Evidence: the section "the outage may have ended as soon as the last failed call was sent" of operatorfeedtest failed before, and again with the earliest end set from the time of the failure; the new section of prefixmirrortest checks both times. An existing check compared the earliest end with the expected one; it now states the exact time, since the calls of that section fail up to 10 ms after their start.

--- a/modules/fleet/include/godwit/fleet/operatorfeed.h
+++ b/modules/fleet/include/godwit/fleet/operatorfeed.h
@@ -36,8 +36,9 @@
 private:
     void handlePut(const KeyValueEntry &entry, const std::optional<WriteTime> &time);
     std::optional<VersionWindow> versionWindow(const std::optional<WriteTime> &time) const;
-    /// Time until which versions older than one that was announced at \a announcedAt may serve.
-    TimePoint olderVersionsEnd(TimePoint announcedAt) const;
+    /// Time until which versions older than one that was announced at \a announcedAt may serve, if
+    /// the last outage of the store ended at \a outageEnd of the last failed call.
+    TimePoint olderVersionsEnd(TimePoint announcedAt, TimePoint FailedCall::*outageEnd) const;
     void logWantedVersion(const WantedVersion &wanted, StoreRevision revision,
                           const std::optional<VersionWindow> &window) const;
 
--- a/modules/fleet/src/operatorfeed.cpp
+++ b/modules/fleet/src/operatorfeed.cpp
@@ -26,22 +26,22 @@
                 }})
 {}
 
-TimePoint OperatorFeed::olderVersionsEnd(TimePoint announcedAt) const
+TimePoint OperatorFeed::olderVersionsEnd(TimePoint announcedAt,
+                                         TimePoint FailedCall::*outageEnd) const
 {
     const TimePoint end = announcedAt + m_bounds.versionChangeLimit;
-    // A version specified during an outage need not be in effect immediately after it. The last
-    // failed call is a lower bound for the end of the outage.
-    const auto failure = m_mirror.lastFailure();
-    return failure ? std::max(end, *failure + m_bounds.reconnectionGracePeriod) : end;
+    // A version specified during an outage need not be in effect immediately after it.
+    const auto failed = m_mirror.lastFailedCall();
+    return failed ? std::max(end, (*failed).*outageEnd + m_bounds.reconnectionGracePeriod) : end;
 }
 
 std::optional<VersionWindow> OperatorFeed::versionWindow(const std::optional<WriteTime> &time) const
 {
     if (!time)
         return std::nullopt;
-    const TimePoint end = olderVersionsEnd(time->expected);
-    return VersionWindow{time->expected, end - time->expected,
-                         end - olderVersionsEnd(time->earliest)};
+    const TimePoint end = olderVersionsEnd(time->expected, &FailedCall::failedAt);
+    const TimePoint earliestEnd = olderVersionsEnd(time->earliest, &FailedCall::startedAt);
+    return VersionWindow{time->expected, end - time->expected, end - earliestEnd};
 }
 
 void OperatorFeed::logWantedVersion(const WantedVersion &wanted, StoreRevision revision,
@@ -55,8 +55,10 @@
         fields["announced_ms_ago"] = toMilliseconds(now - window->announcedAt);
         fields["grace_ms"] = toMilliseconds(window->gracePeriod);
         fields["uncertainty_ms"] = toMilliseconds(window->uncertainty);
-        if (const auto failure = m_mirror.lastFailure())
-            fields["store_failed_ms_ago"] = toMilliseconds(now - *failure);
+        if (const auto failed = m_mirror.lastFailedCall()) {
+            fields["store_failed_ms_ago"] = toMilliseconds(now - failed->failedAt);
+            fields["store_failed_call_ms"] = toMilliseconds(failed->failedAt - failed->startedAt);
+        }
     }
     logStateChange("version_wanted", fields);
 }
--- a/modules/fleet/tests/fakeplatform.h
+++ b/modules/fleet/tests/fakeplatform.h
@@ -12,6 +12,7 @@
 public:
     Completion<KeyValueList> listDone;
     WatchHandlers handlers;
+    std::function<void()> onWatch = [] {}; ///< Called at the start of each watch call.
     int watchCalls = 0;
     Completion<std::optional<KeyValueEntry>> getDone;
     int getCalls = 0;
@@ -38,6 +39,7 @@
     std::shared_ptr<CallHandle> watch(std::string, StoreRevision, WatchHandlers given) override
     {
         ++watchCalls;
+        onWatch();
         handlers = std::move(given);
         handlers.onPollStarted();
         return nullptr;
@@ -98,6 +100,21 @@
     VirtualScheduler scheduler;
     FakeStore store;
     FakePlatform platform;
+    TimePoint callStart; ///< Of the last watch call.
+
+    FeedFixture()
+    {
+        store.onWatch = [this] { callStart = scheduler.now(); };
+    }
+
+    /// Makes the current call to the store fail, and waits until it is repeated.
+    void failCall()
+    {
+        store.handlers.onEnd(Error{ResultCode::PlatformRefused, "busy"});
+        const int before = store.watchCalls;
+        while (store.watchCalls == before)
+            scheduler.advance(std::chrono::milliseconds(10));
+    }
 };
 
 } // namespace godwit
--- a/modules/fleet/tests/operatorfeedtest.cpp
+++ b/modules/fleet/tests/operatorfeedtest.cpp
@@ -84,18 +84,31 @@
     // seconds before any host has received the weights.
     SECTION("one that is specified during an outage has some time after the last failed call")
     {
+        TimePoint lastCallStart;
         TimePoint lastFailure;
         for (int i = 0; i < 15; ++i) {
-            it.store.handlers.onEnd(Error{ResultCode::PlatformRefused, "busy"});
+            lastCallStart = it.callStart;
             lastFailure = it.scheduler.now();
-            const int before = it.store.watchCalls;
-            while (it.store.watchCalls == before)
-                it.scheduler.advance(10ms);
+            it.failCall();
         }
         it.setVersion(2, 11);
         CHECK(it.olderVersionsDeadline() == lastFailure + it.bounds.reconnectionGracePeriod);
         CHECK(it.olderVersionsDeadline() > it.scheduler.now());
-        CHECK(it.versions.back().second->earliestEnd() == it.olderVersionsDeadline());
+        CHECK(it.versions.back().second->earliestEnd()
+              == lastCallStart + it.bounds.reconnectionGracePeriod);
         CHECK(it.versions.back().second->gracePeriod > it.bounds.versionChangeLimit);
     }
+    // The last call of an outage is silent, and the store is back soon after it was sent. Guards
+    // against older versions being used for as much longer as that call took to fail.
+    SECTION("the outage may have ended as soon as the last failed call was sent")
+    {
+        const TimePoint outage = it.scheduler.now();
+        while (it.scheduler.now() < outage + 6s)
+            it.failCall();
+        const TimePoint sent = it.callStart;
+        it.scheduler.advance(1600ms - (it.scheduler.now() - sent));
+        it.failCall();
+        it.setVersion(2, 11);
+        CHECK(it.versions.back().second->earliestEnd() == sent + it.bounds.reconnectionGracePeriod);
+    }
 }
--- a/modules/mirror/include/godwit/mirror/prefixmirror.h
+++ b/modules/mirror/include/godwit/mirror/prefixmirror.h
@@ -22,6 +22,16 @@
     friend bool operator==(const WriteTime &, const WriteTime &) = default;
 };
 
+/// A call to the service that failed. The outage behind it ended no earlier than the call started,
+/// but possibly before it failed: a connection may remain silent after the service is back.
+struct FailedCall
+{
+    TimePoint startedAt;
+    TimePoint failedAt;
+
+    friend bool operator==(const FailedCall &, const FailedCall &) = default;
+};
+
 /// Callbacks of a PrefixMirror, called on the thread of its KeyValuePort.
 struct MirrorHandlers
 {
@@ -63,8 +73,8 @@
     /// progress.
     void refresh();
 
-    /// Time of the last failed call.
-    std::optional<TimePoint> lastFailure() const { return m_lastFailure; }
+    /// The most recent of the failed calls; none if no call has failed yet.
+    std::optional<FailedCall> lastFailedCall() const { return m_lastFailedCall; }
 
 private:
     void list();
@@ -79,7 +89,7 @@
     /// No write before \a time is missing among those that have been reported.
     void recordCompleteUntil(TimePoint time);
     void remove(const std::string &key, StoreRevision revision);
-    void onCallFailed(const Error &error, void (PrefixMirror::*retryCall)());
+    void onCallFailed(TimePoint startedAt, const Error &error, void (PrefixMirror::*retryCall)());
     void onCallSucceeded();
 
     KeyValuePort &m_store;
@@ -95,7 +105,7 @@
     /// Writes that are reported from now on were made after this time. Later than m_confirmedAt if
     /// a call has waited without an event.
     std::optional<TimePoint> m_completeUntil;
-    std::optional<TimePoint> m_lastFailure;
+    std::optional<FailedCall> m_lastFailedCall;
     Duration m_backoff = MinBackoff;
     bool m_reachable = true;
     bool m_isListing = false;
--- a/modules/mirror/src/prefixmirror.cpp
+++ b/modules/mirror/src/prefixmirror.cpp
@@ -52,7 +52,7 @@
 {
     m_isListing = false;
     if (const auto *error = std::get_if<Error>(&outcome)) {
-        onCallFailed(*error, &PrefixMirror::list);
+        onCallFailed(requestTime, *error, &PrefixMirror::list);
         return;
     }
     onCallSucceeded();
@@ -106,6 +106,7 @@
         if (guard())
             onWatchEnd(outcome);
     };
+    m_watchCallStart = m_scheduler.now();
     m_watch = m_store.watch(m_prefix, StoreRevision{m_revision.value + 1}, std::move(handlers));
 }
 
@@ -140,7 +141,7 @@
     } else if (error->code == ResultCode::WatchCompacted) {
         list();
     } else {
-        onCallFailed(*error, &PrefixMirror::watch);
+        onCallFailed(m_watchCallStart, *error, &PrefixMirror::watch);
     }
 }
 
@@ -178,9 +179,10 @@
     m_handlers.onRemoved(key);
 }
 
-void PrefixMirror::onCallFailed(const Error &error, void (PrefixMirror::*retryCall)())
+void PrefixMirror::onCallFailed(TimePoint startedAt, const Error &error,
+                                void (PrefixMirror::*retryCall)())
 {
-    m_lastFailure = m_scheduler.now();
+    m_lastFailedCall = FailedCall{startedAt, m_scheduler.now()};
     if (std::exchange(m_reachable, false))
         m_handlers.onReachable(false, toString(error));
     // Jitter: processes that lost the service at the same time must not all retry at the same time.
--- a/modules/mirror/tests/prefixmirrortest.cpp
+++ b/modules/mirror/tests/prefixmirrortest.cpp
@@ -172,6 +172,14 @@
             it.store.watches[0].second.onEvents({{entry("p/a", "5", 14), false}});
             CHECK(it.times.back()->earliest == next);
         }
+        // Guards against a call that takes long to fail being taken for an outage of that length.
+        SECTION("a failed call is reported with its start, at which the outage may have ended")
+        {
+            const TimePoint started = it.scheduler.now();
+            it.scheduler.advance(1600ms);
+            it.store.watches[0].second.onEnd(Error{ResultCode::PlatformTimeout, "silent"});
+            CHECK(it.mirror.lastFailedCall() == FailedCall{started, it.scheduler.now()});
+        }
         SECTION("a refresh reports what a silent watch has missed, and keeps the watch")
         {
             it.log.clear();
