End the grace period of lapsed records by the start of the last failed call

Callers saw: a server that left during an outage, and whose record was removed meanwhile, could get requests for up to 2.35 s longer than the reconnection period allows.

Cause: the period in which lapsed records may return ran from the time at which the process noticed the end of the outage, up to 1.5 s of backoff or 2.35 s of a silent call after it.

Decision: the period still lasts 2.5 s from the time noticed, because running servers need about two seconds to register again, but ends 0.5 s before the reconnection period after the start of the last failed call. Only that start is certain not to be later than the end of the outage, and the rule for leaving servers must hold; a running server whose record comes later is used again from then on. The cost: where that period is 3 s and the last call was silent, nothing may be left of the grace when the outage is noticed to be over. With 4 or 5 s two seconds are left unless a call was silent.

--- a/modules/fleet/include/godwit/fleet/backendfeed.h
+++ b/modules/fleet/include/godwit/fleet/backendfeed.h
@@ -15,9 +15,11 @@
 ///
 /// Records expire during an outage of the store although their servers are running; the servers
 /// register again soon after it. A record that is missing after an outage is therefore removed only
-/// if it has not returned within ReregistrationGrace of the end of the outage, or earlier if it was
-/// removed after the feed had caught up: it may be that of a server that leaves. A single failed
-/// call does not count as an outage, for the same reason.
+/// if it has not returned within ReregistrationGrace, counted from the first response after the
+/// outage. It is removed earlier if it may be that of a server that leaves and must not be used any
+/// more: within the drain limit if it was removed after the feed had caught up, and within the
+/// reconnection period from the start of the last failed call. A single failed call does not count
+/// as an outage, for the same reason.
 class BackendFeed
 {
 public:
@@ -50,11 +52,12 @@
     const FleetPlatform &m_platform;
     Scheduler &m_scheduler;
     Duration m_maxRemovalDelay; ///< Of a record that is removed while the feed is up to date.
+    Duration m_maxGrace;        ///< From the start of the last failed call of an outage.
     Handlers m_handlers;
     std::map<BackendId, BackendRecord> m_records;
     std::map<BackendId, std::unique_ptr<Timer>> m_pendingRemovals;
     std::optional<TimePoint> m_unreachableSince; ///< No call has succeeded since then.
-    std::optional<TimePoint> m_outageEndedAt;
+    std::optional<TimePoint> m_graceEnd;         ///< For records that expired in an outage.
     bool m_isUpToDate = false; ///< All changes since the last failed call have been reported.
     PrefixMirror m_mirror;
 };
--- a/modules/fleet/src/backendfeed.cpp
+++ b/modules/fleet/src/backendfeed.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Left of the drain limit for the request that was sent last to arrive.
+/// Left of a limit for the request that was sent last to arrive.
 constexpr Duration RemovalMargin = std::chrono::milliseconds(500);
 
 } // namespace
@@ -19,6 +19,7 @@
     : m_platform(platform)
     , m_scheduler(scheduler)
     , m_maxRemovalDelay(std::max(Duration::zero(), bounds.drainLimit - RemovalMargin))
+    , m_maxGrace(std::max(Duration::zero(), bounds.reconnectionGracePeriod - RemovalMargin))
     , m_handlers(std::move(handlers))
     , m_mirror(store, scheduler, random, std::string(platform.backendPrefix()),
                {[this](const KeyValueEntry &entry, const auto &) { handlePut(entry); },
@@ -81,7 +82,11 @@
         m_isUpToDate = false;
     } else if (const auto since = std::exchange(m_unreachableSince, std::nullopt);
                since && now - *since >= MinOutageDuration) {
-        m_outageEndedAt = now;
+        // A leaving server must not be used for longer than the reconnection period after the end
+        // of the outage, and only the start of the last failed call is certain not to be later than
+        // that end. A running server whose record returns later is used again from then on.
+        m_graceEnd = std::min(now + ReregistrationGrace,
+                              m_mirror.lastFailedCall()->startedAt + m_maxGrace);
     }
     logStateChange(isReachable ? "store_regained" : "store_lost",
                    {{"keys", std::string(m_platform.backendPrefix())}, {"problem", problem}},
@@ -90,9 +95,8 @@
 
 Duration BackendFeed::remainingGrace() const
 {
-    if (!m_outageEndedAt)
-        return Duration::zero();
-    return std::max(Duration::zero(), *m_outageEndedAt + ReregistrationGrace - m_scheduler.now());
+    return m_graceEnd ? std::max(Duration::zero(), *m_graceEnd - m_scheduler.now())
+                      : Duration::zero();
 }
 
 } // namespace godwit
--- a/modules/fleet/tests/fakeplatform.h
+++ b/modules/fleet/tests/fakeplatform.h
@@ -100,7 +100,8 @@
     VirtualScheduler scheduler;
     FakeStore store;
     FakePlatform platform;
-    TimePoint callStart; ///< Of the last watch call.
+    TimePoint callStart;       ///< Of the last watch call.
+    TimePoint failedCallStart; ///< Of the last watch call that failed.
 
     FeedFixture()
     {
@@ -110,6 +111,7 @@
     /// Makes the current call to the store fail, and waits until it is repeated.
     void failCall()
     {
+        failedCallStart = callStart;
         store.handlers.onEnd(Error{ResultCode::PlatformRefused, "busy"});
         const int before = store.watchCalls;
         while (store.watchCalls == before)
