Move the start deadline of older versions into VersionWindow

The line of the entry process that derives the last use of older versions from the window had no test.

The margin and the computation are now in VersionWindow and startDeadline(), with a test. A deadline that is over when the version becomes known stays in the past instead of being moved to the present: engines are excluded and waiting attempts cancelled at once either way, and outdated_ms of the request log counts from the deadline itself.

--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Requests may wait in an engine for their first token, but must start before the deadline of the
-/// older version.
-constexpr Duration VersionMargin = std::chrono::milliseconds(500);
 /// Time reserved before the platform kills the process.
 constexpr Duration ShutdownMargin = std::chrono::milliseconds(700);
 /// Added to the configured idle time, because clients may reuse a connection until shortly before
@@ -136,11 +133,10 @@
 void EntryProcess::onVersionWanted(const WantedVersion &wanted,
                                    const std::optional<VersionWindow> &window)
 {
-    const TimePoint now = m_scheduler.now();
     if (window)
         m_gateway.backends().announceVersion(wanted.model, wanted.version, *window);
-    const TimePoint deadline = window ? std::max(now, window->earliestEnd() - VersionMargin) : now;
-    m_gateway.requireVersion(wanted.model, wanted.version, deadline);
+    m_gateway.requireVersion(wanted.model, wanted.version,
+                             startDeadline(window, m_scheduler.now()));
 }
 
 void EntryProcess::beginShutdown()
--- a/modules/gateway/include/godwit/gateway/loadschedule.h
+++ b/modules/gateway/include/godwit/gateway/loadschedule.h
@@ -13,6 +13,10 @@
 /// Period after the announcement of a version in which older versions may still serve.
 struct VersionWindow
 {
+    /// Time for requests that were sent to an engine with an older version to start there, or to be
+    /// cancelled.
+    static constexpr Duration StartMargin = std::chrono::milliseconds(500);
+
     TimePoint announcedAt; ///< Estimate.
     Duration gracePeriod{0};
     /// The period may end this much earlier, because the announcement may be older than estimated.
@@ -21,10 +25,20 @@
     TimePoint end() const { return announcedAt + gracePeriod; }
     /// Older versions may certainly serve until then.
     TimePoint earliestEnd() const { return end() - uncertainty; }
+    /// Engines with older versions get no new requests from then on.
+    TimePoint startDeadline() const { return earliestEnd() - StartMargin; }
 
     friend bool operator==(const VersionWindow &, const VersionWindow &) = default;
 };
 
+/// Time from which engines with versions older than one that was announced with \a window get no
+/// new requests: at once, at \a now, without a window, because the version may have been announced
+/// long ago.
+inline TimePoint startDeadline(const std::optional<VersionWindow> &window, TimePoint now)
+{
+    return window ? window->startDeadline() : now;
+}
+
 /// Staggers the loading of the newest version of a model over the engines of a service. An engine
 /// finishes its requests and accepts no new ones while it loads, so the engines must not all load
 /// at once. Entry and host processes derive the same schedule from the same records without
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -29,8 +29,8 @@
 /// Fraction of the remaining time; clients ignore a longer Retry-After.
 constexpr double MaxRetryAfterShare = 0.3;
 /// Time after the start deadline of a backend server with outdated weights at which a request that
-/// has not started there is cancelled. The start deadline is half a second before the end of the
-/// grace period.
+/// has not started there is cancelled. The grace period ends VersionWindow::StartMargin after the
+/// start deadline.
 constexpr Duration CancelDelay = std::chrono::milliseconds(250);
 /// Safety margin, so that prediction errors do not admit requests that start just too late.
 constexpr Duration StartMargin = std::chrono::milliseconds(20);
--- a/modules/gateway/tests/loadscheduletest.cpp
+++ b/modules/gateway/tests/loadscheduletest.cpp
@@ -42,6 +42,27 @@
 } // namespace
 
 // Guards against all engines being unavailable at once while they load.
+// Guards against requests that are sent to older versions because the announcement is taken for
+// later than it may have been.
+TEST_CASE("VersionWindow limits the use of older versions")
+{
+    const TimePoint now{std::chrono::hours(1)};
+    const VersionWindow window{now - 2s, GracePeriod, 900ms};
+
+    SECTION("to half a second before the earliest end of their grace period")
+    {
+        CHECK(window.end() == now + 6s);
+        CHECK(window.earliestEnd() == now + 5100ms);
+        CHECK(startDeadline(window, now) == now + 4600ms);
+        CHECK(startDeadline(VersionWindow{now, GracePeriod}, now) == now + LastUse);
+    }
+    SECTION("to the past if the version was announced long ago, and at once if that is unknown")
+    {
+        CHECK(startDeadline(VersionWindow{now - 9s, GracePeriod}, now) == now - 1500ms);
+        CHECK(startDeadline(std::nullopt, now) == now);
+    }
+}
+
 TEST_CASE("LoadSchedule")
 {
     Fixture it;
