Stage the next version although the response to the load order was lost

Callers saw: an engine stayed on version N for good, and was left out of the service once the time of N + 1 was over, after the response to the order for N had been lost while N + 1 was queued behind it.

Cause: only an accepted order scheduled the end of the rollout of N. When the engine served N without that response, onServing() cleared awaitingOrder, and no further event made N + 1 the owner of the staging area.

Both paths now call releaseStagingArea(), which clears the flag and schedules the next version. An engine that serves N has read the staged pieces, so that they may be replaced.

Evidence: the section "the second is loaded although the response to the order for the first is lost" of rollouttest failed before: version 3 was never ordered.

--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -142,6 +142,8 @@
     void stageDeferred(Rollout &rollout);
     TimePoint orderTime(const Rollout &rollout);
     void onOrderAccepted(const Key &key);
+    /// The engine has read the staged chunks of \a rollout; the next version may be staged.
+    void releaseStagingArea(Rollout &rollout);
     /// Ends \a rollout in favor of the next version of its model.
     void finishRollout(Rollout &rollout);
     void restartTransfer(Rollout &rollout);
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -369,12 +369,17 @@
     Rollout *rollout = find(key);
     if (!rollout)
         return;
-    rollout->awaitingOrder = false;
-    if (m_rollouts.at(key.model).back().version == key.version)
+    // The engine reads the staged chunks when it accepts the order.
+    releaseStagingArea(*rollout);
+}
+
+void VersionRollout::releaseStagingArea(Rollout &rollout)
+{
+    rollout.awaitingOrder = false;
+    if (m_rollouts.at(rollout.model).back().version == rollout.version)
         return;
-    // The engine reads the staged chunks when it accepts the order, so the staging area is free for
-    // the next version. Deferred, because the stager must not be destroyed during its own callback.
-    scheduleStep(*rollout, Duration::zero(), &VersionRollout::finishRollout);
+    // Deferred, because the stager must not be destroyed during its own callback.
+    scheduleStep(rollout, Duration::zero(), &VersionRollout::finishRollout);
 }
 
 void VersionRollout::finishRollout(Rollout &rollout)
@@ -392,13 +397,14 @@
     if (!rollout)
         return;
     rollout->isServing = true;
-    rollout->awaitingOrder = false;
     logStateChange("version_served", {{"model", key.model.value()},
                                       {"version", key.version},
                                       {"ms", toMilliseconds(now() - rollout->wantedAt)}});
     run(m_planner.engineLoaded(now(), rollout->transfer));
     for (const Digest &transfer : std::exchange(m_supersededTransfers, {}))
         run(m_planner.cancel(now(), transfer));
+    // The response to the order may have been lost.
+    releaseStagingArea(*rollout);
 }
 
 void VersionRollout::onChunkMissing(const Key &key)
--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -51,6 +51,7 @@
     std::vector<EngineLoadOrder> orders;
     bool loadedWrongBytes = false; ///< An order was accepted while a staged chunk was wrong.
     int ordersToRefuse = 0;
+    int orderResponsesToLose = 0; ///< Of orders that are accepted.
 
     void serve(std::uint64_t version) { report.models = {{TestModel, version}}; }
 
@@ -101,7 +102,10 @@
                 report.busy = false;
                 serve(order.version);
             });
-            done(Done());
+            if (orderResponsesToLose-- > 0)
+                done(Error{ResultCode::PlatformReplyLost, "connection reset"});
+            else
+                done(Done());
         });
     }
 
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -232,6 +232,19 @@
         CHECK(it.engine.orders[0].version == 2);
         CHECK_FALSE(it.engine.loadedWrongBytes);
     }
+    // Guards against a host that never stages the second version, because only the response to the
+    // order would have freed the staging area.
+    SECTION("the second is loaded although the response to the order for the first is lost")
+    {
+        it.engine.orderResponsesToLose = 1;
+        it.scheduler.advance(3s);
+        it.rollout.setWantedVersion(TestModel, 3, it.window());
+        it.scheduler.advance(10s);
+        CHECK(it.isServing(3));
+        REQUIRE(it.engine.orders.size() == 2);
+        CHECK(it.engine.orders[0].version == 2);
+        CHECK_FALSE(it.engine.loadedWrongBytes);
+    }
 }
 
 TEST_CASE("EngineStager")
