--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -29,8 +29,8 @@
 /// Fraction of the remaining time; clients ignore a longer Retry-After.
 constexpr double MaxRetryAfterShare = 0.3;
 /// Time after the start deadline of a backend server with outdated weights at which a request that
-/// has not started there is cancelled. The start deadline is half a second before the end of the
-/// grace period.
+/// has not started there is cancelled. The grace period ends VersionWindow::StartMargin after the
+/// start deadline.
 constexpr Duration CancelDelay = std::chrono::milliseconds(250);
 /// Safety margin, so that prediction errors do not admit requests that start just too late.
 constexpr Duration StartMargin = std::chrono::milliseconds(20);
@@ -196,6 +196,7 @@
                           .instance = m_gateway.m_backends.instance(choice.id),
                           .predictedStartDelay = choice.predictedStartDelay,
                           .foundFreeSlot = choice.hasFreeSlot,
+                          .recordedVersion = choice.weightsVersion,
                           .sentAt = now()});
     m_bodyMode = BodyMode::None;
     m_bufferedBody.clear();
@@ -206,8 +207,28 @@
     m_call = m_gateway.m_environment.send(std::move(call), handlersFor(++m_attemptSerial));
     m_startTimer.reset();
     m_stallTimer.reset();
-    if (choice.startDeadline)
-        cancelIfNotStartedBy(*choice.startDeadline + CancelDelay);
+    limitStart();
+}
+
+void ForwardedRequest::limitStart()
+{
+    if (!m_attemptInProgress || !m_attempts.back().recordedVersion)
+        return;
+    const auto expiry =
+            m_gateway.m_backends.versionExpiry(m_request.model, *m_attempts.back().recordedVersion);
+    if (expiry)
+        cancelIfNotStartedBy(*expiry + CancelDelay);
+}
+
+bool ForwardedRequest::mayStartOutdated() const
+{
+    if (m_bodyMode != BodyMode::Events)
+        return m_bodyMode == BodyMode::None;
+    // The head of an event stream may be sent on admission, before the engine works on the request.
+    const auto &stated = m_responseHead.weightsVersion;
+    const bool isNewest =
+            stated && !m_gateway.m_backends.versionExpiry(m_request.model, *stated).has_value();
+    return !m_attempts.back().firstEventsAt && !isNewest;
 }
 
 void ForwardedRequest::cancelIfNotStartedBy(TimePoint time)
@@ -217,7 +238,7 @@
             std::max(Duration::zero(), time - now()), [weak, serial = m_attemptSerial] {
                 const auto self = weak.lock();
                 if (!self || self->m_ended || !self->m_attemptInProgress
-                    || self->m_attemptSerial != serial || self->m_bodyMode != BodyMode::None)
+                    || self->m_attemptSerial != serial || !self->mayStartOutdated())
                     return;
                 if (self->m_call)
                     self->m_call->cancel();
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -34,6 +34,10 @@
     /// Gives up if the content of the request is suspended and no response has started.
     void cancelIfSuspended();
 
+    /// Cancels the current attempt soon after its weights become outdated if its response has not
+    /// started by then. Called again when a newer version is announced.
+    void limitStart();
+
 private:
     /// How the body of the current response is handled.
     enum class BodyMode {
@@ -51,6 +55,8 @@
         BackendInstance instance;
         Duration predictedStartDelay{0};
         bool foundFreeSlot = true;
+        /// Of the weights, by the record of the backend server.
+        std::optional<std::uint64_t> recordedVersion = {};
         TimePoint sentAt;
         std::optional<TimePoint> firstEventsAt = {};
         std::optional<TimePoint> lastEventsAt = {};
@@ -69,6 +75,9 @@
     /// Cancels the attempt at \a time if its response has not started by then, and sends the
     /// request elsewhere.
     void cancelIfNotStartedBy(TimePoint time);
+    /// Whether the response to the current attempt has not started, and may start with weights that
+    /// are outdated or become so.
+    bool mayStartOutdated() const;
     HttpStreamHandlers handlersFor(std::uint64_t serial);
     /// The shortest objective among this request and the common ones of its service, which share
     /// the queues.
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -274,6 +274,37 @@
         CHECK(first->cancelled);
         CHECK(it.backendCalls.size() == 2);
     }
+    // A server may send the head when it admits a stream, long before it begins to work on it.
+    // Guards against an attempt that begins on outdated weights because of its early head.
+    SECTION("a stream of which only the head has arrived is cancelled as well")
+    {
+        first->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+        it.scheduler.advance(600ms);
+        CHECK(first->cancelled);
+        CHECK(it.backendCalls.size() == 2);
+    }
+    SECTION("unless the head states the newer version")
+    {
+        first->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "2"}});
+        it.scheduler.advance(600ms);
+        CHECK_FALSE(first->cancelled);
+    }
+    // The grace period may end before the deadline of a request that was sent before it began.
+    // Guards against such a request waiting in a queue until the weights are outdated.
+    SECTION("so is an attempt that was sent before the version was announced")
+    {
+        it.scheduler.advance(400ms);
+        it.gateway.handle(request, std::make_shared<ClientView>());
+        const auto earlier = it.backendCalls.back();
+        REQUIRE(earlier->backend() == "b2");
+        it.gateway.requireVersion(model, 3, it.scheduler.now() + 300ms);
+        serve(3, 3);
+        it.scheduler.advance(500ms);
+        CHECK_FALSE(earlier->cancelled);
+        it.scheduler.advance(100ms);
+        CHECK(earlier->cancelled);
+        CHECK(it.backendCalls.back()->backend() == "b3");
+    }
     // Without it nobody can tell from outside whether old weights were used for too long.
     SECTION("a response that starts with outdated weights is counted")
     {
