Read Server-Leaving and Retry-After of a response into a neutral type

Neither header was read.

CallerProtocol::readAvailability() turns them into BackendAvailability, so that the names stay in platform/. It is separate from readResponse() because it also applies to interim and late responses, of which nothing else is used.

--- a/modules/gateway/include/godwit/gateway/callerprotocol.h
+++ b/modules/gateway/include/godwit/gateway/callerprotocol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/base/result.h>
+#include <godwit/gateway/backendavailability.h>
 #include <godwit/gateway/backendload.h>
 #include <godwit/gateway/clientrequest.h>
 #include <godwit/ports/httpcall.h>
@@ -61,6 +62,9 @@
                              const AttemptParameters &terms) const = 0;
 
     virtual BackendResponseHead readResponse(int status, const HttpHeaders &headers) const = 0;
+
+    /// Reads what any response of a backend server, also an interim one, states about itself.
+    virtual BackendAvailability readAvailability(int status, const HttpHeaders &headers) const = 0;
 };
 
 } // namespace godwit
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -65,6 +65,15 @@
             head.weightsVersion = std::stoull(*version);
         return head;
     }
+    BackendAvailability readAvailability(int status, const HttpHeaders &headers) const override
+    {
+        BackendAvailability availability;
+        availability.leaving = headers.find("leaving") != nullptr;
+        const std::string *pause = headers.find("pause");
+        if (status == 503 && pause)
+            availability.retryAfter = std::chrono::milliseconds(std::stoi(*pause));
+        return availability;
+    }
 };
 
 /// Records the response that the client receives.
