Choose no backend server that leaves or whose pause is not over

BackendPool knew of a leaving server only from its record, and of one that wants no requests only as a backoff of at most 1.2 s, which it ignores when all servers are in backoff.

choose() now asks AvailabilityTracker about each eligible server before costs and backoff are considered, so that neither rule can undo a statement of the server, and servers that were passed over count neither for the load nor as servers in backoff. The result lists them with the reason. If none is left, it says whether all leave or when the first pause is over; a pause of a server that the request has tried already counts as well. A paused server still counts for readiness, since it comes back.

Before (tests and interface in place, choose() unchanged): 12 of the 15 new sections of backendpooltest failed, among them "one gets no new requests, even if all others have failed", "nor does a record that was missing for a while" and "also not if all others have failed". The sections on later processes at the same id or address guard against doing too much.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -2,6 +2,7 @@
 
 #include <godwit/base/random.h>
 #include <godwit/base/time.h>
+#include <godwit/gateway/availabilitytracker.h>
 #include <godwit/gateway/backendload.h>
 #include <godwit/gateway/backendrecord.h>
 #include <godwit/gateway/gatewayconfiguration.h>
@@ -50,6 +51,15 @@
     RequestUrgency urgency = RequestUrgency::OnTime;
 };
 
+/// A backend server that could take a request but for what it has stated itself.
+struct PassedOverBackend
+{
+    BackendId id;
+    Unavailability why;
+
+    friend bool operator==(const PassedOverBackend &, const PassedOverBackend &) = default;
+};
+
 /// The backend server selected for a request.
 struct BackendChoice
 {
@@ -59,6 +69,10 @@
     bool hasFreeSlot = true;         ///< The request does not queue behind others.
     /// The backend server must not start the request later: its weights are outdated from then on.
     std::optional<TimePoint> startDeadline;
+    std::uint64_t startTimeMs = 0; ///< Of its record.
+    std::vector<PassedOverBackend> passedOver = {};
+
+    BackendInstance instance() const { return {id, startTimeMs}; }
 
     friend bool operator==(const BackendChoice &, const BackendChoice &) = default;
 };
@@ -67,11 +81,15 @@
 struct NoBackend
 {
     enum class Reason {
-        NoneKnown, ///< No backend server of the service is eligible for the request.
-        AllFull,   ///< All eligible ones would start the request too late.
+        NoneKnown,  ///< No backend server of the service is eligible for the request.
+        AllFull,    ///< All eligible ones would start the request too late.
+        AllLeaving, ///< All eligible ones have stated that they leave.
+        AllPaused,  ///< All that do not leave have stated a retry time that is not over.
     };
     Reason reason = Reason::NoneKnown;
-    Duration shortestWait{0}; ///< Predicted time until one has a free slot; 0 if unknown.
+    /// Predicted time until one has a free slot, or its pause is over; 0 if unknown.
+    Duration shortestWait{0};
+    std::vector<PassedOverBackend> passedOver = {};
 
     friend bool operator==(const NoBackend &, const NoBackend &) = default;
 };
@@ -108,6 +126,10 @@
 
     std::variant<BackendChoice, NoBackend> choose(const BackendQuery &query, TimePoint now);
 
+    /// What backend servers state about themselves. It outlasts their records: neither a record
+    /// that says otherwise nor its removal and return make one eligible again.
+    AvailabilityTracker &availability() { return m_availability; }
+
     /// An attempt was sent to \a id.
     void onAttemptStarted(const BackendId &id, RequestUrgency urgency);
     /// The first event of its response arrived.
@@ -172,6 +194,8 @@
         TimePoint requiredFrom;
     };
 
+    /// Whether \a backend could serve \a query, regardless of the ones that were tried before and
+    /// of what it has stated about itself.
     bool isEligible(const Backend &backend, const BackendQuery &query, const Service *service,
                     TimePoint now) const;
     std::uint64_t requiredVersion(const ModelId &model, TimePoint now) const;
@@ -209,6 +233,7 @@
     std::map<std::string, Service> m_services;
     std::map<ModelId, std::vector<VersionRule>> m_versionRules;
     std::map<ModelId, LoadSchedule> m_schedules;
+    AvailabilityTracker m_availability;
     bool m_enginesChanged = false; ///< The schedules have to be updated.
 };
 
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -83,6 +83,31 @@
     return std::min(MinRejectionBackoff * (1 << doublings), MaxRejectionBackoff);
 }
 
+BackendInstance instanceOf(const BackendRecord &record)
+{
+    return {record.id, record.startTimeMs};
+}
+
+/// Describes why a request cannot be sent to any backend server, given those that it could be sent
+/// to but for their own statements.
+NoBackend noneAvailable(std::vector<PassedOverBackend> passedOver, TimePoint now)
+{
+    NoBackend none;
+    if (!passedOver.empty())
+        none.reason = NoBackend::Reason::AllLeaving;
+    for (const PassedOverBackend &it : passedOver) {
+        if (!it.why.until)
+            continue;
+        const Duration wait = *it.why.until - now;
+        none.shortestWait = none.reason == NoBackend::Reason::AllPaused
+                                    ? std::min(none.shortestWait, wait)
+                                    : wait;
+        none.reason = NoBackend::Reason::AllPaused;
+    }
+    none.passedOver = std::move(passedOver);
+    return none;
+}
+
 bool holdsAllLayers(const BackendRecord &record, std::uint64_t version, std::uint32_t layers)
 {
     if (!record.layers)
@@ -96,6 +121,7 @@
 BackendPool::BackendPool(ZoneId zone, Random random)
     : m_zone(std::move(zone))
     , m_random(random)
+    , m_availability(Random(m_random()))
 {}
 
 void BackendPool::update(const BackendRecord &record, TimePoint now)
@@ -180,8 +206,7 @@
                              const Service *service, TimePoint now) const
 {
     const BackendRecord &record = backend.record;
-    if (record.service != query.service || record.draining || backend.replaced
-        || query.excluded.contains(record.id))
+    if (record.service != query.service || record.draining || backend.replaced)
         return false;
     if (query.model.empty() || !service || !service->engine)
         return true;
@@ -295,7 +320,9 @@
             query.service = name;
             query.model = model;
             const auto serving = [&, &service = service](const auto &entry) {
-                return isEligible(entry.second, query, &service, now);
+                const auto why = m_availability.find(instanceOf(entry.second.record), now);
+                return (!why || why->reason == UnavailabilityReason::Paused)
+                       && isEligible(entry.second, query, &service, now);
             };
             if (std::ranges::none_of(m_backends, serving))
                 return false;
@@ -362,16 +389,28 @@
     }
     const Service *service = findService(query.service);
     std::vector<const Backend *> serving;
+    std::vector<PassedOverBackend> passedOver;
     for (const auto &[id, backend] : m_backends) {
-        if (isEligible(backend, query, service, now))
+        if (!isEligible(backend, query, service, now))
+            continue;
+        if (const auto why = m_availability.find(instanceOf(backend.record), now))
+            passedOver.push_back({id, *why});
+        else if (!query.excluded.contains(id))
             serving.push_back(&backend);
     }
+    NoBackend none = noneAvailable(std::move(passedOver), now);
     if (serving.empty())
-        return NoBackend{};
+        return none;
     double shortestWait = MaxWaitSeconds;
-    if (const auto choice = findCheapest(serving, query, now, shortestWait))
+    if (auto choice = findCheapest(serving, query, now, shortestWait)) {
+        choice->passedOver = std::move(none.passedOver);
         return *choice;
-    return NoBackend{NoBackend::Reason::AllFull, fromSeconds(shortestWait)};
+    }
+    const Duration wait = fromSeconds(shortestWait);
+    none.shortestWait =
+            none.reason == NoBackend::Reason::AllPaused ? std::min(none.shortestWait, wait) : wait;
+    none.reason = NoBackend::Reason::AllFull;
+    return none;
 }
 
 std::optional<BackendChoice>
@@ -414,8 +453,8 @@
                             + reloadPenalty(it->record, query.model, start + ownHold, now)
                             + m_random.uniform() * JitterSeconds;
         if (!best || cost < bestCost) {
-            best = BackendChoice{it->record.id, it->record.endpoint, fromSeconds(start), wait <= 0,
-                                 startDeadline};
+            best = BackendChoice{it->record.id, it->record.endpoint, fromSeconds(start),
+                                 wait <= 0,     startDeadline,       it->record.startTimeMs};
             bestCost = cost;
         }
     }
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -188,6 +188,168 @@
     }
 }
 
+TEST_CASE("BackendPool and engines that state that they leave")
+{
+    Fixture it;
+    const auto leave = [&](int number) {
+        it.pool.availability().recordLeaving({BackendId("e" + std::to_string(number)), 1}, it.now);
+    };
+    leave(1);
+
+    // Guards against requests at an engine that drains, which it rejects or cannot finish.
+    SECTION("one gets no new requests, even if all others have failed")
+    {
+        for (int i = 2; i <= 4; ++i)
+            it.pool.onAttemptFinished(BackendId("e" + std::to_string(i)),
+                                      AttemptOutcome::Unreachable, 0ms, it.now);
+        CHECK(it.send(40).count("e1") == 0);
+        it.now += 1h;
+        CHECK(it.send(40).count("e1") == 0);
+    }
+    SECTION("nor does it get a stream to resume")
+    {
+        auto resumed = query();
+        resumed.version = 1;
+        resumed.excluded = {BackendId("e2"), BackendId("e3"), BackendId("e4")};
+        CHECK(it.choose(resumed) == "none");
+    }
+    // Guards against a record from before the statement, or one of a watch that lags.
+    SECTION("a record that says otherwise changes nothing")
+    {
+        auto moved = engine(1, "there");
+        moved.endpoint.port = 81;
+        moved.models = {{Model, 2}};
+        it.pool.update(moved, it.now);
+        it.pool.update(engine(1, "here"), it.now);
+        CHECK(it.send(40).count("e1") == 0);
+    }
+    // Guards against a list after an outage of the store, in which its record was missing.
+    SECTION("nor does a record that was missing for a while")
+    {
+        it.pool.remove(BackendId("e1"));
+        it.now += 10min;
+        it.pool.update(engine(1, "here"), it.now);
+        CHECK(it.send(40).count("e1") == 0);
+    }
+    SECTION("a later process with the same id and address is used")
+    {
+        auto successor = engine(1, "here");
+        successor.startTimeMs = 2;
+        it.pool.update(successor, it.now);
+        CHECK(it.send(30).count("e1") == 1);
+    }
+    SECTION("another engine at the same address is used")
+    {
+        auto successor = engine(5, "here");
+        successor.endpoint = engine(1, "here").endpoint;
+        it.pool.update(successor, it.now);
+        CHECK(it.send(30).count("e5") == 1);
+    }
+    SECTION("the choice states which ones were passed over, and why")
+    {
+        const auto found = it.pool.choose(query(), it.now);
+        const std::vector<PassedOverBackend> expected{
+                {BackendId("e1"), {UnavailabilityReason::Leaving, std::nullopt}}};
+        CHECK(std::get<BackendChoice>(found).passedOver == expected);
+    }
+    SECTION("if all leave, the reason says so")
+    {
+        for (int i = 2; i <= 4; ++i)
+            leave(i);
+        const auto found = it.pool.choose(query(), it.now);
+        REQUIRE(std::holds_alternative<NoBackend>(found));
+        CHECK(std::get<NoBackend>(found).reason == NoBackend::Reason::AllLeaving);
+        CHECK(std::get<NoBackend>(found).passedOver.size() == 4);
+        CHECK_FALSE(it.pool.servesAllModels(it.now));
+    }
+}
+
+TEST_CASE("BackendPool and engines that want no requests for some time")
+{
+    Fixture it;
+    const auto pause = [&](int number, Duration retryAfter) {
+        it.pool.availability().recordRetryAfter({BackendId("e" + std::to_string(number)), 1},
+                                                retryAfter, it.now);
+    };
+    const auto failOthers = [&] {
+        for (int i = 2; i <= 4; ++i)
+            it.pool.onAttemptFinished(BackendId("e" + std::to_string(i)),
+                                      AttemptOutcome::Unreachable, 0ms, it.now);
+    };
+    pause(1, 4s);
+
+    SECTION("one gets none before the time is over, and some soon after")
+    {
+        CHECK(it.send(20).count("e1") == 0);
+        it.now += 4s;
+        CHECK(it.send(10).count("e1") == 0);
+        it.now += 1s;
+        CHECK(it.send(30).count("e1") == 1);
+    }
+    // Guards against the rule that ignores backoff when all engines are in backoff.
+    SECTION("also not if all others have failed")
+    {
+        failOthers();
+        CHECK(it.send(20).count("e1") == 0);
+    }
+    // Guards against the reverse: a paused engine that keeps the others in their backoff.
+    SECTION("the others are used then in spite of their backoff")
+    {
+        failOthers();
+        CHECK(it.choose(query()) != "none");
+    }
+    SECTION("new weights or a new record do not end the pause")
+    {
+        it.pool.onAttemptFinished(BackendId("e1"), AttemptOutcome::Rejected, 0ms, it.now);
+        it.pool.update(engine(1, "here", 2), it.now);
+        CHECK(it.send(20).count("e1") == 0);
+    }
+    // Guards against admitting requests for slots that cannot be used.
+    SECTION("its slots do not count, and its end counts in the wait")
+    {
+        pause(2, 4s);
+        it.send(2 * 16);
+        auto late = query();
+        late.maxQueueDelay = 0ms;
+        const auto found = it.pool.choose(late, it.now);
+        REQUIRE(std::holds_alternative<NoBackend>(found));
+        CHECK(std::get<NoBackend>(found).reason == NoBackend::Reason::AllFull);
+        const auto pauseEnd = [&](const std::string &id) {
+            return *it.pool.availability().find({BackendId(id), 1}, it.now)->until;
+        };
+        it.now = std::min(pauseEnd("e1"), pauseEnd("e2")) - 1ms;
+        const auto later = it.pool.choose(late, it.now);
+        REQUIRE(std::holds_alternative<NoBackend>(later));
+        CHECK(std::get<NoBackend>(later).shortestWait <= 1ms);
+    }
+    // Guards against a Retry-After that sends clients back before any engine can be used.
+    SECTION("if all want none, the wait lasts until the first pause is over")
+    {
+        for (int i = 2; i <= 4; ++i)
+            pause(i, i * 10s);
+        const auto found = it.pool.choose(query(), it.now);
+        REQUIRE(std::holds_alternative<NoBackend>(found));
+        const auto &none = std::get<NoBackend>(found);
+        CHECK(none.reason == NoBackend::Reason::AllPaused);
+        CHECK(none.shortestWait >= 4s);
+        CHECK(none.shortestWait <= 5s);
+        CHECK(none.passedOver.size() == 4);
+        // They come back, so a client need not go to another entry process.
+        CHECK(it.pool.servesAllModels(it.now));
+    }
+    // The only engine was tried for this request, and turned it away with a retry time.
+    SECTION("a pause counts in the wait also if the request has been there before")
+    {
+        for (int i = 2; i <= 4; ++i)
+            it.pool.remove(BackendId("e" + std::to_string(i)));
+        auto repeated = query();
+        repeated.excluded = {BackendId("e1")};
+        const auto found = it.pool.choose(repeated, it.now);
+        REQUIRE(std::holds_alternative<NoBackend>(found));
+        CHECK(std::get<NoBackend>(found).shortestWait >= 4s);
+    }
+}
+
 TEST_CASE("BackendPool and versions of weights")
 {
     Fixture it;
