Report the headers of interim and late responses to the caller

HttpStreamHandlers::onOtherHeader gets their status and headers. Their bodies are discarded as before, they do not restart a timeout, and the limits on their number stay.

Before (handler declared, not called): the new section of httptest, "the headers of stale and interim responses are reported apart from the expected one", failed. Data on an idle connection still only closes it.

--- a/modules/ports/src/clientconnection.cpp
+++ b/modules/ports/src/clientconnection.cpp
@@ -203,13 +203,17 @@
 
 void ClientConnection::onHeader()
 {
-    if (m_parser->status < 200 || !m_call)
+    if (!m_call)
         return;
     const auto &expected = m_call->request.correlation;
     const std::string *found = expected ? m_parser->headers.find(expected->header) : nullptr;
-    m_isStaleResponse = found && *found != expected->value;
-    if (m_isStaleResponse)
+    const bool isInterim = m_parser->status < 200;
+    m_isStaleResponse = !isInterim && found && *found != expected->value;
+    if (isInterim || m_isStaleResponse) {
+        if (m_call->handlers.onOtherHeader)
+            m_call->handlers.onOtherHeader(m_parser->status, m_parser->headers);
         return;
+    }
     restartReceiveTimer();
     m_keepAliveTimeout = parseKeepAliveTimeout(m_parser->headers.value("Keep-Alive"));
     if (m_call->handlers.onHeader)
--- a/modules/ports/tests/httptest.cpp
+++ b/modules/ports/tests/httptest.cpp
@@ -385,6 +385,23 @@
         REQUIRE(succeeded(outcome));
         CHECK(std::get<0>(outcome).body == "mine");
     }
+    // Guards against losing what a server states about itself in a response that is not used.
+    SECTION("the headers of stale and interim responses are reported apart from the expected one")
+    {
+        bytes = response("1", "stray") + "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+                + response("2", "mine");
+        std::vector<int> others;
+        std::vector<int> expected;
+        bool ended = false;
+        HttpStreamHandlers handlers;
+        handlers.onOtherHeader = [&](int status, const HttpHeaders &) { others.push_back(status); };
+        handlers.onHeader = [&](int status, const HttpHeaders &) { expected.push_back(status); };
+        handlers.onEnd = [&](const auto &) { ended = true; };
+        f.client.stream(call, handlers);
+        runUntil(f.io, [&] { return ended; });
+        CHECK(others == std::vector{200, 103});
+        CHECK(expected == std::vector{200});
+    }
     SECTION("only stale responses are an error")
     {
         for (int i = 0; i < 8; ++i)
