Record what each response states about its backend server

The gateway used Server-Leaving and Retry-After of no response.

observeAvailability() extends the handlers of a call and records the statement in the pool before the gateway handles the response, so that a retry after a rejection already keeps to it. It is independent of the state of the request: responses after the client has left, unusable ones, interim and late ones count. What runs at the server goes on, because only the choice for new attempts asks.

Log lines: backend_leaving once an instance, backend_paused once a pause, retry_after_malformed once a response, all limited in rate, and passed_over in the line of a request.

Before (tests in place, handlers not extended): all 8 sections of "Gateway sends nothing to a backend server that states that it leaves" failed, and 2 of 3 of "Gateway keeps to the retry time of backend servers"; the third guards against a retry time of zero that takes a server out of use.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -91,6 +91,8 @@
     Duration shortestWait{0};
     std::vector<PassedOverBackend> passedOver = {};
 
+    bool isWaitKnown() const { return reason == Reason::AllFull || reason == Reason::AllPaused; }
+
     friend bool operator==(const NoBackend &, const NoBackend &) = default;
 };
 
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -1,6 +1,8 @@
 #include "forwardedrequest.h"
 
+#include "availabilityobserver.h"
 #include "errorresponse.h"
+#include "passedover.h"
 #include "requestlog.h"
 
 #include <algorithm>
@@ -146,16 +148,16 @@
 {
     const auto found = chooseBackend();
     if (const auto *none = std::get_if<NoBackend>(&found)) {
-        const bool full = none->reason == NoBackend::Reason::AllFull;
+        m_passedOver = none->passedOver;
         if (m_possibleRuns > 0 || m_streaming)
             giveUp(AttemptOutcome::Broken, "no other backend server can accept the request");
         else
-            refuse(full ? ResultCode::QueueFull : ResultCode::NoBackendKnown,
-                   full ? "all backend servers are full" : "no backend server serves the request",
-                   full ? none->shortestWait : DefaultRetryAfter);
+            refuse(refusalCode(*none), refusalDetail(*none),
+                   none->isWaitKnown() ? none->shortestWait : DefaultRetryAfter);
         return;
     }
     const auto &choice = std::get<BackendChoice>(found);
+    m_passedOver = choice.passedOver;
     m_attempts.push_back({.backend = choice.id,
                           .predictedStartDelay = choice.predictedStartDelay,
                           .foundFreeSlot = choice.hasFreeSlot,
@@ -166,7 +168,10 @@
     m_gateway.m_backends.onAttemptStarted(choice.id, m_urgency);
     HttpCall call = callFor(choice);
     m_correlation = call.correlation;
-    m_call = m_gateway.m_environment.send(std::move(call), handlersFor(++m_attemptSerial));
+    m_call = m_gateway.m_environment.send(
+            std::move(call),
+            observeAvailability(handlersFor(++m_attemptSerial), {choice.instance(), m_request.id},
+                                m_gateway.m_environment, m_gateway.m_backends));
     m_startTimer.reset();
     m_stallTimer.reset();
     if (choice.startDeadline)
@@ -398,6 +403,7 @@
                 {"service", m_admission.service},
                 {"configuration", m_admission.table->version()},
                 {"attempts", std::move(attempts)},
+                {"passed_over", describePassedOver(m_passedOver, m_arrivedAt)},
                 {"status", status},
                 {"code", static_cast<int>(code)},
                 {"detail", detail},
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -115,6 +115,7 @@
     std::unique_ptr<Timer> m_startTimer; ///< Of the current attempt.
     std::unique_ptr<Timer> m_stallTimer; ///< Of the current attempt.
     std::vector<PastAttempt> m_attempts;
+    std::vector<PassedOverBackend> m_passedOver; ///< When the last attempt was placed or refused.
     std::shared_ptr<CallHandle> m_call;
     std::uint64_t m_attemptSerial = 0; ///< Callbacks of other attempts are ignored.
     BackendResponseHead m_responseHead;
--- a/modules/gateway/src/requestlog.cpp
+++ b/modules/gateway/src/requestlog.cpp
@@ -9,9 +9,12 @@
 
 namespace {
 
-/// Rate limits, by RequestLogKind. Answers are sampled; failures are only dropped in bursts.
-constexpr std::array<double, 2> LinesPerSecond{5, 40};
-constexpr std::array<std::string_view, 2> EventNames{"request_answered", "request_failed"};
+constexpr std::size_t KindCount = 5;
+/// Rate limits, by RequestLogKind. Answers are sampled; the others are only dropped in bursts.
+constexpr std::array<double, KindCount> LinesPerSecond{5, 40, 40, 40, 5};
+constexpr std::array<std::string_view, KindCount> EventNames{"request_answered", "request_failed",
+                                                             "backend_leaving", "backend_paused",
+                                                             "retry_after_malformed"};
 
 struct LineBudget
 {
@@ -37,7 +40,7 @@
 void logRequest(RequestLogKind kind, boost::json::object fields, TimePoint now)
 {
     // Requests are handled on a single thread.
-    thread_local std::array<LineBudget, 2> budgets;
+    thread_local std::array<LineBudget, KindCount> budgets;
     const auto index = static_cast<std::size_t>(kind);
     LineBudget &budget = budgets[index];
     if (!tryConsume(budget, LinesPerSecond[index], now))
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -360,3 +361,157 @@
         it.sendRequest("/safe/x");
     CHECK(it.backendCalls.size() == filled);
 }
+
+TEST_CASE("Gateway sends nothing to a backend server that states that it leaves")
+{
+    Fixture it;
+    it.configure();
+    const auto view = it.sendRequest("/stream/x");
+    const auto first = it.backendCalls[0];
+    const std::string leaving = first->backend();
+    // The requests stay in progress, so that they are spread over all servers that may be used.
+    const auto usedBy = [&](int requests) {
+        std::set<std::string> used;
+        for (int i = 0; i < requests; ++i) {
+            it.sendRequest("/book/x");
+            used.insert(it.backendCalls.back()->backend());
+        }
+        return used;
+    };
+    // Makes another server leave after it has become the one with the least load.
+    const auto leaveAfterLoad = [&] {
+        REQUIRE(usedBy(9).size() == 3);
+        const auto isOther = [&](const auto &call) { return call->backend() != leaving; };
+        const std::string other = (*std::ranges::find_if(it.backendCalls, isOther))->backend();
+        for (const auto &call : std::vector(it.backendCalls)) {
+            if (call->backend() != other)
+                continue;
+            call->head(200, {{"seal", "s"}, {"leaving", "1"}});
+            call->complete();
+        }
+        return other;
+    };
+
+    // Guards against a statement that is only read from some kinds of responses.
+    SECTION("in the head of a stream, which goes on")
+    {
+        first->head(200, {{"seal", "s"}, {"events", "1"}, {"leaving", "1"}});
+        CHECK_FALSE(usedBy(9).contains(leaving));
+        CHECK_FALSE(first->cancelled);
+        first->data("id: 1\ndata: a\n\n");
+        first->complete();
+        CHECK(view->body == "id: 1\ndata: a\n\n");
+        CHECK(view->finished);
+    }
+    SECTION("in an error response")
+    {
+        first->head(500, {{"seal", "s"}, {"leaving", "1"}});
+        CHECK_FALSE(usedBy(9).contains(leaving));
+    }
+    SECTION("in a response that is not used")
+    {
+        first->head(200, {{"leaving", "1"}});
+        CHECK_FALSE(usedBy(9).contains(leaving));
+    }
+    SECTION("in an interim response, or a late one to an earlier call")
+    {
+        REQUIRE(first->handlers.onOtherHeader);
+        first->handlers.onOtherHeader(103, {{"leaving", "1"}});
+        CHECK_FALSE(usedBy(9).contains(leaving));
+    }
+    SECTION("in a response after the client has left")
+    {
+        view->closed();
+        first->head(200, {{"seal", "s"}, {"leaving", "1"}});
+        CHECK_FALSE(usedBy(9).contains(leaving));
+    }
+    // Guards against a retry at a server that has stated meanwhile that it leaves.
+    SECTION("also no request that is retried")
+    {
+        const std::string other = leaveAfterLoad();
+        first->head(503, {{"not-run", "1"}, {"leaving", "1"}});
+        first->complete();
+        CHECK(it.backendCalls.back()->backend() != leaving);
+        CHECK(it.backendCalls.back()->backend() != other);
+    }
+    // Guards against a stream that is resumed at a server that has stated meanwhile that it leaves.
+    SECTION("also no stream that is resumed")
+    {
+        first->head(200, {{"seal", "s"}, {"events", "1"}});
+        first->data("id: 1\ndata: a\n\n");
+        const std::string other = leaveAfterLoad();
+        first->fail(ResultCode::PlatformReplyLost);
+        REQUIRE(it.backendCalls.back()->call.headers.find("last"));
+        CHECK(it.backendCalls.back()->backend() != other);
+    }
+    SECTION("and refuses at once, with a Retry-After, if all of them leave")
+    {
+        first->head(503, {{"not-run", "1"}, {"leaving", "1"}});
+        first->complete();
+        for (int i = 1; i <= 2; ++i) {
+            it.backendCalls[i]->head(503, {{"not-run", "1"}, {"leaving", "1"}});
+            it.backendCalls[i]->complete();
+        }
+        CHECK(view->status == 503);
+        const auto next = it.sendRequest("/book/x");
+        CHECK(it.backendCalls.size() == 3);
+        CHECK(next->status == 503);
+        CHECK(next->headers.find("Retry-After"));
+        CHECK(next->body.find("3 leaving") != std::string::npos);
+    }
+}
+
+TEST_CASE("Gateway keeps to the retry time of backend servers")
+{
+    Fixture it;
+    it.configure();
+    const auto rejectWith = [](const std::shared_ptr<BackendCall> &call, const std::string &pause) {
+        call->head(503, {{"not-run", "1"}, {"pause", pause}});
+        call->complete();
+    };
+
+    // Guards against the backoff after a rejection, which is shorter, deciding alone.
+    SECTION("one that rejected gets nothing before it is over")
+    {
+        it.sendRequest("/book/x");
+        const std::string paused = it.backendCalls[0]->backend();
+        rejectWith(it.backendCalls[0], "3000");
+        for (int i = 0; i < 29; ++i) {
+            it.sendRequest("/book/x");
+            CHECK(it.backendCalls.back()->backend() != paused);
+            it.backendCalls.back()->respond(200, "done");
+            it.scheduler.advance(100ms);
+            it.gateway.onConfigurationConfirmed(it.scheduler.now());
+        }
+    }
+    // Guards against a retry time of zero that takes a server out of use.
+    SECTION("a retry time of zero leaves only the backoff")
+    {
+        it.gateway.backends().remove(BackendId("b2"));
+        it.gateway.backends().remove(BackendId("b3"));
+        it.sendRequest("/book/x");
+        rejectWith(it.backendCalls[0], "0");
+        it.sendRequest("/book/x");
+        CHECK(it.backendCalls.size() == 2);
+    }
+    // Guards against attempts at paused servers, and against clients that return before the first
+    // pause is over although they have the time to wait for it.
+    SECTION("if all want nothing, requests are refused at once, with the time until the first does")
+    {
+        it.sendRequest("/book/x", "k", 60s);
+        for (std::size_t i = 0; i < 3; ++i)
+            rejectWith(it.backendCalls[i], std::to_string(4000 + 4000 * i));
+        REQUIRE(it.backendCalls.size() == 3);
+        auto patient = Fixture::configuration(2);
+        for (Route &route : patient.routes)
+            route.timeout = 60s;
+        it.gateway.setConfiguration(std::make_shared<const RouteTable>(patient));
+        const auto view = it.sendRequest("/book/x", "k", 60s);
+        CHECK(it.backendCalls.size() == 3);
+        CHECK(view->status == 503);
+        const double retryAfter = std::stod(std::string(view->headers.value("Retry-After")));
+        CHECK(retryAfter >= 4);
+        CHECK(retryAfter <= 10);
+        CHECK(view->body.find("3 paused") != std::string::npos);
+    }
+}
