Let the engine stand-in state that it leaves or wants no requests

FleetEngineStandin::setLeaving() adds the statement to all responses, also to those of orders and reports, while the engine runs what it receives, so that requests that should not have come can be counted. setRetryAfter() turns requests away.

--- a/standins/include/godwit/standin/fleetenginestandin.h
+++ b/standins/include/godwit/standin/fleetenginestandin.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,20 @@
     std::string recordJson(bool draining) const;
     std::string recordKey() const { return "servers/" + m_options.id; }
 
+    /// States in all further responses that the engine leaves. It still runs what it receives, so
+    /// that requests that should not have been sent can be counted.
+    void setLeaving() { m_isLeaving = true; }
+
+    /// Turns requests away with 503 and \a retryAfter as the value of Retry-After until it is
+    /// reset.
+    void setRetryAfter(std::optional<std::string> retryAfter)
+    {
+        m_retryAfter = std::move(retryAfter);
+    }
+
+    /// Number of requests of clients received so far, including those turned away.
+    std::size_t receivedRequests() const { return m_receivedRequests; }
+
 private:
     struct Run
     {
@@ -99,6 +114,9 @@
     std::unique_ptr<HttpServer> m_server;
     std::list<Run> m_runs;
     std::uint64_t m_orders = 0;
+    std::size_t m_receivedRequests = 0;
+    bool m_isLeaving = false;
+    std::optional<std::string> m_retryAfter;
     std::map<std::uint32_t, std::string> m_loading;
     std::unique_ptr<boost::asio::steady_timer>
             m_loadTimer; ///< Set while a load order is in progress.
--- a/standins/src/fleetenginestandin.cpp
+++ b/standins/src/fleetenginestandin.cpp
@@ -1,3 +1,5 @@
+#include "leavingreply.h"
+
 #include <godwit/standin/fleetenginestandin.h>
 
 #include <boost/json.hpp>
@@ -65,7 +67,11 @@
     BOOST_LEAF_ASSIGN(m_server,
                       HttpServer::listen(m_io, options,
                                          [this](const HttpRequest &request, const Reply &reply) {
-                                             handle(request, reply);
+                                             if (m_isLeaving)
+                                                 handle(request,
+                                                        std::make_shared<LeavingReply>(reply));
+                                             else
+                                                 handle(request, reply);
                                          }));
     return {};
 }
@@ -180,6 +186,12 @@
         reply.send(notExecuted(421));
         return true;
     }
+    if (m_retryAfter) {
+        HttpResponse response = notExecuted(503);
+        response.headers.add("Retry-After", *m_retryAfter);
+        reply.send(std::move(response));
+        return true;
+    }
     const bool hasNoModel = m_options.service == ModelService && m_options.version == 0;
     if (m_loadTimer || hasNoModel || m_runs.size() >= Slots) {
         reply.send(notExecuted(503));
@@ -190,6 +202,7 @@
 
 void FleetEngineStandin::serve(const HttpRequest &request, const Reply &reply)
 {
+    ++m_receivedRequests;
     if (rejectIfUnavailable(request, *reply))
         return;
     const auto run = m_runs.insert(m_runs.end(), Run{reply, attemptIdOf(request), 0, nullptr,
