--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -2,9 +2,9 @@
 
 #include <godwit/base/random.h>
 #include <godwit/base/time.h>
+#include <godwit/gateway/availabilitytracker.h>
 #include <godwit/gateway/backendload.h>
 #include <godwit/gateway/backendrecord.h>
-#include <godwit/gateway/crashreport.h>
 #include <godwit/gateway/gatewayconfiguration.h>
 #include <godwit/gateway/loadschedule.h>
 
@@ -51,6 +51,15 @@
     RequestUrgency urgency = RequestUrgency::OnTime;
 };
 
+/// A backend server that could take a request but for what it has stated itself.
+struct PassedOverBackend
+{
+    BackendId id;
+    Unavailability why;
+
+    friend bool operator==(const PassedOverBackend &, const PassedOverBackend &) = default;
+};
+
 /// The backend server selected for a request.
 struct BackendChoice
 {
@@ -61,6 +70,10 @@
     /// Of the requested model, by the record of the backend server; none for a service without
     /// models. The request must not start there after the versionExpiry() of this version.
     std::optional<std::uint64_t> weightsVersion;
+    std::uint64_t startTimeMs = 0; ///< Of its record.
+    std::vector<PassedOverBackend> passedOver = {};
+
+    BackendInstance instance() const { return {id, startTimeMs}; }
 
     friend bool operator==(const BackendChoice &, const BackendChoice &) = default;
 };
@@ -69,11 +82,17 @@
 struct NoBackend
 {
     enum class Reason {
-        NoneKnown, ///< No backend server of the service is eligible for the request.
-        AllFull,   ///< All eligible ones would start the request too late.
+        NoneKnown,  ///< No backend server of the service is eligible for the request.
+        AllFull,    ///< All eligible ones would start the request too late.
+        AllLeaving, ///< All eligible ones have stated that they leave.
+        AllPaused,  ///< All that do not leave have stated a retry time that is not over.
     };
     Reason reason = Reason::NoneKnown;
-    Duration shortestWait{0}; ///< Predicted time until one has a free slot; 0 if unknown.
+    /// Predicted time until one has a free slot, or its pause is over; 0 if unknown.
+    Duration shortestWait{0};
+    std::vector<PassedOverBackend> passedOver = {};
+
+    bool isWaitKnown() const { return reason == Reason::AllFull || reason == Reason::AllPaused; }
 
     friend bool operator==(const NoBackend &, const NoBackend &) = default;
 };
@@ -111,6 +130,10 @@
 
     std::variant<BackendChoice, NoBackend> choose(const BackendQuery &query, TimePoint now);
 
+    /// What backend servers state about themselves. It outlasts their records: neither a record
+    /// that says otherwise nor its removal and return make one eligible again.
+    AvailabilityTracker &availability() { return m_availability; }
+
     /// An attempt was sent to \a id.
     void onAttemptStarted(const BackendId &id, RequestUrgency urgency);
     /// The first event of its response arrived.
@@ -135,9 +158,6 @@
 
     std::size_t size() const { return m_backends.size(); }
 
-    /// The run of \a id that its record describes; without a start time if it is not known.
-    BackendInstance instance(const BackendId &id) const;
-
     /// Number of requests of this process in progress at \a id.
     std::uint32_t inProgress(const BackendId &id) const;
 
@@ -178,6 +198,8 @@
         TimePoint requiredFrom;
     };
 
+    /// Whether \a backend could serve \a query, regardless of the ones that were tried before and
+    /// of what it has stated about itself.
     bool isEligible(const Backend &backend, const BackendQuery &query, const Service *service,
                     TimePoint now) const;
     std::uint64_t requiredVersion(const ModelId &model, TimePoint now) const;
@@ -216,6 +238,7 @@
     std::map<std::string, Service> m_services;
     std::map<ModelId, std::vector<VersionRule>> m_versionRules;
     std::map<ModelId, LoadSchedule> m_schedules;
+    AvailabilityTracker m_availability;
     bool m_enginesChanged = false; ///< The schedules have to be updated.
 };
 
