Believe a refusal only if it identifies its request

A backend server in trouble may write a copy of an earlier refusal on a kept connection. Such a copy without the id of its request was taken for the answer to the current one: the client was told that its request had not run, although the backend server ran it, or the request was sent to a second one. Only successes were checked for the id.

A response to a request that carries an id now counts only if it repeats that id, whatever its status is. Anything else is broken: a non-idempotent request gets 502, and a repeatable one is sent elsewhere but counts as possibly run. Errors are treated alike, because the failure of another request is not an answer to this one either.

The engine stand-in repeats the id in its refusals, as engines do.

--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -72,6 +72,9 @@
     std::variant<BackendChoice, NoBackend> chooseBackend();
 
     void onHead(int status, const HttpHeaders &headers);
+    /// Whether a response with \a headers belongs to this request. Any other response, be it a
+    /// success, an error or a refusal, says nothing about whether the request has run.
+    bool identifiesRequest(const HttpHeaders &headers) const;
     void onData(std::string_view data);
     void onEnd(const Outcome<std::monostate> &outcome);
     void onComplete();
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -61,6 +61,12 @@
             });
 }
 
+bool ForwardedRequest::identifiesRequest(const HttpHeaders &headers) const
+{
+    // A late copy of another response may lack the id that would identify it.
+    return !m_correlation || headers.value(m_correlation->header) == m_correlation->value;
+}
+
 void ForwardedRequest::onHead(int status, const HttpHeaders &headers)
 {
     m_responseHead = m_gateway.m_environment.protocol.readResponse(status, headers);
@@ -70,16 +76,16 @@
     const bool cannotContinue =
             m_streaming
             && (!isSuccess(status) || m_responseHead.weightsVersion != m_weightsVersion);
-    // A late copy of another response may lack the id that would identify it.
-    const bool isUnidentified = m_correlation && !headers.find(m_correlation->header);
     const bool isUntrusted =
-            isSuccess(status)
-            && (!m_responseHead.sealed || m_responseHead.isEncoded || isUnidentified);
+            !identifiesRequest(headers)
+            || (isSuccess(status) && (!m_responseHead.sealed || m_responseHead.isEncoded));
     m_hasDeclaredLength = headers.find("Content-Length") != nullptr;
     m_discardedBytes = 0;
-    if (m_responseHead.notExecuted)
+    if (isUntrusted)
+        m_bodyMode = BodyMode::Unusable;
+    else if (m_responseHead.notExecuted)
         m_bodyMode = BodyMode::Rejection;
-    else if (cannotContinue || isUntrusted)
+    else if (cannotContinue)
         m_bodyMode = BodyMode::Unusable;
     else if (isSuccess(status) && m_responseHead.isEventStream)
         m_bodyMode = BodyMode::Events;
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -39,6 +39,71 @@
     CHECK(next->body == "mine");
 }
 
+// Guards against a late copy of the refusal of an earlier request on the same connection: the
+// client was told that its request had not run, or it ran a second time at another backend server.
+TEST_CASE("Gateway believes no refusal or error that does not identify its request")
+{
+    Fixture it;
+    it.protocol.identifiesRequests = true;
+    it.configure();
+    const HttpHeaders refusal{{"not-run", "1"}};
+    const HttpHeaders ownRefusal{{"not-run", "1"}, {"echo", "r1"}};
+    const auto respond = [&it](std::size_t attempt, int status, const HttpHeaders &headers) {
+        it.backendCalls[attempt]->head(status, headers);
+        it.backendCalls[attempt]->data("other");
+        it.backendCalls[attempt]->complete();
+    };
+
+    SECTION("a refusal leaves open whether the request has run")
+    {
+        const int status = GENERATE(503, 421, 429, 408);
+        const auto view = it.sendRequest("/book/x");
+        respond(0, status, refusal);
+        CHECK(it.backendCalls.size() == 1);
+        CHECK(view->status == 502);
+    }
+    SECTION("also if it identifies another request")
+    {
+        const auto view = it.sendRequest("/book/x");
+        respond(0, 503, {{"not-run", "1"}, {"echo", "r0"}});
+        CHECK(it.backendCalls.size() == 1);
+        CHECK(view->status == 502);
+    }
+    SECTION("a refusal without an end leaves it open as well")
+    {
+        const auto view = it.sendRequest("/book/x");
+        it.backendCalls[0]->head(503, refusal);
+        it.backendCalls[0]->data(std::string(128UL * 1024, 'x'));
+        CHECK(it.backendCalls.size() == 1);
+        CHECK(view->status == 502);
+    }
+    SECTION("an error is not passed on")
+    {
+        const int status = GENERATE(400, 404, 500, 503);
+        const auto view = it.sendRequest("/book/x");
+        respond(0, status, {{"seal", "s"}});
+        CHECK(view->status == 502);
+        CHECK(view->body.find("other") == std::string::npos);
+    }
+    SECTION("a repeatable request is sent elsewhere, but counts as possibly run")
+    {
+        const auto view = it.sendRequest("/safe/x");
+        respond(0, 503, refusal);
+        REQUIRE(it.backendCalls.size() == 2);
+        respond(1, 503, refusal);
+        CHECK(it.backendCalls.size() == 2);
+        CHECK(view->status == 502);
+    }
+    SECTION("a refusal that identifies the request is believed")
+    {
+        const auto view = it.sendRequest("/book/x");
+        respond(0, 503, ownRefusal);
+        REQUIRE(it.backendCalls.size() == 2);
+        respond(1, 200, {{"seal", "s"}, {"echo", "r1"}});
+        CHECK(view->status == 200);
+    }
+}
+
 TEST_CASE("Gateway tells slow streams from stalled ones")
 {
     Fixture it;
--- a/standins/src/fleetenginestandin.cpp
+++ b/standins/src/fleetenginestandin.cpp
@@ -41,9 +41,9 @@
     return claimed;
 }
 
-HttpResponse notExecuted(int status)
+HttpResponse notExecuted(int status, const HttpRequest &request)
 {
-    return {status, {{"X-Not-Executed", "1"}}, {}};
+    return {status, {{"X-Attempt-Id", attemptIdOf(request)}, {"X-Not-Executed", "1"}}, {}};
 }
 
 } // namespace
@@ -177,12 +177,12 @@
     const std::string_view version = request.headers.value("X-Expect-Version");
     if ((!expected.empty() && expected != m_options.id)
         || (!version.empty() && number(version) != m_options.version)) {
-        reply.send(notExecuted(421));
+        reply.send(notExecuted(421, request));
         return true;
     }
     const bool hasNoModel = m_options.service == ModelService && m_options.version == 0;
     if (m_loadTimer || hasNoModel || m_runs.size() >= Slots) {
-        reply.send(notExecuted(503));
+        reply.send(notExecuted(503, request));
         return true;
     }
     return false;
