Treat responses that contradict themselves about the execution as broken

408, 421, 429 and 503 tell clients that their request has not run and never will. A response with such a status was passed on also if the backend server did not report that it had not executed the request, so that a client could send a request again that had run. A success that reports 'not executed' led to a second attempt.

The protocol now says which statuses make that promise. A response that makes it without the report, or has the report and a success status, is broken: the request may have run.

--- a/modules/gateway/include/godwit/gateway/callerprotocol.h
+++ b/modules/gateway/include/godwit/gateway/callerprotocol.h
@@ -31,8 +31,11 @@
 struct BackendResponseHead
 {
     int status = 0;
-    bool sealed = false;       ///< Carries the signature of a backend server.
-    bool notExecuted = false;  ///< The backend server reports that it did not execute the request.
+    bool sealed = false;      ///< Carries the signature of a backend server.
+    bool notExecuted = false; ///< The backend server reports that it did not execute the request.
+    /// The status tells clients that the request was not executed, whether or not the backend
+    /// server reports it.
+    bool impliesNotExecuted = false;
     bool otherProcess = false; ///< Not executed because another process listens at the address.
     bool isEventStream = false;
     /// Has a content coding, so the body is not the one that the backend server wrote.
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -76,8 +76,10 @@
     const bool cannotContinue =
             m_streaming
             && (!isSuccess(status) || m_responseHead.weightsVersion != m_weightsVersion);
+    const bool isContradictory =
+            m_responseHead.notExecuted ? isSuccess(status) : m_responseHead.impliesNotExecuted;
     const bool isUntrusted =
-            !identifiesRequest(headers)
+            !identifiesRequest(headers) || isContradictory
             || (isSuccess(status) && (!m_responseHead.sealed || m_responseHead.isEncoded));
     m_hasDeclaredLength = headers.find("Content-Length") != nullptr;
     m_discardedBytes = 0;
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -104,6 +104,26 @@
     }
 }
 
+// Guards against a client that is told by the status that its request has not run, although the
+// backend server does not say so, or says so of a request to which it sends a result.
+TEST_CASE("Gateway accepts no response that contradicts itself about the execution of the request")
+{
+    Fixture it;
+    it.configure();
+    struct Row
+    {
+        int status;
+        HttpHeaders headers;
+    };
+    const auto row =
+            GENERATE(Row{503, {{"seal", "s"}}}, Row{200, {{"seal", "s"}, {"not-run", "1"}}});
+    const auto view = it.sendRequest("/book/x");
+    it.backendCalls[0]->head(row.status, row.headers);
+    it.backendCalls[0]->complete();
+    CHECK(it.backendCalls.size() == 1);
+    CHECK(view->status == 502);
+}
+
 TEST_CASE("Gateway tells slow streams from stalled ones")
 {
     Fixture it;
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -59,6 +59,7 @@
         head.sealed = headers.find("seal") != nullptr;
         head.notExecuted = headers.find("not-run") != nullptr || status == 421;
         head.otherProcess = status == 421;
+        head.impliesNotExecuted = status == 421 || status == 503;
         head.isEventStream = headers.find("events") != nullptr;
         head.isEncoded = headers.find("encoded") != nullptr;
         if (const std::string *version = headers.find("weights"))
