Use no idle connection on which bytes or a close have arrived

A copy of an earlier response that a server writes just before the connection is used again is already in the receive buffer when the next request is sent. The client took it for the response to that request: callers without an id got the answer to another call, and those with one lost the request to the broken response. A close that had arrived but not been read yet lost the call in the same way.

HttpClient now peeks at a connection before it takes it out of the pool, and drops it if the server has sent bytes or closed. This costs one system call for each reuse. Bytes in the same read as the end of a response, and a response before the end of the request, already closed the connection; both have a test now.

Of 'A call uses no idle connection on which bytes or a close have arrived', the sections 'a copy that arrives just before the next call' and 'a close that arrives just before the next call' failed before.

--- a/modules/ports/src/clientconnection.cpp
+++ b/modules/ports/src/clientconnection.cpp
@@ -92,6 +92,14 @@
             [self = shared_from_this()](const ErrorCode &error) { self->onConnected(error); });
 }
 
+bool ClientConnection::isQuiet()
+{
+    char byte = 0;
+    ErrorCode ec;
+    m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
 void ClientConnection::run(const CallPointer &call)
 {
     m_call = call;
@@ -152,6 +160,7 @@
     }
     ErrorCode ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored); // For isQuiet().
     begin();
 }
 
--- a/modules/ports/src/clientconnection.h
+++ b/modules/ports/src/clientconnection.h
@@ -69,6 +69,10 @@
     /// Opens the connection and begins \a call on it.
     void connect(const CallPointer &call);
 
+    /// Whether the server has neither closed the idle connection nor sent bytes on it. Such bytes
+    /// belong to no call.
+    bool isQuiet();
+
     /// Begins \a call on an idle connection.
     void run(const CallPointer &call);
 
--- a/modules/ports/src/httpclient.cpp
+++ b/modules/ports/src/httpclient.cpp
@@ -61,6 +61,9 @@
     void shutDown();
 
 private:
+    /// Takes a usable connection out of the pool. Returns null if there is none.
+    std::shared_ptr<ClientConnection> takeIdle(const HttpEndpoint &endpoint);
+
     asio::io_context &m_io;
     HttpClientOptions m_options;
     bool m_closed = false;
@@ -121,20 +124,31 @@
 {
     if (m_closed || call->ended)
         return;
-    const auto it = m_idle.find(call->request.endpoint);
-    if (it == m_idle.end() || it->second.empty()) {
+    const auto connection = takeIdle(call->request.endpoint);
+    if (!connection) {
         startOnNewConnection(call);
         return;
     }
-    // The most recently used connection is the least likely to have been closed by the peer.
-    const auto connection = std::move(it->second.back());
-    it->second.pop_back();
-    --m_idleCount;
     m_busy.insert(connection);
     call->connection = connection;
     connection->run(call);
 }
 
+std::shared_ptr<ClientConnection> HttpClient::Private::takeIdle(const HttpEndpoint &endpoint)
+{
+    for (auto it = m_idle.find(endpoint); it != m_idle.end() && !it->second.empty();
+         it = m_idle.find(endpoint)) {
+        // The most recently used connection is the least likely to have been closed by the peer.
+        const auto connection = std::move(it->second.back());
+        it->second.pop_back();
+        --m_idleCount;
+        if (connection->isQuiet())
+            return connection;
+        connection->drop();
+    }
+    return nullptr;
+}
+
 void HttpClient::Private::startOnNewConnection(const CallPointer &call)
 {
     if (m_closed)
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -128,6 +128,75 @@
     CHECK(callUntilError(io, server.call()) == ResultCode::PlatformTimeout);
 }
 
+// Guards against a copy of an earlier response that is taken for the response to the next call, and
+// against a call that is lost because the server has just closed the connection.
+TEST_CASE("A call uses no idle connection on which bytes or a close have arrived")
+{
+    boost::asio::io_context io;
+    const std::string own = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+    const std::string copy = "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\ncopy";
+    tcp::acceptor acceptor(io, {Loopback, 0});
+    std::vector<std::shared_ptr<tcp::socket>> connections;
+    std::array<char, 4096> request{};
+    std::string response = own;
+    std::function<void()> accept = [&] {
+        auto socket = std::make_shared<tcp::socket>(io);
+        acceptor.async_accept(*socket, [&, socket](auto) {
+            connections.push_back(socket);
+            socket->async_read_some(boost::asio::buffer(request), [&, socket](auto, std::size_t) {
+                boost::asio::write(*socket, boost::asio::buffer(response));
+            });
+            accept();
+        });
+    };
+    accept();
+    HttpClient client(io);
+    HttpCall call;
+    call.endpoint = {"127.0.0.1", acceptor.local_endpoint().port()};
+    call.method = "POST";
+    std::optional<Outcome<HttpResponse>> result;
+    const auto fetch = [&] {
+        result.reset();
+        client.call(call, [&](Outcome<HttpResponse> outcome) { result = std::move(outcome); });
+        runUntil(io, [&] { return result.has_value(); });
+        const auto *received = std::get_if<HttpResponse>(&*result);
+        return received ? received->body : std::string("failed");
+    };
+
+    SECTION("a copy that arrives just before the next call")
+    {
+        REQUIRE(fetch() == "own");
+        REQUIRE(client.idleConnections() == 1);
+        boost::asio::write(*connections[0], boost::asio::buffer(copy));
+        CHECK(fetch() == "own");
+        CHECK(connections.size() == 2);
+    }
+    SECTION("a copy in the same read as the end of the response")
+    {
+        response = own + copy;
+        REQUIRE(fetch() == "own");
+        CHECK(client.idleConnections() == 0);
+        CHECK(fetch() == "own");
+        CHECK(connections.size() == 2);
+    }
+    SECTION("a close that arrives just before the next call")
+    {
+        REQUIRE(fetch() == "own");
+        const bool isReset = GENERATE(false, true);
+        if (isReset)
+            connections[0]->set_option(boost::asio::socket_base::linger(true, 0));
+        connections[0]->close();
+        CHECK(fetch() == "own");
+        CHECK(connections.size() == 2);
+    }
+    SECTION("a response that arrives while the request is being written")
+    {
+        call.body.assign(32UL * 1024 * 1024, 'x'); // More than fits into the socket buffers.
+        REQUIRE(fetch() == "own");
+        CHECK(client.idleConnections() == 0);
+    }
+}
+
 // Guards against requests that are cut off without an answer because the server stops at the moment
 // at which they arrive.
 TEST_CASE("A server that stops answers the requests that have reached it")
