Do not complete a stream with a resumed part that has no new event

A stream that had broken off was resumed at another backend server whose response ended without a further event. The client's stream then ended as if it were complete, although its last events were missing.

A resumed part without a new event now counts as broken: the stream is resumed elsewhere, or broken off. A stream that was lost between its last event and its end is broken off as well, because nothing tells the two apart.

Of 'Gateway continues a stream only with events', the rows 'a stream without events' and 'a stream that repeats the events before it' failed before. The other rows (errors, refusals and successes of other kinds) passed before; they had no test.

--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -209,6 +209,10 @@
             fail(AttemptOutcome::Broken, "response stream ended in the middle of an event");
             return;
         }
+        if (m_streaming && !m_attempts.back().firstEventsAt) {
+            fail(AttemptOutcome::Broken, "resumed stream ended without a new event");
+            return;
+        }
         if (!m_streaming)
             m_reply->start(m_responseHead.status, m_responseHead.headers);
         m_reply->finish();
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -124,6 +124,106 @@
     CHECK(view->status == 502);
 }
 
+// Guards against a client that finds an error of another backend server in the middle of its
+// stream, or whose stream ends as if it were complete.
+TEST_CASE("Gateway continues a stream only with events")
+{
+    Fixture it;
+    it.configure();
+    GatewayConfiguration configuration = Fixture::configuration(2);
+    configuration.routes.back().maxAttempts = 3;
+    it.gateway.setConfiguration(std::make_shared<const RouteTable>(std::move(configuration)));
+    const HttpHeaders eventHead{{"seal", "s"}, {"events", "1"}, {"weights", "4"}};
+    const auto view = it.sendRequest("/stream/x");
+    it.backendCalls[0]->head(200, eventHead);
+    it.backendCalls[0]->data(event(1) + "id: 2\nda");
+    it.backendCalls[0]->fail(ResultCode::PlatformReplyLost);
+    REQUIRE(it.backendCalls.size() == 2);
+    auto &second = *it.backendCalls[1];
+
+    struct Row
+    {
+        const char *what;
+        int status;
+        HttpHeaders headers;
+        std::string body;
+    };
+    const auto row = GENERATE(
+            Row{"an error with a length",
+                500,
+                {{"seal", "s"}, {"Content-Length", "5"}, {"weights", "4"}},
+                "error"},
+            Row{"an error in chunks",
+                500,
+                {{"seal", "s"}, {"Transfer-Encoding", "chunked"}, {"weights", "4"}},
+                "error"},
+            Row{"an error without a length", 500, {{"seal", "s"}, {"weights", "4"}}, "error"},
+            Row{"an error as an event",
+                500,
+                {{"seal", "s"}, {"events", "1"}, {"weights", "4"}},
+                "id: 2\ndata: error\n\n"},
+            Row{"an error of the client", 404, {{"seal", "s"}, {"weights", "4"}}, "error"},
+            Row{"a refusal with a body", 503, {{"not-run", "1"}}, "error"},
+            Row{"a refusal as an event",
+                503,
+                {{"not-run", "1"}, {"events", "1"}, {"weights", "4"}},
+                "id: 2\ndata: error\n\n"},
+            Row{"a success that is no stream", 200, {{"seal", "s"}, {"weights", "4"}}, "error"},
+            Row{"a success without a signature",
+                200,
+                {{"events", "1"}, {"weights", "4"}},
+                "id: 2\ndata: error\n\n"},
+            Row{"a stream without events",
+                200,
+                {{"seal", "s"}, {"events", "1"}, {"weights", "4"}},
+                ""},
+            Row{"a stream that repeats the events before it",
+                200,
+                {{"seal", "s"}, {"events", "1"}, {"weights", "4"}},
+                "id: 1\ndata: a\n\n"},
+            Row{"a stream that ends in its first event",
+                200,
+                {{"seal", "s"}, {"events", "1"}, {"weights", "4"}},
+                "id: 2\ndata: a\n"});
+    INFO(row.what);
+    second.head(row.status, row.headers);
+    second.data(row.body);
+    CHECK(view->body == event(1));
+
+    SECTION("and resumes it elsewhere otherwise")
+    {
+        second.complete();
+        CHECK_FALSE(view->finished);
+        CHECK_FALSE(view->aborted);
+        REQUIRE(it.backendCalls.size() == 3);
+        CHECK(it.backendCalls[2]->call.headers.value("last") == "1");
+        it.backendCalls[2]->head(200, eventHead);
+        it.backendCalls[2]->data(event(2));
+        it.backendCalls[2]->complete();
+        CHECK(view->body == event(1) + event(2));
+        CHECK(view->finished);
+    }
+    SECTION("or breaks it off")
+    {
+        second.complete();
+        REQUIRE(it.backendCalls.size() == 3);
+        it.backendCalls[2]->head(500, {{"seal", "s"}});
+        it.backendCalls[2]->data("error");
+        it.backendCalls[2]->complete();
+        CHECK(view->body == event(1));
+        CHECK(view->aborted);
+        CHECK_FALSE(view->finished);
+    }
+    SECTION("also if the response is lost midway")
+    {
+        second.fail(ResultCode::PlatformReplyLost);
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        CHECK(view->body == event(1));
+        CHECK(view->aborted);
+        CHECK_FALSE(view->finished);
+    }
+}
+
 TEST_CASE("Gateway tells slow streams from stalled ones")
 {
     Fixture it;
