Test that a response cut off at any byte is not complete

Callers of a gateway got an empty or short body framed as a whole one when a backend server stopped within the header of its response. HttpClient does not do so: a close at each byte of a header, chunk header, trailer and body, by FIN and by RST, ends the call with an error, except a FIN in a body that the close of the connection ends.

--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -128,6 +128,46 @@
     CHECK(callUntilError(io, server.call()) == ResultCode::PlatformTimeout);
 }
 
+// Guards against a caller that gets an empty or short body as a whole one, because the server
+// stopped within the header or the body of its response.
+TEST_CASE("A call is complete only if its response is")
+{
+    struct Row
+    {
+        const char *what;
+        std::string response;
+        std::size_t framedFrom; ///< Length from which a close by FIN ends the response properly.
+    };
+    const std::string status = "HTTP/1.1 200 OK\r\nX-Id: 2\r\n";
+    const std::string unframedHead = status + "Connection: close\r\n\r\n";
+    const std::string withLength = status + "Content-Length: 12\r\n\r\nwhole answer";
+    const std::string chunked =
+            status + "Transfer-Encoding: chunked\r\n\r\n6;a=b\r\nwhole \r\n6\r\nanswer\r\n0\r\n";
+    const auto row = GENERATE_COPY(
+            Row{"with a length", withLength, withLength.size()},
+            Row{"empty, with a length", status + "Content-Length: 0\r\n\r\n", status.size() + 21},
+            Row{"in chunks", chunked + "\r\n", chunked.size() + 2},
+            Row{"in chunks with a trailer", chunked + "X-A: b\r\n\r\n", chunked.size() + 10},
+            Row{"without a length", unframedHead + "whole answer", unframedHead.size()},
+            Row{"an interim response first", "HTTP/1.1 100 Continue\r\n\r\n" + withLength,
+                withLength.size() + 25});
+    const auto close = GENERATE(ClosingServer::Close::Fin, ClosingServer::Close::Reset);
+    const bool isReset = close == ClosingServer::Close::Reset;
+    for (std::size_t n = 0; n <= row.response.size(); ++n) {
+        INFO(row.what << ", closed after " << n << " bytes" << (isReset ? " by a reset" : ""));
+        boost::asio::io_context io;
+        ClosingServer server(io, row.response.substr(0, n), close);
+        HttpCall call;
+        call.endpoint = server.endpoint();
+        call.correlation = HttpCorrelation{"X-Id", "2"};
+        const ResultCode code = callUntilError(io, call);
+        if (!isReset)
+            CHECK((code == ResultCode::Ok) == (n >= row.framedFrom));
+        else if (n < row.response.size() || row.framedFrom < n)
+            CHECK(code != ResultCode::Ok);
+    }
+}
+
 // Guards against a copy of an earlier response that is taken for the response to the next call, and
 // against a call that is lost because the server has just closed the connection.
 TEST_CASE("A call uses no idle connection on which bytes or a close have arrived")
