Do not complete an unframed stream that ends before its first event

A stream without a length or chunks ends with its connection. If the backend server closed it after the header and before the first event was complete, the client got an empty stream that looked complete.

The close is the only sign that such a stream is complete, and before the first event it is more likely that the server stopped. The response now counts as broken, so that the request is sent elsewhere. Framed streams without events are passed on as before.

'Gateway passes on only complete responses of a server that stops at any byte' failed before for the stream without a length that is closed by FIN right after its header. Its other positions and framings passed before; they had no test.

--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -126,6 +126,8 @@
     std::string m_bufferedBody;
     std::size_t m_discardedBytes = 0; ///< Of the body of the current response, which is not used.
     bool m_hasDeclaredLength = false; ///< Of the body of the current response.
+    /// The close of the connection ends the current response, which has neither length nor chunks.
+    bool m_endsWithConnection = false;
     /// By which the response of the current attempt identifies this request.
     std::optional<HttpCorrelation> m_correlation;
     EventSplitter m_eventSplitter;
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -82,6 +82,7 @@
             !identifiesRequest(headers) || isContradictory
             || (isSuccess(status) && (!m_responseHead.sealed || m_responseHead.isEncoded));
     m_hasDeclaredLength = headers.find("Content-Length") != nullptr;
+    m_endsWithConnection = !m_hasDeclaredLength && !headers.find("Transfer-Encoding");
     m_discardedBytes = 0;
     if (isUntrusted)
         m_bodyMode = BodyMode::Unusable;
@@ -209,8 +210,8 @@
             fail(AttemptOutcome::Broken, "response stream ended in the middle of an event");
             return;
         }
-        if (m_streaming && !m_attempts.back().firstEventsAt) {
-            fail(AttemptOutcome::Broken, "resumed stream ended without a new event");
+        if (!m_attempts.back().firstEventsAt && (m_streaming || m_endsWithConnection)) {
+            fail(AttemptOutcome::Broken, "response stream ended without a new event");
             return;
         }
         if (!m_streaming)
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -1,4 +1,7 @@
 #include "gatewayfixture.h"
+#include "loopback.h"
+
+#include <godwit/ports/httpclient.h>
 
 #include <catch2/catch.hpp>
 
@@ -224,6 +227,87 @@
     }
 }
 
+// Guards against a client that gets a part of a response framed as a whole one, because the backend
+// server stopped within the header, a chunk header, the trailer or the body, or was reset.
+TEST_CASE("Gateway passes on only complete responses of a server that stops at any byte")
+{
+    struct Row
+    {
+        const char *what;
+        const char *target;
+        std::string response;
+        std::string body;
+        std::vector<std::size_t> completeLengths; ///< At which a close by FIN is a proper end.
+    };
+    const auto range = [](std::size_t first, std::size_t last) {
+        std::vector<std::size_t> lengths;
+        for (std::size_t n = first; n <= last; ++n)
+            lengths.push_back(n);
+        return lengths;
+    };
+    const std::string plain = "HTTP/1.1 200 OK\r\nseal: s\r\n";
+    const std::string withLength = plain + "Content-Length: 5\r\n\r\nwhole";
+    const std::string chunked =
+            plain + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + "a: b\r\n\r\n";
+    const std::string stream = plain + "events: 1\r\n";
+    const std::string events = event(1) + event(2);
+    const std::string streamWithLength =
+            stream + "Content-Length: " + std::to_string(events.size()) + "\r\n\r\n" + events;
+    const std::string streamInChunks =
+            stream + "Transfer-Encoding: chunked\r\n\r\n1e\r\n" + events + "\r\n0\r\n\r\n";
+    const std::string unframedStream = stream + "\r\n" + events;
+    const std::size_t firstEventEnd = unframedStream.size() - event(2).size();
+    const auto row = GENERATE_COPY(
+            Row{"with a length", "/book/x", withLength, "whole", {withLength.size()}},
+            Row{"in chunks", "/book/x", chunked, "whole", {chunked.size()}},
+            Row{"without a length", "/book/x", plain + "\r\nwhole", "whole",
+                range(plain.size() + 2, plain.size() + 7)},
+            Row{"a stream with a length",
+                "/stream/x",
+                streamWithLength,
+                events,
+                {streamWithLength.size()}},
+            Row{"a stream in chunks", "/stream/x", streamInChunks, events, {streamInChunks.size()}},
+            Row{"a stream without a length",
+                "/stream/x",
+                unframedStream,
+                events,
+                {firstEventEnd, unframedStream.size()}});
+    REQUIRE(events.size() == 0x1e);
+    const auto close = GENERATE(ClosingServer::Close::Fin, ClosingServer::Close::Reset);
+    const bool isReset = close == ClosingServer::Close::Reset;
+    for (std::size_t n = 0; n <= row.response.size(); ++n) {
+        INFO(row.what << ", closed after " << n << " bytes" << (isReset ? " by a reset" : ""));
+        Fixture it;
+        it.configure();
+        boost::asio::io_context io;
+        ClosingServer server(io, row.response.substr(0, n), close);
+        HttpClient client(io);
+        const auto view = it.sendRequest(row.target);
+        REQUIRE(it.backendCalls.size() == 1);
+        HttpCall call = it.backendCalls[0]->call;
+        call.endpoint = server.endpoint();
+        HttpStreamHandlers handlers = it.backendCalls[0]->handlers;
+        bool hasEnded = false;
+        handlers.onEnd = [&, onEnd = handlers.onEnd](const Outcome<std::monostate> &outcome) {
+            hasEnded = true;
+            onEnd(outcome);
+        };
+        client.stream(std::move(call), std::move(handlers));
+        runUntil(io, [&] { return hasEnded; });
+
+        const bool isComplete =
+                std::ranges::find(row.completeLengths, n) != row.completeLengths.end();
+        const bool isSuccess = view->finished && view->status == 200;
+        const bool isUnframed = row.completeLengths.size() > 1;
+        CHECK(row.body.starts_with(view->status == 200 ? view->body : ""));
+        if (isReset && (isUnframed || !isComplete))
+            CHECK_FALSE(isSuccess);
+        else if (!isReset)
+            CHECK(isSuccess == isComplete);
+    }
+}
+
 TEST_CASE("Gateway tells slow streams from stalled ones")
 {
     Fixture it;
