Test the limits of response bodies and events

The limits on bodies at the HTTP client and on events at the gateway had no test. They were in place; the new rows and the new section passed from the start.

--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -403,6 +403,17 @@
         CHECK(it.backendCalls[0]->cancelled);
         CHECK(view->status == 502);
     }
+    SECTION("an event")
+    {
+        const auto view = it.sendRequest("/stream/x");
+        it.backendCalls[0]->head(200, {{"seal", "s"}, {"events", "1"}});
+        it.backendCalls[0]->data("data: ");
+        for (int i = 0; i < 3; ++i)
+            it.backendCalls[0]->data(chunk);
+        CHECK(it.backendCalls[0]->cancelled);
+        CHECK(it.backendCalls.size() == 2);
+        CHECK(view->body.empty());
+    }
     SECTION("a rejection, which stays one")
     {
         it.sendRequest("/book/x");
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -105,13 +105,19 @@
             Row{"a chunk size", chunked, std::string(1024, '0')},
             Row{"a trailer", chunked + "0\r\nX-A: ", kilobyte},
             Row{"trailer lines", chunked + "0\r\n", "X-A: " + kilobyte + "\r\n"},
+            Row{"a body without a length", status + "X-Id: 2\r\n\r\n", kilobyte},
+            Row{"a body in chunks", chunked, "400\r\n" + kilobyte + "\r\n"},
+            Row{"a body of a huge length",
+                status + "X-Id: 2\r\nContent-Length: 99999999999\r\n\r\n", kilobyte},
             Row{"responses to earlier calls", "",
                 status + "X-Id: 1\r\nContent-Length: 1024\r\n\r\n" + kilobyte});
     INFO(row.what);
     constexpr std::size_t MaxAccepted = 8UL * 1024 * 1024; // mostly socket buffers
     boost::asio::io_context io;
     EndlessServer server(io, row.head, row.part);
-    const ResultCode code = callUntilError(io, server.call());
+    HttpCall call = server.call();
+    call.bodyLimit = 1024UL * 1024;
+    const ResultCode code = callUntilError(io, call);
     CHECK((code == ResultCode::PlatformBadReply || code == ResultCode::PlatformTimeout));
     CHECK(server.sent < MaxAccepted);
 }
