Limit the size of the reply to a call between processes

WireClient::call() collected the reply of a peer without a limit: a faulty peer could use up the memory of a process until the timeout of the call.

A reply above WireOptions::maxReplyBytes now cancels the stream and ends the call with MessageTooLarge. 8 MiB are above the largest reply, a manifest of 65,536 chunks.

'A call rejects a reply above its size limit' failed before. Header blocks, trailers and interim responses without an end were bounded already by maxHeaderBytes and nghttp2's limit on CONTINUATION frames; 'A call ends although its peer sends header fields without end' passed from the start. A peer that sends interim responses without an end loses its stream, but keeps the connection.

--- a/modules/wire/include/godwit/wire/wireclient.h
+++ b/modules/wire/include/godwit/wire/wireclient.h
@@ -33,8 +33,9 @@
                                      StreamEvents events);
 
     /// Sends \a body to \a path and buffers the reply. \a done is called once: with the reply body
-    /// if the status is 2xx, else with an error. After PlatformTimeout the peer may have processed
-    /// the request.
+    /// if the status is 2xx, else with an error. After PlatformTimeout, and after MessageTooLarge
+    /// because the reply exceeds WireOptions::maxReplyBytes, the peer may have processed the
+    /// request.
     void call(const std::string &path, std::string body, Duration timeout, CallCallback done,
               WireFields fields = {});
 
--- a/modules/wire/include/godwit/wire/wireoptions.h
+++ b/modules/wire/include/godwit/wire/wireoptions.h
@@ -25,6 +25,9 @@
     std::uint32_t maxStreams = 100'000;
     std::size_t maxHeaderBytes = 16UL * 1024;
 
+    /// Maximum size of the reply to WireClient::call(). Above the largest manifest.
+    std::size_t maxReplyBytes = 8UL * 1024 * 1024;
+
     friend bool operator==(const WireOptions &, const WireOptions &) = default;
 };
 
--- a/modules/wire/src/wireclient.cpp
+++ b/modules/wire/src/wireclient.cpp
@@ -169,7 +169,15 @@
     call->done = std::move(done);
     StreamEvents events;
     events.onHeaders = [call](const WireHeaders &headers) { call->status = headers.status; };
-    events.onData = [call](std::string_view data) { call->body += data; };
+    events.onData = [call, limit = m_d->options.maxReplyBytes](std::string_view data) {
+        if (call->body.size() + data.size() <= limit) {
+            call->body += data;
+            return;
+        }
+        call->stream->cancel();
+        call->complete(Error{ResultCode::MessageTooLarge,
+                             "reply exceeds " + std::to_string(limit) + " bytes"});
+    };
     events.onEnd = [call](const WireFields &) { call->complete(callOutcome(*call)); };
     events.onError = [call](const Error &error) { call->complete(error); };
     const auto stream = open(path, std::move(fields), std::move(events));
--- a/modules/wire/tests/wiretest.cpp
+++ b/modules/wire/tests/wiretest.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -66,6 +67,61 @@
     return std::move(std::get<0>(server));
 }
 
+/// HTTP/2 frame on stream 1, or on the connection for SETTINGS.
+std::string frame(std::uint8_t type, std::uint8_t flags, const std::string &payload)
+{
+    constexpr std::uint8_t Settings = 4;
+    const std::size_t n = payload.size();
+    std::string bytes;
+    for (const std::size_t byte : {n >> 16U, n >> 8U, n})
+        bytes += static_cast<char>(byte & 0xffU);
+    bytes += static_cast<char>(type);
+    bytes += static_cast<char>(flags);
+    bytes += std::string(3, '\0');
+    bytes += type == Settings ? '\0' : '\1';
+    return bytes + payload;
+}
+
+/// Server that sends `start` and then repeats `part` until the client closes the connection.
+class EndlessPeer
+{
+public:
+    EndlessPeer(boost::asio::io_context &io, std::string start, std::string part)
+        : m_acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , m_socket(io)
+        , m_start(std::move(start))
+        , m_part(std::move(part))
+    {
+        m_acceptor.async_accept(m_socket, [this](auto) {
+            m_socket.async_read_some(boost::asio::buffer(m_request),
+                                     [this](auto, std::size_t) { write(m_start); });
+        });
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+    std::size_t sent = 0;
+    bool hasFailed = false; ///< The client has closed the connection.
+
+private:
+    void write(const std::string &bytes)
+    {
+        boost::asio::async_write(m_socket, boost::asio::buffer(bytes),
+                                 [this](auto ec, std::size_t n) {
+                                     sent += n;
+                                     hasFailed = static_cast<bool>(ec);
+                                     if (!ec)
+                                         write(m_part);
+                                 });
+    }
+
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket;
+    std::string m_start;
+    std::string m_part;
+    std::array<char, 4096> m_request{};
+};
+
 } // namespace
 
 TEST_CASE("Streams between processes")
@@ -312,3 +368,72 @@
     REQUIRE(runUntil(io, [&] { return received.done(); }));
     CHECK(received.body == "still here");
 }
+
+// Guards against memory that grows with every byte of a reply, and against a call that goes on
+// until its timeout.
+TEST_CASE("A call rejects a reply above its size limit")
+{
+    boost::asio::io_context io{1};
+    WireOptions options;
+    options.maxReplyBytes = 1000;
+    const std::size_t size = GENERATE(1000, 1001, 100'000);
+    auto server = listen(io, [size](const std::shared_ptr<WireStream> &stream) {
+        stream->setEvents({});
+        stream->respond(200);
+        stream->write(std::string(size, 'x'));
+        stream->finish();
+    });
+    WireClient client(io, "127.0.0.1", server->port(), options);
+    std::optional<Outcome<std::string>> outcome;
+    client.call("/x", {}, std::chrono::seconds(30),
+                [&](Outcome<std::string> it) { outcome = std::move(it); });
+    REQUIRE(runUntil(io, [&] { return outcome.has_value(); }));
+    if (size <= options.maxReplyBytes)
+        CHECK(std::get<0>(*outcome).size() == size);
+    else
+        CHECK(std::get<1>(*outcome).code == ResultCode::MessageTooLarge);
+    CHECK(runUntil(io, [&] { return client.openStreams() == 0; }));
+}
+
+// Guards against a peer in trouble that sends header fields without end. A header block without an
+// end would also keep the other streams of the connection from their frames.
+TEST_CASE("A call ends although its peer sends header fields without end")
+{
+    constexpr std::uint8_t Headers = 1;
+    constexpr std::uint8_t Settings = 4;
+    constexpr std::uint8_t Continuation = 9;
+    constexpr std::uint8_t EndStream = 1;
+    constexpr std::uint8_t EndHeaders = 4;
+    const std::string ok = "\x88"; // :status 200
+    const std::string interim = "\x08\x03"
+                                "100"; // :status 100
+    std::string field = std::string(1, '\0') + "\x01x\x64" + std::string(100, 'a');
+    struct Row
+    {
+        const char *what;
+        std::string start;
+        std::string part;
+        bool closesConnection;
+    };
+    const auto row = GENERATE_COPY(
+            Row{"a header block", frame(Headers, 0, ok), frame(Continuation, 0, field), true},
+            Row{"an empty header block", frame(Headers, 0, ok), frame(Continuation, 0, {}), true},
+            Row{"a trailer", frame(Headers, EndHeaders, ok) + frame(Headers, EndStream, field),
+                frame(Continuation, 0, field), true},
+            Row{"interim responses", {}, frame(Headers, EndHeaders, interim), false});
+    INFO(row.what);
+    constexpr std::size_t MaxAccepted = 16UL * 1024 * 1024; // mostly socket buffers
+    boost::asio::io_context io{1};
+    EndlessPeer peer(io, frame(Settings, 0, {}) + row.start, row.part);
+    WireClient client(io, "127.0.0.1", peer.port());
+    std::optional<Outcome<std::string>> outcome;
+    client.call("/x", {}, std::chrono::seconds(30),
+                [&](Outcome<std::string> it) { outcome = std::move(it); });
+    REQUIRE(runUntil(io, [&] { return outcome.has_value() || peer.sent > MaxAccepted; }));
+    REQUIRE(outcome.has_value());
+    CHECK_FALSE(succeeded(*outcome));
+    if (row.closesConnection) {
+        CHECK(runUntil(io, [&] { return peer.hasFailed || peer.sent > MaxAccepted; }));
+        CHECK(peer.hasFailed);
+    }
+}
