--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -89,6 +89,9 @@
     std::variant<BackendChoice, NoBackend> chooseBackend();
 
     void onHead(int status, const HttpHeaders &headers);
+    /// Whether a response with \a headers belongs to this request. Any other response, be it a
+    /// success, an error or a refusal, says nothing about whether the request has run.
+    bool identifiesRequest(const HttpHeaders &headers) const;
     void onData(std::string_view data);
     void onEnd(const Outcome<std::monostate> &outcome);
     void onComplete();
@@ -142,6 +145,8 @@
     std::string m_bufferedBody;
     std::size_t m_discardedBytes = 0; ///< Of the body of the current response, which is not used.
     bool m_hasDeclaredLength = false; ///< Of the body of the current response.
+    /// The close of the connection ends the current response, which has neither length nor chunks.
+    bool m_endsWithConnection = false;
     /// By which the response of the current attempt identifies this request.
     std::optional<HttpCorrelation> m_correlation;
     EventSplitter m_eventSplitter;
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -1,4 +1,7 @@
 #include "gatewayfixture.h"
+#include "loopback.h"
+
+#include <godwit/ports/httpclient.h>
 
 #include <catch2/catch.hpp>
 
@@ -39,6 +42,272 @@
     CHECK(next->body == "mine");
 }
 
+// Guards against a late copy of the refusal of an earlier request on the same connection: the
+// client was told that its request had not run, or it ran a second time at another backend server.
+TEST_CASE("Gateway believes no refusal or error that does not identify its request")
+{
+    Fixture it;
+    it.protocol.identifiesRequests = true;
+    it.configure();
+    const HttpHeaders refusal{{"not-run", "1"}};
+    const HttpHeaders ownRefusal{{"not-run", "1"}, {"echo", "r1"}};
+    const auto respond = [&it](std::size_t attempt, int status, const HttpHeaders &headers) {
+        it.backendCalls[attempt]->head(status, headers);
+        it.backendCalls[attempt]->data("other");
+        it.backendCalls[attempt]->complete();
+    };
+
+    SECTION("a refusal leaves open whether the request has run")
+    {
+        const int status = GENERATE(503, 421, 429, 408);
+        const auto view = it.sendRequest("/book/x");
+        respond(0, status, refusal);
+        CHECK(it.backendCalls.size() == 1);
+        CHECK(view->status == 502);
+    }
+    SECTION("also if it identifies another request")
+    {
+        const auto view = it.sendRequest("/book/x");
+        respond(0, 503, {{"not-run", "1"}, {"echo", "r0"}});
+        CHECK(it.backendCalls.size() == 1);
+        CHECK(view->status == 502);
+    }
+    SECTION("a refusal without an end leaves it open as well")
+    {
+        const auto view = it.sendRequest("/book/x");
+        it.backendCalls[0]->head(503, refusal);
+        it.backendCalls[0]->data(std::string(128UL * 1024, 'x'));
+        CHECK(it.backendCalls.size() == 1);
+        CHECK(view->status == 502);
+    }
+    SECTION("an error is not passed on")
+    {
+        const int status = GENERATE(400, 404, 500, 503);
+        const auto view = it.sendRequest("/book/x");
+        respond(0, status, {{"seal", "s"}});
+        CHECK(view->status == 502);
+        CHECK(view->body.find("other") == std::string::npos);
+    }
+    SECTION("a repeatable request is sent elsewhere, but counts as possibly run")
+    {
+        const auto view = it.sendRequest("/safe/x");
+        respond(0, 503, refusal);
+        REQUIRE(it.backendCalls.size() == 2);
+        respond(1, 503, refusal);
+        CHECK(it.backendCalls.size() == 2);
+        CHECK(view->status == 502);
+    }
+    SECTION("a refusal that identifies the request is believed")
+    {
+        const auto view = it.sendRequest("/book/x");
+        respond(0, 503, ownRefusal);
+        REQUIRE(it.backendCalls.size() == 2);
+        respond(1, 200, {{"seal", "s"}, {"echo", "r1"}});
+        CHECK(view->status == 200);
+    }
+}
+
+// Guards against a client that is told by the status that its request has not run, although the
+// backend server does not say so, or says so of a request to which it sends a result.
+TEST_CASE("Gateway accepts no response that contradicts itself about the execution of the request")
+{
+    Fixture it;
+    it.configure();
+    struct Row
+    {
+        int status;
+        HttpHeaders headers;
+    };
+    const auto row =
+            GENERATE(Row{503, {{"seal", "s"}}}, Row{200, {{"seal", "s"}, {"not-run", "1"}}});
+    const auto view = it.sendRequest("/book/x");
+    it.backendCalls[0]->head(row.status, row.headers);
+    it.backendCalls[0]->complete();
+    CHECK(it.backendCalls.size() == 1);
+    CHECK(view->status == 502);
+}
+
+// Guards against a client that finds an error of another backend server in the middle of its
+// stream, or whose stream ends as if it were complete.
+TEST_CASE("Gateway continues a stream only with events")
+{
+    Fixture it;
+    it.configure();
+    GatewayConfiguration configuration = Fixture::configuration(2);
+    configuration.routes.back().maxAttempts = 3;
+    it.gateway.setConfiguration(std::make_shared<const RouteTable>(std::move(configuration)));
+    const HttpHeaders eventHead{{"seal", "s"}, {"events", "1"}, {"weights", "4"}};
+    const auto view = it.sendRequest("/stream/x");
+    it.backendCalls[0]->head(200, eventHead);
+    it.backendCalls[0]->data(event(1) + "id: 2\nda");
+    it.backendCalls[0]->fail(ResultCode::PlatformReplyLost);
+    REQUIRE(it.backendCalls.size() == 2);
+    auto &second = *it.backendCalls[1];
+
+    struct Row
+    {
+        const char *what;
+        int status;
+        HttpHeaders headers;
+        std::string body;
+    };
+    const auto row = GENERATE(
+            Row{"an error with a length",
+                500,
+                {{"seal", "s"}, {"Content-Length", "5"}, {"weights", "4"}},
+                "error"},
+            Row{"an error in chunks",
+                500,
+                {{"seal", "s"}, {"Transfer-Encoding", "chunked"}, {"weights", "4"}},
+                "error"},
+            Row{"an error without a length", 500, {{"seal", "s"}, {"weights", "4"}}, "error"},
+            Row{"an error as an event",
+                500,
+                {{"seal", "s"}, {"events", "1"}, {"weights", "4"}},
+                "id: 2\ndata: error\n\n"},
+            Row{"an error of the client", 404, {{"seal", "s"}, {"weights", "4"}}, "error"},
+            Row{"a refusal with a body", 503, {{"not-run", "1"}}, "error"},
+            Row{"a refusal as an event",
+                503,
+                {{"not-run", "1"}, {"events", "1"}, {"weights", "4"}},
+                "id: 2\ndata: error\n\n"},
+            Row{"a success that is no stream", 200, {{"seal", "s"}, {"weights", "4"}}, "error"},
+            Row{"a success without a signature",
+                200,
+                {{"events", "1"}, {"weights", "4"}},
+                "id: 2\ndata: error\n\n"},
+            Row{"a stream without events",
+                200,
+                {{"seal", "s"}, {"events", "1"}, {"weights", "4"}},
+                ""},
+            Row{"a stream that repeats the events before it",
+                200,
+                {{"seal", "s"}, {"events", "1"}, {"weights", "4"}},
+                "id: 1\ndata: a\n\n"},
+            Row{"a stream that ends in its first event",
+                200,
+                {{"seal", "s"}, {"events", "1"}, {"weights", "4"}},
+                "id: 2\ndata: a\n"});
+    INFO(row.what);
+    second.head(row.status, row.headers);
+    second.data(row.body);
+    CHECK(view->body == event(1));
+
+    SECTION("and resumes it elsewhere otherwise")
+    {
+        second.complete();
+        CHECK_FALSE(view->finished);
+        CHECK_FALSE(view->aborted);
+        REQUIRE(it.backendCalls.size() == 3);
+        CHECK(it.backendCalls[2]->call.headers.value("last") == "1");
+        it.backendCalls[2]->head(200, eventHead);
+        it.backendCalls[2]->data(event(2));
+        it.backendCalls[2]->complete();
+        CHECK(view->body == event(1) + event(2));
+        CHECK(view->finished);
+    }
+    SECTION("or breaks it off")
+    {
+        second.complete();
+        REQUIRE(it.backendCalls.size() == 3);
+        it.backendCalls[2]->head(500, {{"seal", "s"}});
+        it.backendCalls[2]->data("error");
+        it.backendCalls[2]->complete();
+        CHECK(view->body == event(1));
+        CHECK(view->aborted);
+        CHECK_FALSE(view->finished);
+    }
+    SECTION("also if the response is lost midway")
+    {
+        second.fail(ResultCode::PlatformReplyLost);
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        CHECK(view->body == event(1));
+        CHECK(view->aborted);
+        CHECK_FALSE(view->finished);
+    }
+}
+
+// Guards against a client that gets a part of a response framed as a whole one, because the backend
+// server stopped within the header, a chunk header, the trailer or the body, or was reset.
+TEST_CASE("Gateway passes on only complete responses of a server that stops at any byte")
+{
+    struct Row
+    {
+        const char *what;
+        const char *target;
+        std::string response;
+        std::string body;
+        std::vector<std::size_t> completeLengths; ///< At which a close by FIN is a proper end.
+    };
+    const auto range = [](std::size_t first, std::size_t last) {
+        std::vector<std::size_t> lengths;
+        for (std::size_t n = first; n <= last; ++n)
+            lengths.push_back(n);
+        return lengths;
+    };
+    const std::string plain = "HTTP/1.1 200 OK\r\nseal: s\r\n";
+    const std::string withLength = plain + "Content-Length: 5\r\n\r\nwhole";
+    const std::string chunked =
+            plain + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + "a: b\r\n\r\n";
+    const std::string stream = plain + "events: 1\r\n";
+    const std::string events = event(1) + event(2);
+    const std::string streamWithLength =
+            stream + "Content-Length: " + std::to_string(events.size()) + "\r\n\r\n" + events;
+    const std::string streamInChunks =
+            stream + "Transfer-Encoding: chunked\r\n\r\n1e\r\n" + events + "\r\n0\r\n\r\n";
+    const std::string unframedStream = stream + "\r\n" + events;
+    const std::size_t firstEventEnd = unframedStream.size() - event(2).size();
+    const auto row = GENERATE_COPY(
+            Row{"with a length", "/book/x", withLength, "whole", {withLength.size()}},
+            Row{"in chunks", "/book/x", chunked, "whole", {chunked.size()}},
+            Row{"without a length", "/book/x", plain + "\r\nwhole", "whole",
+                range(plain.size() + 2, plain.size() + 7)},
+            Row{"a stream with a length",
+                "/stream/x",
+                streamWithLength,
+                events,
+                {streamWithLength.size()}},
+            Row{"a stream in chunks", "/stream/x", streamInChunks, events, {streamInChunks.size()}},
+            Row{"a stream without a length",
+                "/stream/x",
+                unframedStream,
+                events,
+                {firstEventEnd, unframedStream.size()}});
+    REQUIRE(events.size() == 0x1e);
+    const auto close = GENERATE(ClosingServer::Close::Fin, ClosingServer::Close::Reset);
+    const bool isReset = close == ClosingServer::Close::Reset;
+    for (std::size_t n = 0; n <= row.response.size(); ++n) {
+        INFO(row.what << ", closed after " << n << " bytes" << (isReset ? " by a reset" : ""));
+        Fixture it;
+        it.configure();
+        boost::asio::io_context io;
+        ClosingServer server(io, row.response.substr(0, n), close);
+        HttpClient client(io);
+        const auto view = it.sendRequest(row.target);
+        REQUIRE(it.backendCalls.size() == 1);
+        HttpCall call = it.backendCalls[0]->call;
+        call.endpoint = server.endpoint();
+        HttpStreamHandlers handlers = it.backendCalls[0]->handlers;
+        bool hasEnded = false;
+        handlers.onEnd = [&, onEnd = handlers.onEnd](const Outcome<std::monostate> &outcome) {
+            hasEnded = true;
+            onEnd(outcome);
+        };
+        client.stream(std::move(call), std::move(handlers));
+        runUntil(io, [&] { return hasEnded; });
+
+        const bool isComplete =
+                std::ranges::find(row.completeLengths, n) != row.completeLengths.end();
+        const bool isSuccess = view->finished && view->status == 200;
+        const bool isUnframed = row.completeLengths.size() > 1;
+        CHECK(row.body.starts_with(view->status == 200 ? view->body : ""));
+        if (isReset && (isUnframed || !isComplete))
+            CHECK_FALSE(isSuccess);
+        else if (!isReset)
+            CHECK(isSuccess == isComplete);
+    }
+}
+
 TEST_CASE("Gateway tells slow streams from stalled ones")
 {
     Fixture it;
@@ -134,6 +403,17 @@
         CHECK(it.backendCalls[0]->cancelled);
         CHECK(view->status == 502);
     }
+    SECTION("an event")
+    {
+        const auto view = it.sendRequest("/stream/x");
+        it.backendCalls[0]->head(200, {{"seal", "s"}, {"events", "1"}});
+        it.backendCalls[0]->data("data: ");
+        for (int i = 0; i < 3; ++i)
+            it.backendCalls[0]->data(chunk);
+        CHECK(it.backendCalls[0]->cancelled);
+        CHECK(it.backendCalls.size() == 2);
+        CHECK(view->body.empty());
+    }
     SECTION("a rejection, which stays one")
     {
         it.sendRequest("/book/x");
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -105,13 +105,19 @@
             Row{"a chunk size", chunked, std::string(1024, '0')},
             Row{"a trailer", chunked + "0\r\nX-A: ", kilobyte},
             Row{"trailer lines", chunked + "0\r\n", "X-A: " + kilobyte + "\r\n"},
+            Row{"a body without a length", status + "X-Id: 2\r\n\r\n", kilobyte},
+            Row{"a body in chunks", chunked, "400\r\n" + kilobyte + "\r\n"},
+            Row{"a body of a huge length",
+                status + "X-Id: 2\r\nContent-Length: 99999999999\r\n\r\n", kilobyte},
             Row{"responses to earlier calls", "",
                 status + "X-Id: 1\r\nContent-Length: 1024\r\n\r\n" + kilobyte});
     INFO(row.what);
     constexpr std::size_t MaxAccepted = 8UL * 1024 * 1024; // mostly socket buffers
     boost::asio::io_context io;
     EndlessServer server(io, row.head, row.part);
-    const ResultCode code = callUntilError(io, server.call());
+    HttpCall call = server.call();
+    call.bodyLimit = 1024UL * 1024;
+    const ResultCode code = callUntilError(io, call);
     CHECK((code == ResultCode::PlatformBadReply || code == ResultCode::PlatformTimeout));
     CHECK(server.sent < MaxAccepted);
 }
@@ -128,6 +134,115 @@
     CHECK(callUntilError(io, server.call()) == ResultCode::PlatformTimeout);
 }
 
+// Guards against a caller that gets an empty or short body as a whole one, because the server
+// stopped within the header or the body of its response.
+TEST_CASE("A call is complete only if its response is")
+{
+    struct Row
+    {
+        const char *what;
+        std::string response;
+        std::size_t framedFrom; ///< Length from which a close by FIN ends the response properly.
+    };
+    const std::string status = "HTTP/1.1 200 OK\r\nX-Id: 2\r\n";
+    const std::string unframedHead = status + "Connection: close\r\n\r\n";
+    const std::string withLength = status + "Content-Length: 12\r\n\r\nwhole answer";
+    const std::string chunked =
+            status + "Transfer-Encoding: chunked\r\n\r\n6;a=b\r\nwhole \r\n6\r\nanswer\r\n0\r\n";
+    const auto row = GENERATE_COPY(
+            Row{"with a length", withLength, withLength.size()},
+            Row{"empty, with a length", status + "Content-Length: 0\r\n\r\n", status.size() + 21},
+            Row{"in chunks", chunked + "\r\n", chunked.size() + 2},
+            Row{"in chunks with a trailer", chunked + "X-A: b\r\n\r\n", chunked.size() + 10},
+            Row{"without a length", unframedHead + "whole answer", unframedHead.size()},
+            Row{"an interim response first", "HTTP/1.1 100 Continue\r\n\r\n" + withLength,
+                withLength.size() + 25});
+    const auto close = GENERATE(ClosingServer::Close::Fin, ClosingServer::Close::Reset);
+    const bool isReset = close == ClosingServer::Close::Reset;
+    for (std::size_t n = 0; n <= row.response.size(); ++n) {
+        INFO(row.what << ", closed after " << n << " bytes" << (isReset ? " by a reset" : ""));
+        boost::asio::io_context io;
+        ClosingServer server(io, row.response.substr(0, n), close);
+        HttpCall call;
+        call.endpoint = server.endpoint();
+        call.correlation = HttpCorrelation{"X-Id", "2"};
+        const ResultCode code = callUntilError(io, call);
+        if (!isReset)
+            CHECK((code == ResultCode::Ok) == (n >= row.framedFrom));
+        else if (n < row.response.size() || row.framedFrom < n)
+            CHECK(code != ResultCode::Ok);
+    }
+}
+
+// Guards against a copy of an earlier response that is taken for the response to the next call, and
+// against a call that is lost because the server has just closed the connection.
+TEST_CASE("A call uses no idle connection on which bytes or a close have arrived")
+{
+    boost::asio::io_context io;
+    const std::string own = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+    const std::string copy = "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\ncopy";
+    tcp::acceptor acceptor(io, {Loopback, 0});
+    std::vector<std::shared_ptr<tcp::socket>> connections;
+    std::array<char, 4096> request{};
+    std::string response = own;
+    std::function<void()> accept = [&] {
+        auto socket = std::make_shared<tcp::socket>(io);
+        acceptor.async_accept(*socket, [&, socket](auto) {
+            connections.push_back(socket);
+            socket->async_read_some(boost::asio::buffer(request), [&, socket](auto, std::size_t) {
+                boost::asio::write(*socket, boost::asio::buffer(response));
+            });
+            accept();
+        });
+    };
+    accept();
+    HttpClient client(io);
+    HttpCall call;
+    call.endpoint = {"127.0.0.1", acceptor.local_endpoint().port()};
+    call.method = "POST";
+    std::optional<Outcome<HttpResponse>> result;
+    const auto fetch = [&] {
+        result.reset();
+        client.call(call, [&](Outcome<HttpResponse> outcome) { result = std::move(outcome); });
+        runUntil(io, [&] { return result.has_value(); });
+        const auto *received = std::get_if<HttpResponse>(&*result);
+        return received ? received->body : std::string("failed");
+    };
+
+    SECTION("a copy that arrives just before the next call")
+    {
+        REQUIRE(fetch() == "own");
+        REQUIRE(client.idleConnections() == 1);
+        boost::asio::write(*connections[0], boost::asio::buffer(copy));
+        CHECK(fetch() == "own");
+        CHECK(connections.size() == 2);
+    }
+    SECTION("a copy in the same read as the end of the response")
+    {
+        response = own + copy;
+        REQUIRE(fetch() == "own");
+        CHECK(client.idleConnections() == 0);
+        CHECK(fetch() == "own");
+        CHECK(connections.size() == 2);
+    }
+    SECTION("a close that arrives just before the next call")
+    {
+        REQUIRE(fetch() == "own");
+        const bool isReset = GENERATE(false, true);
+        if (isReset)
+            connections[0]->set_option(boost::asio::socket_base::linger(true, 0));
+        connections[0]->close();
+        CHECK(fetch() == "own");
+        CHECK(connections.size() == 2);
+    }
+    SECTION("a response that arrives while the request is being written")
+    {
+        call.body.assign(32UL * 1024 * 1024, 'x'); // More than fits into the socket buffers.
+        REQUIRE(fetch() == "own");
+        CHECK(client.idleConnections() == 0);
+    }
+}
+
 // Guards against requests that are cut off without an answer because the server stops at the moment
 // at which they arrive.
 TEST_CASE("A server that stops answers the requests that have reached it")
