--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -456,8 +456,9 @@
                             + reloadPenalty(it->record, query.model, start + ownHold, now)
                             + m_random.uniform() * JitterSeconds;
         if (!best || cost < bestCost) {
-            best = BackendChoice{it->record.id, it->record.endpoint, fromSeconds(start),
-                                 wait <= 0,     served,              it->record.startTimeMs};
+            best = BackendChoice{
+                    it->record.id, it->record.endpoint,   fromSeconds(start), wait <= 0,
+                    served,        it->record.startTimeMs};
             bestCost = cost;
         }
     }
