--- a/modules/gateway/include/godwit/gateway/callerprotocol.h
+++ b/modules/gateway/include/godwit/gateway/callerprotocol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/base/result.h>
+#include <godwit/gateway/backendavailability.h>
 #include <godwit/gateway/backendload.h>
 #include <godwit/gateway/clientrequest.h>
 #include <godwit/ports/httpcall.h>
@@ -31,8 +32,11 @@
 struct BackendResponseHead
 {
     int status = 0;
-    bool sealed = false;       ///< Carries the signature of a backend server.
-    bool notExecuted = false;  ///< The backend server reports that it did not execute the request.
+    bool sealed = false;      ///< Carries the signature of a backend server.
+    bool notExecuted = false; ///< The backend server reports that it did not execute the request.
+    /// The status tells clients that the request was not executed, whether or not the backend
+    /// server reports it.
+    bool impliesNotExecuted = false;
     bool otherProcess = false; ///< Not executed because another process listens at the address.
     bool isEventStream = false;
     /// Has a content coding, so the body is not the one that the backend server wrote.
@@ -61,6 +65,9 @@
                              const AttemptParameters &terms) const = 0;
 
     virtual BackendResponseHead readResponse(int status, const HttpHeaders &headers) const = 0;
+
+    /// Reads what any response of a backend server, also an interim one, states about itself.
+    virtual BackendAvailability readAvailability(int status, const HttpHeaders &headers) const = 0;
 };
 
 } // namespace godwit
--- a/modules/gateway/include/godwit/gateway/crashreport.h
+++ b/modules/gateway/include/godwit/gateway/crashreport.h
@@ -1,23 +1,12 @@
 #pragma once
 
-#include <godwit/base/ids.h>
+#include <godwit/gateway/backendinstance.h>
 #include <godwit/gateway/requestcontent.h>
 
-#include <compare>
-#include <cstdint>
 #include <vector>
 
 namespace godwit {
 
-/// One run of a backend server; a restart gives another start time.
-struct BackendInstance
-{
-    BackendId id;
-    std::uint64_t startTimeMs = 0; ///< Unix time.
-
-    friend auto operator<=>(const BackendInstance &, const BackendInstance &) = default;
-};
-
 /// Crash of a backend server, and the content that may have caused it.
 struct CrashReport
 {
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -1,6 +1,8 @@
 #include "forwardedrequest.h"
 
+#include "availabilityobserver.h"
 #include "errorresponse.h"
+#include "passedover.h"
 #include "requestlog.h"
 
 #include <algorithm>
@@ -29,8 +31,8 @@
 /// Fraction of the remaining time; clients ignore a longer Retry-After.
 constexpr double MaxRetryAfterShare = 0.3;
 /// Time after the start deadline of a backend server with outdated weights at which a request that
-/// has not started there is cancelled. The start deadline is half a second before the end of the
-/// grace period.
+/// has not started there is cancelled. The grace period ends VersionWindow::StartMargin after the
+/// start deadline.
 constexpr Duration CancelDelay = std::chrono::milliseconds(250);
 /// Safety margin, so that prediction errors do not admit requests that start just too late.
 constexpr Duration StartMargin = std::chrono::milliseconds(20);
@@ -182,20 +184,21 @@
     }
     const auto found = chooseBackend();
     if (const auto *none = std::get_if<NoBackend>(&found)) {
-        const bool full = none->reason == NoBackend::Reason::AllFull;
+        m_passedOver = none->passedOver;
         if (m_possibleRuns > 0 || m_streaming)
             giveUp(AttemptOutcome::Broken, "no other backend server can accept the request");
         else
-            refuse(full ? ResultCode::QueueFull : ResultCode::NoBackendKnown,
-                   full ? "all backend servers are full" : "no backend server serves the request",
-                   full ? none->shortestWait : DefaultRetryAfter);
+            refuse(refusalCode(*none), refusalDetail(*none),
+                   none->isWaitKnown() ? none->shortestWait : DefaultRetryAfter);
         return;
     }
     const auto &choice = std::get<BackendChoice>(found);
+    m_passedOver = choice.passedOver;
     m_attempts.push_back({.backend = choice.id,
-                          .instance = m_gateway.m_backends.instance(choice.id),
+                          .instance = choice.instance(),
                           .predictedStartDelay = choice.predictedStartDelay,
                           .foundFreeSlot = choice.hasFreeSlot,
+                          .recordedVersion = choice.weightsVersion,
                           .sentAt = now()});
     m_bodyMode = BodyMode::None;
     m_bufferedBody.clear();
@@ -203,11 +206,34 @@
     m_gateway.m_backends.onAttemptStarted(choice.id, m_urgency);
     HttpCall call = callFor(choice);
     m_correlation = call.correlation;
-    m_call = m_gateway.m_environment.send(std::move(call), handlersFor(++m_attemptSerial));
+    m_call = m_gateway.m_environment.send(
+            std::move(call),
+            observeAvailability(handlersFor(++m_attemptSerial), {choice.instance(), m_request.id},
+                                m_gateway.m_environment, m_gateway.m_backends));
     m_startTimer.reset();
     m_stallTimer.reset();
-    if (choice.startDeadline)
-        cancelIfNotStartedBy(*choice.startDeadline + CancelDelay);
+    limitStart();
+}
+
+void ForwardedRequest::limitStart()
+{
+    if (!m_attemptInProgress || !m_attempts.back().recordedVersion)
+        return;
+    const auto expiry =
+            m_gateway.m_backends.versionExpiry(m_request.model, *m_attempts.back().recordedVersion);
+    if (expiry)
+        cancelIfNotStartedBy(*expiry + CancelDelay);
+}
+
+bool ForwardedRequest::mayStartOutdated() const
+{
+    if (m_bodyMode != BodyMode::Events)
+        return m_bodyMode == BodyMode::None;
+    // The head of an event stream may be sent on admission, before the engine works on the request.
+    const auto &stated = m_responseHead.weightsVersion;
+    const bool isNewest =
+            stated && !m_gateway.m_backends.versionExpiry(m_request.model, *stated).has_value();
+    return !m_attempts.back().firstEventsAt && !isNewest;
 }
 
 void ForwardedRequest::cancelIfNotStartedBy(TimePoint time)
@@ -217,7 +243,7 @@
             std::max(Duration::zero(), time - now()), [weak, serial = m_attemptSerial] {
                 const auto self = weak.lock();
                 if (!self || self->m_ended || !self->m_attemptInProgress
-                    || self->m_attemptSerial != serial || self->m_bodyMode != BodyMode::None)
+                    || self->m_attemptSerial != serial || !self->mayStartOutdated())
                     return;
                 if (self->m_call)
                     self->m_call->cancel();
@@ -435,6 +461,7 @@
                 {"service", m_admission.service},
                 {"configuration", m_admission.table->version()},
                 {"attempts", std::move(attempts)},
+                {"passed_over", describePassedOver(m_passedOver, m_arrivedAt)},
                 {"status", status},
                 {"code", static_cast<int>(code)},
                 {"detail", detail},
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -34,6 +34,10 @@
     /// Gives up if the content of the request is suspended and no response has started.
     void cancelIfSuspended();
 
+    /// Cancels the current attempt soon after its weights become outdated if its response has not
+    /// started by then. Called again when a newer version is announced.
+    void limitStart();
+
 private:
     /// How the body of the current response is handled.
     enum class BodyMode {
@@ -51,6 +55,8 @@
         BackendInstance instance;
         Duration predictedStartDelay{0};
         bool foundFreeSlot = true;
+        /// Of the weights, by the record of the backend server.
+        std::optional<std::uint64_t> recordedVersion = {};
         TimePoint sentAt;
         std::optional<TimePoint> firstEventsAt = {};
         std::optional<TimePoint> lastEventsAt = {};
@@ -69,6 +75,9 @@
     /// Cancels the attempt at \a time if its response has not started by then, and sends the
     /// request elsewhere.
     void cancelIfNotStartedBy(TimePoint time);
+    /// Whether the response to the current attempt has not started, and may start with weights that
+    /// are outdated or become so.
+    bool mayStartOutdated() const;
     HttpStreamHandlers handlersFor(std::uint64_t serial);
     /// The shortest objective among this request and the common ones of its service, which share
     /// the queues.
@@ -80,6 +89,9 @@
     std::variant<BackendChoice, NoBackend> chooseBackend();
 
     void onHead(int status, const HttpHeaders &headers);
+    /// Whether a response with \a headers belongs to this request. Any other response, be it a
+    /// success, an error or a refusal, says nothing about whether the request has run.
+    bool identifiesRequest(const HttpHeaders &headers) const;
     void onData(std::string_view data);
     void onEnd(const Outcome<std::monostate> &outcome);
     void onComplete();
@@ -124,6 +136,7 @@
     std::unique_ptr<Timer> m_startTimer; ///< Of the current attempt.
     std::unique_ptr<Timer> m_stallTimer; ///< Of the current attempt.
     std::vector<PastAttempt> m_attempts;
+    std::vector<PassedOverBackend> m_passedOver; ///< When the last attempt was placed or refused.
     std::shared_ptr<CallHandle> m_call;
     std::uint64_t m_attemptSerial = 0; ///< Callbacks of other attempts are ignored.
     BackendResponseHead m_responseHead;
@@ -132,6 +145,8 @@
     std::string m_bufferedBody;
     std::size_t m_discardedBytes = 0; ///< Of the body of the current response, which is not used.
     bool m_hasDeclaredLength = false; ///< Of the body of the current response.
+    /// The close of the connection ends the current response, which has neither length nor chunks.
+    bool m_endsWithConnection = false;
     /// By which the response of the current attempt identifies this request.
     std::optional<HttpCorrelation> m_correlation;
     EventSplitter m_eventSplitter;
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -62,12 +62,22 @@
         head.sealed = headers.find("seal") != nullptr;
         head.notExecuted = headers.find("not-run") != nullptr || status == 421;
         head.otherProcess = status == 421;
+        head.impliesNotExecuted = status == 421 || status == 503;
         head.isEventStream = headers.find("events") != nullptr;
         head.isEncoded = headers.find("encoded") != nullptr;
         if (const std::string *version = headers.find("weights"))
             head.weightsVersion = std::stoull(*version);
         return head;
     }
+    BackendAvailability readAvailability(int status, const HttpHeaders &headers) const override
+    {
+        BackendAvailability availability;
+        availability.leaving = headers.find("leaving") != nullptr;
+        const std::string *pause = headers.find("pause");
+        if (status == 503 && pause)
+            availability.retryAfter = std::chrono::milliseconds(std::stoi(*pause));
+        return availability;
+    }
 };
 
 /// Records the response that the client receives.
--- a/modules/ports/src/clientconnection.cpp
+++ b/modules/ports/src/clientconnection.cpp
@@ -92,6 +92,14 @@
             [self = shared_from_this()](const ErrorCode &error) { self->onConnected(error); });
 }
 
+bool ClientConnection::isQuiet()
+{
+    char byte = 0;
+    ErrorCode ec;
+    m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
 void ClientConnection::run(const CallPointer &call)
 {
     m_call = call;
@@ -152,6 +160,7 @@
     }
     ErrorCode ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored); // For isQuiet().
     begin();
 }
 
@@ -203,13 +212,17 @@
 
 void ClientConnection::onHeader()
 {
-    if (m_parser->status < 200 || !m_call)
+    if (!m_call)
         return;
     const auto &expected = m_call->request.correlation;
     const std::string *found = expected ? m_parser->headers.find(expected->header) : nullptr;
-    m_isStaleResponse = found && *found != expected->value;
-    if (m_isStaleResponse)
+    const bool isInterim = m_parser->status < 200;
+    m_isStaleResponse = !isInterim && found && *found != expected->value;
+    if (isInterim || m_isStaleResponse) {
+        if (m_call->handlers.onOtherHeader)
+            m_call->handlers.onOtherHeader(m_parser->status, m_parser->headers);
         return;
+    }
     restartReceiveTimer();
     m_keepAliveTimeout = parseKeepAliveTimeout(m_parser->headers.value("Keep-Alive"));
     if (m_call->handlers.onHeader)
--- a/standins/src/fleetenginestandin.cpp
+++ b/standins/src/fleetenginestandin.cpp
@@ -1,3 +1,5 @@
+#include "leavingreply.h"
+
 #include <godwit/standin/fleetenginestandin.h>
 
 #include <boost/json.hpp>
@@ -41,9 +43,9 @@
     return claimed;
 }
 
-HttpResponse notExecuted(int status)
+HttpResponse notExecuted(int status, const HttpRequest &request)
 {
-    return {status, {{"X-Not-Executed", "1"}}, {}};
+    return {status, {{"X-Attempt-Id", attemptIdOf(request)}, {"X-Not-Executed", "1"}}, {}};
 }
 
 } // namespace
@@ -65,7 +67,11 @@
     BOOST_LEAF_ASSIGN(m_server,
                       HttpServer::listen(m_io, options,
                                          [this](const HttpRequest &request, const Reply &reply) {
-                                             handle(request, reply);
+                                             if (m_isLeaving)
+                                                 handle(request,
+                                                        std::make_shared<LeavingReply>(reply));
+                                             else
+                                                 handle(request, reply);
                                          }));
     return {};
 }
@@ -177,12 +183,18 @@
     const std::string_view version = request.headers.value("X-Expect-Version");
     if ((!expected.empty() && expected != m_options.id)
         || (!version.empty() && number(version) != m_options.version)) {
-        reply.send(notExecuted(421));
+        reply.send(notExecuted(421, request));
+        return true;
+    }
+    if (m_retryAfter) {
+        HttpResponse response = notExecuted(503);
+        response.headers.add("Retry-After", *m_retryAfter);
+        reply.send(std::move(response));
         return true;
     }
     const bool hasNoModel = m_options.service == ModelService && m_options.version == 0;
     if (m_loadTimer || hasNoModel || m_runs.size() >= Slots) {
-        reply.send(notExecuted(503));
+        reply.send(notExecuted(503, request));
         return true;
     }
     return false;
@@ -190,6 +202,7 @@
 
 void FleetEngineStandin::serve(const HttpRequest &request, const Reply &reply)
 {
+    ++m_receivedRequests;
     if (rejectIfUnavailable(request, *reply))
         return;
     const auto run = m_runs.insert(m_runs.end(), Run{reply, attemptIdOf(request), 0, nullptr,
