Log when an attempt was cancelled because its weights became outdated

Operators could not tell a cancellation that came late from a version that was dated too late: the request log said only that the attempt was abandoned.

The record of the attempt now says in cancelled_after_grace_ms how long after the end of the grace period it was cancelled; negative before.

Evidence: the new test case of gatewaytest reads the line; it failed without the field.

--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -179,8 +179,17 @@
         return;
     const auto expiry =
             m_gateway.m_backends.versionExpiry(m_request.model, *m_attempts.back().recordedVersion);
-    if (expiry)
-        cancelIfNotStartedBy(*expiry + CancelDelay);
+    if (!expiry)
+        return;
+    const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+    m_startTimer = m_gateway.m_environment.scheduler.after(
+            std::max(Duration::zero(), *expiry + CancelDelay - now()),
+            [weak, serial = m_attemptSerial, expiry = *expiry] {
+                const auto self = weak.lock();
+                if (self && !self->m_ended && self->m_attemptInProgress
+                    && self->m_attemptSerial == serial)
+                    self->cancelIfNotStarted(expiry);
+            });
 }
 
 bool ForwardedRequest::mayStartOutdated() const
@@ -194,21 +203,15 @@
     return !m_attempts.back().firstEventsAt && !isNewest;
 }
 
-void ForwardedRequest::cancelIfNotStartedBy(TimePoint time)
+void ForwardedRequest::cancelIfNotStarted(TimePoint expiry)
 {
-    const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
-    m_startTimer = m_gateway.m_environment.scheduler.after(
-            std::max(Duration::zero(), time - now()), [weak, serial = m_attemptSerial] {
-                const auto self = weak.lock();
-                if (!self || self->m_ended || !self->m_attemptInProgress
-                    || self->m_attemptSerial != serial || !self->mayStartOutdated())
-                    return;
-                if (self->m_call)
-                    self->m_call->cancel();
-                self->fail(AttemptOutcome::Abandoned,
-                           "the response did not start before the weights of the "
-                           "backend server became outdated");
-            });
+    if (!mayStartOutdated())
+        return;
+    m_attempts.back().cancelledAfterGrace = now() - expiry - VersionWindow::StartMargin;
+    if (m_call)
+        m_call->cancel();
+    fail(AttemptOutcome::Abandoned, "the response did not start before the weights of the backend "
+                                    "server became outdated");
 }
 
 HttpCall ForwardedRequest::callFor(const BackendChoice &choice) const
@@ -407,6 +410,8 @@
             attempt["weights"] = *it.weightsVersion;
         if (it.outdatedFor)
             attempt["outdated_ms"] = toMilliseconds(*it.outdatedFor);
+        if (it.cancelledAfterGrace)
+            attempt["cancelled_after_grace_ms"] = toMilliseconds(*it.cancelledAfterGrace);
         attempts.push_back(std::move(attempt));
     }
     const bool isFailure = code != ResultCode::Ok || m_attempts.size() > 1
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -59,14 +59,17 @@
         std::optional<std::uint64_t> weightsVersion = {}; ///< Stated by the response.
         /// Time from the expiry of its weights to the start of the response, if it started later.
         std::optional<Duration> outdatedFor = {};
+        /// Time from the end of the grace period of its weights to the cancellation because of
+        /// them; negative if it was cancelled before, as it should be.
+        std::optional<Duration> cancelledAfterGrace = {};
         std::optional<AttemptOutcome> outcome = {};
     };
 
     void startAttempt();
     HttpCall callFor(const BackendChoice &choice) const;
-    /// Cancels the attempt at \a time if its response has not started by then, and sends the
-    /// request elsewhere.
-    void cancelIfNotStartedBy(TimePoint time);
+    /// Cancels the current attempt, whose weights became outdated at \a expiry, if its response has
+    /// not started, and sends the request elsewhere.
+    void cancelIfNotStarted(TimePoint expiry);
     /// Whether the response to the current attempt has not started, and may start with weights that
     /// are outdated or become so.
     bool mayStartOutdated() const;
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -1,8 +1,11 @@
 #include "gatewayfixture.h"
 
+#include <godwit/observe/log.h>
+
 #include <catch2/catch.hpp>
 
 #include <set>
+#include <sstream>
 #include <string>
 
 using namespace godwit;
@@ -235,36 +238,51 @@
     }
 }
 
+namespace {
+
+/// Gateway with one engine, which has version 1 of a model, and a request for that model.
+struct VersionFixture : Fixture
+{
+    const ModelId model{"m"};
+    HttpRequest request;
+
+    VersionFixture()
+    {
+        configure();
+        gateway.backends().remove(BackendId("b2"));
+        gateway.backends().remove(BackendId("b3"));
+        serve(1, 1);
+        request.method = "POST";
+        request.target = "/stream/x";
+        request.headers = {{"id", "r1"}, {"Host", "h"}, {"key", "k"}, {"model", "m"}};
+    }
+
+    void serve(int number, std::uint64_t version)
+    {
+        gateway.backends().update({BackendId("b" + std::to_string(number)),
+                                   "desk",
+                                   {"10.0.0." + std::to_string(number), 80},
+                                   ZoneId("z"),
+                                   6,
+                                   false,
+                                   2,
+                                   {{model, version}},
+                                   std::nullopt},
+                                  scheduler.now());
+    }
+};
+
+} // namespace
+
 // Requests are queued at engines when the grace period of their weights ends.
 TEST_CASE("Gateway cancels attempts that have not started when the weights become outdated")
 {
-    Fixture it;
-    it.configure();
-    const ModelId model("m");
-    const auto serve = [&](int number, std::uint64_t version) {
-        it.gateway.backends().update({BackendId("b" + std::to_string(number)),
-                                      "desk",
-                                      {"10.0.0." + std::to_string(number), 80},
-                                      ZoneId("z"),
-                                      6,
-                                      false,
-                                      2,
-                                      {{model, version}},
-                                      std::nullopt},
-                                     it.scheduler.now());
-    };
-    it.gateway.backends().remove(BackendId("b2"));
-    it.gateway.backends().remove(BackendId("b3"));
-    serve(1, 1);
-    it.gateway.backends().requireVersion(model, 2, it.scheduler.now() + 300ms);
-    HttpRequest request;
-    request.method = "POST";
-    request.target = "/stream/x";
-    request.headers = {{"id", "r1"}, {"Host", "h"}, {"key", "k"}, {"model", "m"}};
-    it.gateway.handle(request, std::make_shared<ClientView>());
+    VersionFixture it;
+    it.gateway.requireVersion(it.model, 2, it.scheduler.now() + 300ms);
+    it.gateway.handle(it.request, std::make_shared<ClientView>());
     REQUIRE(it.backendCalls.size() == 1);
     const auto first = it.backendCalls[0];
-    serve(2, 2);
+    it.serve(2, 2);
 
     SECTION("an attempt without a response is cancelled and sent elsewhere")
     {
@@ -294,11 +312,11 @@
     SECTION("so is an attempt that was sent before the version was announced")
     {
         it.scheduler.advance(400ms);
-        it.gateway.handle(request, std::make_shared<ClientView>());
+        it.gateway.handle(it.request, std::make_shared<ClientView>());
         const auto earlier = it.backendCalls.back();
         REQUIRE(earlier->backend() == "b2");
-        it.gateway.requireVersion(model, 3, it.scheduler.now() + 300ms);
-        serve(3, 3);
+        it.gateway.requireVersion(it.model, 3, it.scheduler.now() + 300ms);
+        it.serve(3, 3);
         it.scheduler.advance(500ms);
         CHECK_FALSE(earlier->cancelled);
         it.scheduler.advance(100ms);
@@ -312,7 +330,7 @@
         first->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
         first->data("id: 1\ndata: a\n\n");
         CHECK(outdated.value() == 0);
-        it.gateway.handle(request, std::make_shared<ClientView>());
+        it.gateway.handle(it.request, std::make_shared<ClientView>());
         it.scheduler.advance(400ms);
         const auto &second = it.backendCalls.back();
         second->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
@@ -329,6 +347,30 @@
     }
 }
 
+// Guards against a late cancellation that cannot be told from a version that was dated too late.
+TEST_CASE("The request log says when an attempt was cancelled because of its weights")
+{
+    static std::ostringstream out;
+    out.str({});
+    setUpLogging(out);
+    VersionFixture it;
+    // The limit on log lines is shared with the other tests, whose clocks have advanced less.
+    it.scheduler.advance(24h);
+    it.gateway.onConfigurationConfirmed(it.scheduler.now());
+    const VersionWindow window{it.scheduler.now() - 7s, 8s};
+    it.gateway.requireVersion(it.model, 2, window.startDeadline());
+    const auto view = std::make_shared<ClientView>();
+    it.gateway.handle(it.request, view);
+    it.scheduler.advance(1s);
+    CHECK(view->status == 502);
+    const std::string lines = out.str();
+    const std::size_t start = lines.find(R"("event":"request_failed")");
+    REQUIRE(start != std::string::npos);
+    const std::string line = lines.substr(start, lines.find('\n', start) - start);
+    CAPTURE(line);
+    CHECK(line.find(R"("cancelled_after_grace_ms":-250)") != std::string::npos);
+}
+
 // Refused clients retry while other requests can still be on time.
 TEST_CASE("Gateway queues retries of clients behind requests that can be on time")
 {
