Take no reply of a peer for a chunk without its status

A peer that does not know a path, or cannot read a request for a chunk, replies 404 or 400 without a result code. The host process took such a reply for an empty chunk: it was verified, and the peer counted as one that sends corrupt chunks.

resultCodeOf() reads the result code of a response: Ok only with status 200 and no code, and MessageMalformed for an error status without a code or with one that is no number above 0. Both users of chunk replies, Http2PeerTransport and WeightsAgent, call it.

'Http2PeerTransport fetches a chunk from a peer' failed before in its section 'any other reply is no chunk'. WeightsAgent has no test of its own for it.

--- a/modules/apps/src/hostdaemon.cpp
+++ b/modules/apps/src/hostdaemon.cpp
@@ -3,6 +3,7 @@
 #include "peermessages.h"
 
 #include <godwit/ports/calleffect.h>
+#include <godwit/wire/wiremessage.h>
 
 #include <future>
 
@@ -190,7 +191,7 @@
         return;
     const auto stream = it->second;
     m_uploads.erase(it);
-    stream->respond(200, {{"x-godwit-code", std::to_string(static_cast<int>(code))}});
+    stream->respond(200, {{std::string(ResultCodeField), std::to_string(static_cast<int>(code))}});
     stream->finish();
 }
 
--- a/modules/apps/src/weightsagent.cpp
+++ b/modules/apps/src/weightsagent.cpp
@@ -2,8 +2,7 @@
 
 #include <godwit/observe/log.h>
 #include <godwit/weights/chunksource.h>
-
-#include <charconv>
+#include <godwit/wire/wiremessage.h>
 
 namespace godwit {
 
@@ -342,10 +341,7 @@
     m_io.post([&io = m_io, &settings = m_settings, download, done, progress, endpoint, action] {
         StreamEvents events;
         events.onHeaders = [download](const WireHeaders &headers) {
-            int code = 0;
-            const auto text = fieldValue(headers.fields, "x-godwit-code");
-            std::from_chars(text.data(), text.data() + text.size(), code);
-            download->code = static_cast<ResultCode>(code);
+            download->code = resultCodeOf(headers);
         };
         events.onData = [download, progress, action](std::string_view bytes) {
             // One byte more than expected is enough for the planner to reject the chunk.
--- a/modules/fleet/src/http2peertransport.cpp
+++ b/modules/fleet/src/http2peertransport.cpp
@@ -1,6 +1,7 @@
 #include "http2peertransport.h"
 
 #include <godwit/base/json.h>
+#include <godwit/wire/wiremessage.h>
 
 #include <charconv>
 
@@ -15,7 +16,6 @@
 constexpr const char *VersionHeader = "x-godwit-version";
 constexpr const char *HostHeader = "x-godwit-host";
 constexpr const char *DigestHeader = "x-godwit-digest";
-constexpr const char *CodeHeader = "x-godwit-code";
 /// An announcement that takes longer is outdated.
 constexpr Duration AnnounceTimeout = std::chrono::seconds(2);
 /// A peer answers when it has the manifest itself. One that takes longer may be gone, and another
@@ -51,14 +51,6 @@
     std::shared_ptr<WireStream> m_stream;
 };
 
-ResultCode resultCode(const WireHeaders &headers)
-{
-    const auto text = fieldValue(headers.fields, CodeHeader);
-    int code = 0;
-    std::from_chars(text.data(), text.data() + text.size(), code);
-    return static_cast<ResultCode>(code);
-}
-
 } // namespace
 
 Http2PeerTransport::Http2PeerTransport(boost::asio::io_context &io, Scheduler &scheduler,
@@ -115,7 +107,7 @@
     const auto received = std::make_shared<Received>();
     StreamEvents events;
     events.onHeaders = [received, bytes](const WireHeaders &headers) {
-        received->code = resultCode(headers);
+        received->code = resultCodeOf(headers);
         if (received->code == ResultCode::Ok)
             received->bytes.reserve(bytes);
     };
@@ -311,7 +303,7 @@
         return;
     const auto stream = it->second.stream;
     m_uploads.erase(it);
-    stream->respond(503, {{CodeHeader, std::to_string(static_cast<int>(code))}});
+    stream->respond(503, {{std::string(ResultCodeField), std::to_string(static_cast<int>(code))}});
     stream->finish();
 }
 
--- a/modules/wire/include/godwit/wire/wiremessage.h
+++ b/modules/wire/include/godwit/wire/wiremessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/base/json.h>
+#include <godwit/base/resultcode.h>
 #include <godwit/wire/wirestream.h>
 
 #include <functional>
@@ -17,6 +18,13 @@
 /// Sends a complete response.
 void reply(WireStream &stream, int status, std::string_view body);
 
+/// Field of a response with the result code, if it is not Ok.
+constexpr std::string_view ResultCodeField = "x-godwit-code";
+
+/// Result code of a response: that of ResultCodeField, Ok if the field is absent and the status is
+/// 200. Any other response is MessageMalformed.
+ResultCode resultCodeOf(const WireHeaders &headers);
+
 /// Decodes the body of \a stream as a JSON message of type T and replies with the return value of
 /// \a handler. Replies with status 400 and the error text if the body cannot be decoded.
 template <typename T, typename Handler>
--- a/modules/wire/src/wiremessage.cpp
+++ b/modules/wire/src/wiremessage.cpp
@@ -1,5 +1,7 @@
 #include <godwit/wire/wiremessage.h>
 
+#include <charconv>
+
 namespace godwit {
 
 void collectBody(const std::shared_ptr<WireStream> &stream, std::size_t limit,
@@ -31,4 +33,16 @@
     stream.finish();
 }
 
+ResultCode resultCodeOf(const WireHeaders &headers)
+{
+    constexpr int Success = 200;
+    const std::string_view text = fieldValue(headers.fields, ResultCodeField);
+    if (text.empty())
+        return headers.status == Success ? ResultCode::Ok : ResultCode::MessageMalformed;
+    int code = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), code);
+    const bool isNumber = ec == std::errc() && end == text.data() + text.size();
+    return isNumber && code > 0 ? static_cast<ResultCode>(code) : ResultCode::MessageMalformed;
+}
+
 } // namespace godwit
