Cancel the transfer of a chunk once it is longer than expected

A faulty peer that sends more bytes than the chunk has was read until it stopped. Its bytes were discarded but counted as progress, so that the transfer was neither ended nor tried elsewhere.

The transfer is now cancelled at the first byte too many. The chunk is passed on at its wrong length, so that its verification fails and the peer is treated as before.

The section 'a chunk without an end is cancelled once it is too long' failed before: the transfer did not end.

--- a/modules/fleet/src/http2peertransport.cpp
+++ b/modules/fleet/src/http2peertransport.cpp
@@ -103,6 +103,7 @@
     {
         std::string bytes;
         ResultCode code = ResultCode::Ok;
+        std::weak_ptr<WireStream> stream;
     };
     const auto received = std::make_shared<Received>();
     StreamEvents events;
@@ -111,22 +112,30 @@
         if (received->code == ResultCode::Ok)
             received->bytes.reserve(bytes);
     };
-    events.onData = [received, bytes, onProgress = std::move(onProgress)](std::string_view data) {
-        // Verification fails as soon as the chunk is one byte too long; the rest can be discarded.
-        if (received->bytes.size() <= bytes)
-            received->bytes += data;
-        onProgress();
-    };
-    events.onEnd = [received, done](const WireFields &) {
+    const auto finish = [received, done] {
         if (received->code == ResultCode::Ok)
             done(std::move(received->bytes));
         else
             done(Error{received->code, "peer refused the chunk"});
     };
+    events.onData = [received, bytes, finish,
+                     onProgress = std::move(onProgress)](std::string_view data) {
+        received->bytes += data;
+        const auto openStream = received->stream.lock();
+        if (received->bytes.size() <= bytes || !openStream) {
+            onProgress();
+            return;
+        }
+        // Verification fails as soon as the chunk is one byte too long. The peer may never stop.
+        openStream->cancel();
+        finish();
+    };
+    events.onEnd = [finish](const WireFields &) { finish(); };
     events.onError = [done](const Error &error) { done(error); };
     auto stream = client(peer).open(ChunkPath,
                                     {{HostHeader, m_self.value()}, {DigestHeader, chunk.toHex()}},
                                     std::move(events));
+    received->stream = stream;
     stream->finish();
     return std::make_shared<StreamHandle>(std::move(stream));
 }
--- a/modules/fleet/tests/http2peertransporttest.cpp
+++ b/modules/fleet/tests/http2peertransporttest.cpp
@@ -88,4 +88,16 @@
         REQUIRE_FALSE(succeeded(outcome));
         CHECK(std::get<Error>(outcome).code == ResultCode::MessageMalformed);
     }
+    // A faulty peer that goes on sending counted as progress until it stopped.
+    SECTION("a chunk without an end is cancelled once it is too long")
+    {
+        it.respond = [](WireStream &stream) {
+            stream.respond(200);
+            stream.write(std::string(ExpectedBytes + 1, 'x'));
+        };
+        const auto outcome = it.fetch();
+        REQUIRE(succeeded(outcome));
+        CHECK(std::get<0>(outcome).size() > ExpectedBytes); // Its verification fails.
+        runUntil(it.io, [&] { return it.stream->ended(); });
+    }
 }
