--- a/modules/fleet/src/http2peertransport.cpp
+++ b/modules/fleet/src/http2peertransport.cpp
@@ -1,6 +1,7 @@
 #include "http2peertransport.h"
 
 #include <godwit/base/json.h>
+#include <godwit/wire/wiremessage.h>
 
 #include <charconv>
 
@@ -15,7 +16,6 @@
 constexpr const char *VersionHeader = "x-godwit-version";
 constexpr const char *HostHeader = "x-godwit-host";
 constexpr const char *DigestHeader = "x-godwit-digest";
-constexpr const char *CodeHeader = "x-godwit-code";
 /// An announcement that takes longer is outdated.
 constexpr Duration AnnounceTimeout = std::chrono::seconds(2);
 /// A peer answers when it has the manifest itself. One that takes longer may be gone, and another
@@ -51,14 +51,6 @@
     std::shared_ptr<WireStream> m_stream;
 };
 
-ResultCode resultCode(const WireHeaders &headers)
-{
-    const auto text = fieldValue(headers.fields, CodeHeader);
-    int code = 0;
-    std::from_chars(text.data(), text.data() + text.size(), code);
-    return static_cast<ResultCode>(code);
-}
-
 } // namespace
 
 Http2PeerTransport::Http2PeerTransport(boost::asio::io_context &io, Scheduler &scheduler,
@@ -111,30 +103,39 @@
     {
         std::string bytes;
         ResultCode code = ResultCode::Ok;
+        std::weak_ptr<WireStream> stream;
     };
     const auto received = std::make_shared<Received>();
     StreamEvents events;
     events.onHeaders = [received, bytes](const WireHeaders &headers) {
-        received->code = resultCode(headers);
+        received->code = resultCodeOf(headers);
         if (received->code == ResultCode::Ok)
             received->bytes.reserve(bytes);
     };
-    events.onData = [received, bytes, onProgress = std::move(onProgress)](std::string_view data) {
-        // Verification fails as soon as the chunk is one byte too long; the rest can be discarded.
-        if (received->bytes.size() <= bytes)
-            received->bytes += data;
-        onProgress();
-    };
-    events.onEnd = [received, done](const WireFields &) {
+    const auto finish = [received, done] {
         if (received->code == ResultCode::Ok)
             done(std::move(received->bytes));
         else
             done(Error{received->code, "peer refused the chunk"});
     };
+    events.onData = [received, bytes, finish,
+                     onProgress = std::move(onProgress)](std::string_view data) {
+        received->bytes += data;
+        const auto openStream = received->stream.lock();
+        if (received->bytes.size() <= bytes || !openStream) {
+            onProgress();
+            return;
+        }
+        // Verification fails as soon as the chunk is one byte too long. The peer may never stop.
+        openStream->cancel();
+        finish();
+    };
+    events.onEnd = [finish](const WireFields &) { finish(); };
     events.onError = [done](const Error &error) { done(error); };
     auto stream = client(peer).open(ChunkPath,
                                     {{HostHeader, m_self.value()}, {DigestHeader, chunk.toHex()}},
                                     std::move(events));
+    received->stream = stream;
     stream->finish();
     return std::make_shared<StreamHandle>(std::move(stream));
 }
@@ -311,7 +312,7 @@
         return;
     const auto stream = it->second.stream;
     m_uploads.erase(it);
-    stream->respond(503, {{CodeHeader, std::to_string(static_cast<int>(code))}});
+    stream->respond(503, {{std::string(ResultCodeField), std::to_string(static_cast<int>(code))}});
     stream->finish();
 }
 
