Let backend servers of the soak leave by their responses only, or want no requests

The guarantees that the soak checks apply as before. Requests that come to a leaving or paused server are not judged by this commit.

--- a/bench/src/soak.cpp
+++ b/bench/src/soak.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <iostream>
 #include <list>
@@ -37,6 +38,9 @@
 constexpr int BurstLoadFactor = 8;
 constexpr Duration SlowLink = std::chrono::milliseconds(150);
 
+constexpr std::array<std::string_view, 7> RetryAfterValues{"1",    "0.4", "2.5", "0",
+                                                           "1, 2", "-1",  "soon"};
+
 class Soak
 {
 public:
@@ -113,6 +117,12 @@
     void resetEngine(std::size_t i) { m_fleet.resetEngine(i % m_fleet.engineCount()); }
     void crashEngine(std::size_t i) { m_fleet.crashEngine(i % m_fleet.engineCount()); }
     void drainEngine(std::size_t i) { m_fleet.drainEngine(i % m_fleet.engineCount()); }
+    void leaveEngine(std::size_t i) { m_fleet.leaveEngine(i % m_fleet.engineCount()); }
+    void pauseEngine(std::size_t i);
+    void resumeEngine(std::size_t i)
+    {
+        m_fleet.setRetryAfter(i % m_fleet.engineCount(), std::nullopt);
+    }
     void holdOrigin(std::size_t) { m_fleet.setOriginFault({.holdReplies = true}); }
     void clearOriginFault(std::size_t) { m_fleet.setOriginFault({}); }
     void publishVersion(std::size_t) { m_fleet.publishVersion(); }
@@ -162,6 +172,9 @@
             {"reset connections of a backend server", &Soak::resetEngine, nullptr},
             {"crash a backend server", &Soak::crashEngine, nullptr},
             {"drain a backend server", &Soak::drainEngine, nullptr},
+            {"let a backend server leave, stated only in its responses", &Soak::leaveEngine,
+             nullptr},
+            {"let a backend server want no requests", &Soak::pauseEngine, &Soak::resumeEngine},
             {"hold replies of the origin", &Soak::holdOrigin, &Soak::clearOriginFault},
             {"publish a version", &Soak::publishVersion, nullptr},
             {"change the configuration", &Soak::changeConfiguration, nullptr},
@@ -176,6 +189,12 @@
         killProcess(i + 2 * n);
 }
 
+void Soak::pauseEngine(std::size_t i)
+{
+    m_fleet.setRetryAfter(i % m_fleet.engineCount(),
+                          std::string(RetryAfterValues[i % RetryAfterValues.size()]));
+}
+
 void Soak::setAllStoreFaults(const LinkFault &fault)
 {
     for (std::size_t i = 0; i < m_fleet.processCount(); ++i)
--- a/bench/src/soakfleet.h
+++ b/bench/src/soakfleet.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,10 @@
     void resetEngine(std::size_t engine);
     void crashEngine(std::size_t engine); ///< Replaced by a new process later.
     void drainEngine(std::size_t engine); ///< Announces its end first, then is replaced.
+    /// Like drainEngine(), but only its responses state it; its record stays as it is.
+    void leaveEngine(std::size_t engine);
+    /// Turns requests at \a engine away with \a retryAfter until it is reset or replaced.
+    void setRetryAfter(std::size_t engine, const std::optional<std::string> &retryAfter);
     void setOriginFault(const LinkFault &fault) { m_originProxy.setFault(fault); }
     void publishVersion();
     void changeConfiguration(); ///< Adds or removes a route and may revoke a key.
