Judge in the soak whether requests run at servers that are known to leave

A request that a client sent to an entry process after it got a response with the statement from that process must not run at the same server, unless the process has restarted since. The record of a run now names the engine, that of a request its entry process.

Not judged: requests that such a server turns away, and whether a pause is kept to.

Before: with the new check not called, the new sections of soakrecordtest failed.

--- a/bench/src/soakcallers.cpp
+++ b/bench/src/soakcallers.cpp
@@ -108,7 +108,8 @@
     handlers.onEnd = [this, &caller](const Outcome<std::monostate> &result) {
         onResponseEnd(caller, succeeded(result));
     };
-    const HttpEndpoint entry = m_fleet.entry(caller.random.below(m_options.entries));
+    outcome.entry = caller.random.below(m_options.entries);
+    const HttpEndpoint entry = m_fleet.entry(outcome.entry);
     caller.call =
             m_client.stream(standin::makeFleetCall(entry, outcome.attempt), std::move(handlers));
     if (!caller.random.chance(CancelShare))
@@ -127,6 +128,7 @@
 void SoakCallers::onResponseHeader(Caller &caller, int status, const HttpHeaders &headers)
 {
     caller.outcome.status = status;
+    caller.outcome.headAt = MonotonicClock::now();
     caller.outcome.headers = headers;
     if (isRefusal(status))
         caller.retryAfter = parseSeconds(headers.value("Retry-After"));
--- a/bench/src/soakfleet.cpp
+++ b/bench/src/soakfleet.cpp
@@ -315,6 +315,8 @@
     member.isExpected = false;
     member.isStopping = false;
     member.pauses = 0;
+    if (member.isEntry)
+        m_record.entryStarts.emplace_back(member.index, MonotonicClock::now());
     const auto started = capture([&] {
         return m_processes.start(member.name, m_options.programs + "/modules/apps/godwitd",
                                  {"--fleet", "--settings=" + file});
--- a/bench/src/soakrecord.cpp
+++ b/bench/src/soakrecord.cpp
@@ -103,6 +103,43 @@
 constexpr Check Checks[] = {checkResponse,   checkDenial,  checkRuns,
                             checkForwarding, checkWeights, checkRevocation};
 
+bool hasRestarted(const SoakRecord &record, std::size_t entry, TimePoint since)
+{
+    return std::ranges::any_of(record.entryStarts, [&](const auto &it) {
+        return it.first == entry && it.second > since;
+    });
+}
+
+/// Finds requests that a client sent to an entry process after it had passed on a response in which
+/// a backend server states that it leaves, and that ran at this server all the same. A restart of
+/// the entry process excuses it.
+void findRunsAtLeavingServers(const SoakRecord &record, const std::map<std::string, Runs> &runs,
+                              std::vector<std::string> &broken)
+{
+    using EntryAndServer = std::pair<std::size_t, std::string>;
+    std::map<EntryAndServer, TimePoint> known;
+    for (const SoakOutcome &it : record.outcomes) {
+        const auto found = runs.find(it.attempt.id);
+        // The response is that of the only run.
+        if (!it.headers.find("Server-Leaving") || found == runs.end() || found->second.size() != 1)
+            continue;
+        const auto at =
+                known.try_emplace({it.entry, found->second.front()->engine}, it.headAt).first;
+        at->second = std::min(at->second, it.headAt);
+    }
+    for (const SoakOutcome &it : record.outcomes) {
+        const auto found = runs.find(it.attempt.id);
+        if (found == runs.end())
+            continue;
+        for (const FleetRun *run : found->second) {
+            const auto leaving = known.find({it.entry, run->engine});
+            if (leaving != known.end() && it.sent > leaving->second
+                && !hasRestarted(record, it.entry, leaving->second))
+                broken.push_back(it.attempt.id + ": ran at the leaving server " + run->engine);
+        }
+    }
+}
+
 } // namespace
 
 bool isRefusal(int status)
@@ -118,6 +155,7 @@
     std::map<std::string, Runs> runs;
     for (const FleetRun &it : record.ledger.runs)
         runs[it.attempt].push_back(&it);
+    findRunsAtLeavingServers(record, runs, broken);
     for (const SoakOutcome &outcome : record.outcomes) {
         for (const Check check : Checks) {
             const std::string problem = check(record, outcome, runs[outcome.attempt.id]);
--- a/bench/src/soakrecord.h
+++ b/bench/src/soakrecord.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace godwit {
@@ -13,14 +14,16 @@
 struct SoakOutcome
 {
     standin::FleetAttempt attempt;
-    std::string customer; ///< Owner of the key; empty if the key was never configured.
-    bool hasRoute = true; ///< Whether any configuration of the run had the route.
-    int status = 0;       ///< 0 without a response.
+    std::string customer;  ///< Owner of the key; empty if the key was never configured.
+    std::size_t entry = 0; ///< Entry process that the client sent it to.
+    bool hasRoute = true;  ///< Whether any configuration of the run had the route.
+    int status = 0;        ///< 0 without a response.
     bool isComplete = false;
     bool isCancelled = false;
     HttpHeaders headers;
     std::string body;
     TimePoint sent;
+    TimePoint headAt; ///< Arrival of the headers, if any.
     TimePoint ended;
 };
 
@@ -30,7 +33,8 @@
     std::vector<SoakOutcome> outcomes;
     standin::FleetLedger ledger;
     std::map<std::string, TimePoint> revokedKeys; ///< Time at which the store acknowledged it.
-    std::vector<std::string> problems;            ///< Violations and bench errors of the run.
+    std::vector<std::pair<std::size_t, TimePoint>> entryStarts; ///< Of each entry process.
+    std::vector<std::string> problems; ///< Violations and bench errors of the run.
 };
 
 /// Whether \a status guarantees that the request has not run and will not run.
@@ -38,8 +42,9 @@
 
 /// Returns one line for each violated guarantee in \a record: wrong or incomplete responses that
 /// appear valid, valid requests that were denied, requests that ran too often, although refused,
-/// without a route or a valid key, for another customer or with two versions of the weights, and
-/// loads of pieces that do not belong together.
+/// without a route or a valid key, for another customer or with two versions of the weights,
+/// requests at a backend server that an entry process must know to leave, and loads of pieces that
+/// do not belong together.
 std::vector<std::string> findViolations(const SoakRecord &record);
 
 } // namespace godwit
--- a/bench/tests/soakrecordtest.cpp
+++ b/bench/tests/soakrecordtest.cpp
@@ -50,6 +50,36 @@
     SoakRecord record;
     record.ledger.runs = {run()};
 
+    SECTION("at a server that an entry process knows to leave")
+    {
+        record.ledger.runs.front().engine = "e1";
+        SoakOutcome first = served(FleetRequestKind::Booking);
+        first.headers.add("Server-Leaving", "1");
+        first.headAt = Start + 10ms;
+        SoakOutcome second;
+        second.attempt.id = "a2";
+        second.customer = "customer";
+        second.sent = Start + 20ms;
+        auto repeated = record.ledger.runs.front();
+        repeated.attempt = "a2";
+        record.ledger.runs.push_back(repeated);
+        record.outcomes = {first, second};
+        CHECK(findViolations(record).size() == 1);
+
+        SECTION("but not if the request was sent earlier, or to another entry process")
+        {
+            record.outcomes[1].sent = Start + 5ms;
+            CHECK(findViolations(record).empty());
+            record.outcomes[1].sent = Start + 20ms;
+            record.outcomes[1].entry = 1;
+            CHECK(findViolations(record).empty());
+        }
+        SECTION("nor if it has restarted since")
+        {
+            record.entryStarts = {{0, Start + 15ms}};
+            CHECK(findViolations(record).empty());
+        }
+    }
     SECTION("of a plain request")
     {
         record.outcomes = {served(FleetRequestKind::Booking)};
--- a/standins/include/godwit/standin/fleetenginestandin.h
+++ b/standins/include/godwit/standin/fleetenginestandin.h
@@ -20,6 +20,7 @@
 struct FleetRun
 {
     std::string attempt;
+    std::string engine;
     std::string customer;
     std::string route; ///< First segment of the path.
     std::uint64_t firstEvent = 0;
--- a/standins/src/fleetenginestandin.cpp
+++ b/standins/src/fleetenginestandin.cpp
@@ -208,10 +208,10 @@
     const auto run = m_runs.insert(m_runs.end(), Run{reply, attemptIdOf(request), 0, nullptr,
                                                      std::make_shared<bool>(true)});
     run->nextEvent = number(request.headers.value("Last-Event-Id")) + 1;
-    m_ledger.runs.push_back({run->attempt, std::string(request.headers.value("X-Tenant")),
-                             firstPathSegment(request.path()), run->nextEvent, m_options.version,
-                             request.headers.find("Authorization") != nullptr,
-                             MonotonicClock::now()});
+    m_ledger.runs.push_back(
+            {run->attempt, m_options.id, std::string(request.headers.value("X-Tenant")),
+             firstPathSegment(request.path()), run->nextEvent, m_options.version,
+             request.headers.find("Authorization") != nullptr, MonotonicClock::now()});
     if (m_options.service == ModelService) {
         reply->start(200, {{"Content-Type", "text/event-stream"},
                            {"X-Attempt-Id", run->attempt},
