--- a/modules/gateway/tests/loadscheduletest.cpp
+++ b/modules/gateway/tests/loadscheduletest.cpp
@@ -41,7 +41,6 @@
 
 } // namespace
 
-// Guards against all engines being unavailable at once while they load.
 // Guards against requests that are sent to older versions because the announcement is taken for
 // later than it may have been.
 TEST_CASE("VersionWindow limits the use of older versions")
@@ -63,6 +62,7 @@
     }
 }
 
+// Guards against all engines being unavailable at once while they load.
 TEST_CASE("LoadSchedule")
 {
     Fixture it;
