Drop responses of an engine that name another request

A late copy of the response to an earlier request, on a connection that was in use again, was taken for the response to the current one. Events name their request, but errors and an empty stream do not: a request that ran could be reported as not run, or as complete without a token.

HttpEngine now states the id of its request as the one by which responses are recognized, so that HttpClient drops those of other requests. Engines that do not repeat X-Request-Id are accepted as before; for them, only copies that arrive while the connection is idle are told apart.

'HttpEngine drops a response that names another request' failed before for both of its copies.

--- a/modules/ports/src/httpengine.cpp
+++ b/modules/ports/src/httpengine.cpp
@@ -306,6 +306,8 @@
     call.idleTimeout = engineCall.firstTokenTimeout;
     call.stallTimeout = engineCall.stallTimeout;
     call.bodyLimit = StreamLimit;
+    // Drops a late response to an earlier request whose id it states.
+    call.correlation = HttpCorrelation{"X-Request-Id", engineCall.request.value()};
     const auto stream = std::make_shared<EngineStream>(engineCall, std::move(handlers));
     auto handle = m_client.stream(std::move(call), stream->handlers());
     boost::asio::post(m_client.context(), [stream, handle] { stream->setHandle(handle); });
