Pass on the error of a backend server if no other one can accept the request

A repeatable request that failed at its backend server was to be sent to another one. If none was eligible, the client got 502 instead of the response at hand. In this case the response is now sent, as mayRetryAfterFailure() promises.

'Gateway passes an error on if no other backend server can accept the request' failed before. A success without a signature is covered by 'Gateway continues a stream only with events' and 'Gateway limits what it keeps of a response'.

--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -310,6 +310,10 @@
         this->finishRequest(0, ResultCode::StreamBroken, detail);
         return;
     }
+    if (m_attempts.back().outcome == AttemptOutcome::Failed) {
+        sendBufferedResponse(); // No retry is possible; see mayRetryAfterFailure().
+        return;
+    }
     if (m_possibleRuns == 0) {
         refuse(ResultCode::BackendUnavailable, detail, DefaultRetryAfter);
         return;
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -84,12 +84,10 @@
     m_hasDeclaredLength = headers.find("Content-Length") != nullptr;
     m_endsWithConnection = !m_hasDeclaredLength && !headers.find("Transfer-Encoding");
     m_discardedBytes = 0;
-    if (isUntrusted)
+    if (isUntrusted || (cannotContinue && !m_responseHead.notExecuted))
         m_bodyMode = BodyMode::Unusable;
     else if (m_responseHead.notExecuted)
         m_bodyMode = BodyMode::Rejection;
-    else if (cannotContinue)
-        m_bodyMode = BodyMode::Unusable;
     else if (isSuccess(status) && m_responseHead.isEventStream)
         m_bodyMode = BodyMode::Events;
     else
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -354,6 +354,21 @@
     }
 }
 
+// A repeatable request that failed at the only backend server got 502 instead of its response.
+TEST_CASE("Gateway passes an error on if no other backend server can accept the request")
+{
+    Fixture it;
+    it.configure();
+    it.gateway.backends().remove(BackendId("b2"));
+    it.gateway.backends().remove(BackendId("b3"));
+    const auto view = it.sendRequest("/safe/x");
+    it.backendCalls[0]->respond(500, "full bin");
+    CHECK(it.backendCalls.size() == 1);
+    CHECK(view->status == 500);
+    CHECK(view->body == "full bin");
+    CHECK(it.gateway.inProgress() == 0);
+}
+
 // Guards against memory that grows with every byte that a faulty backend server sends.
 TEST_CASE("Gateway limits what it keeps of a response")
 {
