Look through the requests in progress only after content was suspended

Each process sends all its crash reports of ten minutes with each new one, and each of them made an entry process copy and look through its requests, hundreds of times when a zone is lost. It does so now only if a report has suspended content; crashsuspectstest checks that reports which are sent again do not count.

--- a/modules/gateway/include/godwit/gateway/crashsuspects.h
+++ b/modules/gateway/include/godwit/gateway/crashsuspects.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -69,6 +70,10 @@
 
     std::size_t suspectCount() const { return m_suspects.size(); }
 
+    /// Number of times that content was suspended or its suspension was prolonged by a crash. If it
+    /// has not changed, no request in progress needs to be cancelled.
+    std::uint64_t suspensionCount() const { return m_suspensionCount; }
+
 private:
     struct Suspect
     {
@@ -92,6 +97,7 @@
 
     std::map<ContentKey, Suspect> m_suspects;
     TimePoint m_nextTrialAt;
+    std::uint64_t m_suspensionCount = 0;
     /// Kept apart, so that the many requests that are sent once do not displace shared parts.
     RecentKeys m_harmlessParts{MaxHarmlessKeys};
     RecentKeys m_harmlessRequests{MaxHarmlessKeys};
--- a/modules/gateway/src/crashsuspects.cpp
+++ b/modules/gateway/src/crashsuspects.cpp
@@ -136,6 +136,7 @@
         return false;
     const std::size_t crashes = suspect.crashes.size();
     suspect.expiresAt = now + LongSuspension;
+    m_suspensionCount += crashes >= MinCrashes;
     if (crashes >= CertainCrashes) {
         suspect.suspendedUntil = now + LongSuspension;
         clearExplainedBy(key);
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -118,8 +118,11 @@
 
 std::vector<ContentKey> Gateway::mergeCrashReport(const CrashReport &report)
 {
+    // A process sends its earlier reports again with each new one.
+    const std::uint64_t before = m_crashSuspects.suspensionCount();
     auto harmless = m_crashSuspects.merge(report, m_environment.scheduler.now());
-    cancelSuspended();
+    if (m_crashSuspects.suspensionCount() != before)
+        cancelSuspended();
     return harmless;
 }
 
--- a/modules/gateway/tests/crashsuspectstest.cpp
+++ b/modules/gateway/tests/crashsuspectstest.cpp
@@ -189,8 +189,13 @@
         suspects.merge({instance(1), {ContentKey("bad")}}, now);
         suspects.merge({instance(1), {ContentKey("bad")}}, now);
         CHECK_FALSE(suspects.isSuspended(content({"bad"}, "r"), now));
+        CHECK(suspects.suspensionCount() == 0);
         suspects.merge({instance(2), {ContentKey("bad")}}, now);
         CHECK(suspects.isSuspended(content({"bad"}, "r"), now));
+        CHECK(suspects.suspensionCount() == 1);
+        // Reports that are sent again must not make the process look through its requests again.
+        suspects.merge({instance(2), {ContentKey("bad")}}, now);
+        CHECK(suspects.suspensionCount() == 1);
     }
     SECTION("content that was answered here is harmless, which the other process should know")
     {
