--- a/standins/src/fleetenginestandin.cpp
+++ b/standins/src/fleetenginestandin.cpp
@@ -187,7 +187,7 @@
         return true;
     }
     if (m_retryAfter) {
-        HttpResponse response = notExecuted(503);
+        HttpResponse response = notExecuted(503, request);
         response.headers.add("Retry-After", *m_retryAfter);
         reply.send(std::move(response));
         return true;
