Clear suspects that the certain cause explains also when reports come again

Requests with a harmless part could be refused for ten seconds: each process sends its crash reports of ten minutes with each new one, and a suspect that a third crash of the cause had cleared came back with them, while the cause got no new crash that would clear it again (found in review). Suspects are now compared with all certain causes after each report. The new section of crashsuspectstest failed before. A whole request that another process knows to be harmless no longer displaces a shared part.

--- a/modules/gateway/include/godwit/gateway/crashsuspects.h
+++ b/modules/gateway/include/godwit/gateway/crashsuspects.h
@@ -28,7 +28,7 @@
 public:
     enum class Decision {
         Run,
-        Trial,  ///< Run it although it is suspended; what becomes of it clears a suspect.
+        Trial,  ///< Run it although it is suspended; an answer clears the suspects in it.
         Refuse, ///< Do not send it to a backend server.
     };
 
@@ -42,7 +42,7 @@
     static constexpr Duration LongSuspension = std::chrono::minutes(10);
     /// Between two trials of this process.
     static constexpr Duration TrialInterval = std::chrono::milliseconds(500);
-    /// Limits of memory. Beyond it the suspect that expires first is dropped.
+    /// Memory limits. At MaxSuspects the suspect that expires first is dropped.
     static constexpr std::size_t MaxSuspects = 1000;
     static constexpr std::size_t MaxHarmlessKeys = 512;
 
@@ -89,9 +89,10 @@
     bool isCertain(const ContentKey &key) const;
     /// Whether a shared part other than \a keys is suspended, so that it may be the cause instead.
     bool hasOtherSuspendedPart(const std::vector<ContentKey> &keys, TimePoint now) const;
-    void extendSuspension(const ContentKey &key, TimePoint now);
-    /// Clears the suspects all of whose crashes have the certain cause \a key.
-    void clearExplainedBy(const ContentKey &key);
+    /// Prolongs the suspension of \a key if it is the certain cause.
+    void extendIfCertain(const ContentKey &key, TimePoint now);
+    /// Clears the suspects whose crashes are a proper subset of those of a certain cause.
+    void clearExplained();
     bool isHarmless(const ContentKey &key) const;
     void evict(TimePoint now);
 
--- a/modules/gateway/src/crashsuspects.cpp
+++ b/modules/gateway/src/crashsuspects.cpp
@@ -22,7 +22,7 @@
         return Decision::Run;
     if (std::ranges::any_of(suspended, [this](const ContentKey &it) { return isCertain(it); })) {
         for (const ContentKey &it : suspended)
-            extendSuspension(it, now);
+            extendIfCertain(it, now);
         return Decision::Refuse;
     }
     if (now < m_nextTrialAt || !hasOtherSuspendedPart(suspended, now))
@@ -63,7 +63,7 @@
     });
 }
 
-void CrashSuspects::extendSuspension(const ContentKey &key, TimePoint now)
+void CrashSuspects::extendIfCertain(const ContentKey &key, TimePoint now)
 {
     if (!isCertain(key))
         return;
@@ -105,6 +105,7 @@
         if (!isHarmless(it) && addCrash(it, instance, now))
             report.suspects.push_back(it);
     }
+    clearExplained();
     if (report.suspects.empty())
         return std::nullopt;
     return report;
@@ -120,12 +121,13 @@
         else
             addCrash(it, report.instance, now);
     }
+    clearExplained();
     return harmless;
 }
 
 void CrashSuspects::recordHarmless(const ContentKey &key)
 {
-    m_harmlessParts.add(key);
+    (isWholeRequest(key) ? m_harmlessRequests : m_harmlessParts).add(key);
     m_suspects.erase(key);
 }
 
@@ -137,20 +139,25 @@
     const std::size_t crashes = suspect.crashes.size();
     suspect.expiresAt = now + LongSuspension;
     m_suspensionCount += crashes >= MinCrashes;
-    if (crashes >= CertainCrashes) {
+    if (crashes >= CertainCrashes)
         suspect.suspendedUntil = now + LongSuspension;
-        clearExplainedBy(key);
-    } else if (crashes >= MinCrashes)
+    else if (crashes >= MinCrashes)
         suspect.suspendedUntil = now + ShortSuspension;
     return true;
 }
 
-void CrashSuspects::clearExplainedBy(const ContentKey &key)
+void CrashSuspects::clearExplained()
 {
-    const std::set<BackendInstance> &explained = m_suspects.at(key).crashes;
+    std::vector<std::set<BackendInstance>> explained;
+    for (const auto &[key, suspect] : m_suspects) {
+        if (suspect.crashes.size() >= CertainCrashes)
+            explained.push_back(suspect.crashes);
+    }
     std::erase_if(m_suspects, [&explained](const auto &it) {
         const auto &crashes = it.second.crashes;
-        return crashes.size() < explained.size() && std::ranges::includes(explained, crashes);
+        return std::ranges::any_of(explained, [&crashes](const auto &cause) {
+            return crashes.size() < cause.size() && std::ranges::includes(cause, crashes);
+        });
     });
 }
 
--- a/modules/gateway/tests/crashsuspectstest.cpp
+++ b/modules/gateway/tests/crashsuspectstest.cpp
@@ -79,6 +79,8 @@
 
 } // namespace
 
+// Guards against requests that crash one backend server after the other, and against sound ones
+// that are refused because they have parts in common with them.
 TEST_CASE("CrashSuspects finds the part of a prompt that crashes backend servers")
 {
     CrashSuspects suspects;
@@ -179,6 +181,7 @@
     }
 }
 
+// Guards against processes that each count only the crashes that they have seen themselves.
 TEST_CASE("CrashSuspects merges the reports of other processes")
 {
     CrashSuspects suspects;
@@ -208,6 +211,24 @@
         other.recordHarmless(ContentKey("rare"));
         CHECK_FALSE(other.isSuspended(content({"rare"}, "r"), now));
     }
+    // Each process sends its earlier reports again with each new one. Guards against a part that
+    // is suspended again although the certain cause explains its crashes.
+    SECTION("reports that are sent again do not bring cleared suspects back")
+    {
+        const auto sendAll = [&] {
+            for (int i = 1; i <= 3; ++i) {
+                CrashReport report{instance(i), {ContentKey("bad")}};
+                if (i < 3)
+                    report.suspects.emplace_back("fresh");
+                suspects.merge(report, now);
+            }
+        };
+        sendAll();
+        CHECK_FALSE(suspects.isSuspended(content({"fresh"}, "r"), now));
+        sendAll();
+        CHECK_FALSE(suspects.isSuspended(content({"fresh"}, "r"), now));
+        CHECK(suspects.isSuspended(content({"bad"}, "r"), now));
+    }
     SECTION("memory is bounded, and old suspects are forgotten")
     {
         for (std::size_t i = 0; i < 3 * CrashSuspects::MaxSuspects; ++i)
