Bound the start of a stream by the version that its head states

An attempt whose head stated a newer version than the record of its engine was cancelled at once when a third version was announced, since the expiry of the version in the record had passed; on routes that must not be repeated the client got 502 (found in review). The new section of gatewaytest failed before.

--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -219,8 +219,11 @@
 {
     if (!m_attemptInProgress || !m_attempts.back().recordedVersion)
         return;
-    const auto expiry =
-            m_gateway.m_backends.versionExpiry(m_request.model, *m_attempts.back().recordedVersion);
+    // The head of a stream states what the record may not know yet.
+    const auto version = m_bodyMode == BodyMode::Events && m_responseHead.weightsVersion
+                                 ? m_responseHead.weightsVersion
+                                 : m_attempts.back().recordedVersion;
+    const auto expiry = m_gateway.m_backends.versionExpiry(m_request.model, *version);
     if (!expiry)
         return;
     const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -308,6 +308,17 @@
         it.scheduler.advance(600ms);
         CHECK_FALSE(first->cancelled);
     }
+    // Guards against a valid attempt being cancelled by the expiry of the version in the record.
+    SECTION("and then only when that version is outdated as well")
+    {
+        first->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "2"}});
+        it.scheduler.advance(560ms);
+        it.gateway.requireVersion(it.model, 3, it.scheduler.now() + 50ms);
+        it.scheduler.advance(290ms);
+        CHECK_FALSE(first->cancelled);
+        it.scheduler.advance(20ms);
+        CHECK(first->cancelled);
+    }
     // The grace period may end before the deadline of a request that was sent before it began.
     // Guards against such a request waiting in a queue until the weights are outdated.
     SECTION("so is an attempt that was sent before the version was announced")
