--- a/modules/fleet/src/http2peertransport.cpp
+++ b/modules/fleet/src/http2peertransport.cpp
@@ -120,13 +120,16 @@
     };
     events.onData = [received, bytes, finish,
                      onProgress = std::move(onProgress)](std::string_view data) {
-        received->bytes += data;
-        const auto openStream = received->stream.lock();
-        if (received->bytes.size() <= bytes || !openStream) {
+        if (received->bytes.size() <= bytes)
+            received->bytes += data;
+        if (received->bytes.size() <= bytes) {
             onProgress();
             return;
         }
         // Verification fails as soon as the chunk is one byte too long. The peer may never stop.
+        const auto openStream = received->stream.lock();
+        if (!openStream)
+            return;
         openStream->cancel();
         finish();
     };
