Send harmless content again after a while, and write anew after the lease has ended

Other processes could go on suspending content that one of them knew to be harmless: it was written once, and not again after the lease of the record had ended. And the first crash report after ten quiet minutes was delayed by half a second, because it expected the revision of a key that had ended with its lease. Both found in review; the new checks of crashreportexchangetest for both failed before.

--- a/modules/fleet/include/godwit/fleet/crashreportexchange.h
+++ b/modules/fleet/include/godwit/fleet/crashreportexchange.h
@@ -38,7 +38,8 @@
     };
 
     static constexpr std::string_view Prefix = "crashes/";
-    /// Life of a report, also if the process that wrote it ends.
+    /// Duration of the lease, also if the process that wrote the key ends. A report lives for at
+    /// least half of it.
     static constexpr Duration ReportLifetime = std::chrono::minutes(10);
     /// Reports of crashes that happen together are written together.
     static constexpr Duration BatchDelay = std::chrono::milliseconds(20);
@@ -53,9 +54,15 @@
     void start() { m_mirror.start(); }
 
     void publish(const CrashReport &report);
+    /// Does nothing if the key was published less than half a ReportLifetime ago.
     void publishHarmless(const ContentKey &key);
 
 private:
+    struct TimedKey
+    {
+        TimePoint at;
+        ContentKey key;
+    };
     struct TimedReport
     {
         TimePoint at;
@@ -87,7 +94,7 @@
     std::string m_key;
     Handlers m_handlers;
     std::deque<TimedReport> m_reports; ///< Oldest first.
-    std::deque<ContentKey> m_harmless;
+    std::deque<TimedKey> m_harmless;   ///< Oldest first.
     std::optional<LeaseId> m_lease;
     TimePoint m_leaseGrantedAt;
     StoreRevision m_revision; ///< Of the last write of the own key; 0 if it does not exist.
--- a/modules/fleet/src/crashreportexchange.cpp
+++ b/modules/fleet/src/crashreportexchange.cpp
@@ -72,9 +72,14 @@
 
 void CrashReportExchange::publishHarmless(const ContentKey &key)
 {
-    if (std::ranges::find(m_harmless, key) != m_harmless.end())
-        return;
-    m_harmless.push_back(key);
+    const TimePoint now = m_scheduler.now();
+    const auto known = std::ranges::find(m_harmless, key, &TimedKey::key);
+    if (known != m_harmless.end()) {
+        if (now < known->at + ReportLifetime / 2)
+            return;
+        m_harmless.erase(known);
+    }
+    m_harmless.push_back({now, key});
     if (m_harmless.size() > MaxHarmlessKeys)
         m_harmless.pop_front();
     scheduleWrite(BatchDelay);
@@ -112,6 +117,9 @@
                                onWritten(*error);
                                return;
                            }
+                           // The key has ended with the earlier lease.
+                           if (m_lease && requestedAt >= m_leaseGrantedAt + ReportLifetime)
+                               m_revision = {};
                            m_lease = std::get<0>(outcome);
                            m_leaseGrantedAt = requestedAt;
                            writeWithLease();
@@ -161,14 +169,18 @@
     CrashKnowledge knowledge;
     for (const TimedReport &it : m_reports)
         knowledge.crashes.push_back(it.report);
-    knowledge.harmless.assign(m_harmless.begin(), m_harmless.end());
+    for (const TimedKey &it : m_harmless)
+        knowledge.harmless.push_back(it.key);
     return toJsonText(knowledge);
 }
 
 void CrashReportExchange::dropExpired()
 {
-    while (!m_reports.empty() && m_scheduler.now() >= m_reports.front().at + ReportLifetime)
+    const TimePoint oldest = m_scheduler.now() - ReportLifetime;
+    while (!m_reports.empty() && m_reports.front().at <= oldest)
         m_reports.pop_front();
+    while (!m_harmless.empty() && m_harmless.front().at <= oldest)
+        m_harmless.pop_front();
 }
 
 } // namespace godwit
--- a/modules/fleet/tests/crashreportexchangetest.cpp
+++ b/modules/fleet/tests/crashreportexchangetest.cpp
@@ -67,6 +67,7 @@
 
 } // namespace
 
+// Guards against crashes that the other processes do not learn of.
 TEST_CASE("CrashReportExchange passes reports on to the other entry processes")
 {
     VirtualScheduler scheduler;
@@ -140,6 +141,24 @@
         writer.store.leases[1](LeaseId{6});
         reader.receive(writer.store.writes.back(), 12);
         CHECK(reader.crashes == std::vector{report("b4")});
+        // The key has ended with its lease; a write that expects it would fail.
+        CHECK(writer.store.writes.back().expected == StoreRevision{0});
+    }
+    // The other process may have forgotten it, and have missed the record meanwhile.
+    SECTION("harmless content is sent again after a while, but not each time")
+    {
+        write.done(StoreRevision{11});
+        const auto publish = [&] {
+            const std::size_t before = writer.store.writes.size() + writer.store.leases.size();
+            writer.exchange.publishHarmless(ContentKey("k3"));
+            scheduler.advance(CrashReportExchange::BatchDelay);
+            return writer.store.writes.size() + writer.store.leases.size() > before;
+        };
+        CHECK(publish());
+        writer.store.writes.back().done(StoreRevision{12});
+        CHECK_FALSE(publish());
+        scheduler.advance(CrashReportExchange::ReportLifetime / 2);
+        CHECK(publish());
     }
     // One malformed message must not end the process or the watch.
     SECTION("a record that cannot be read is ignored")
