--- a/modules/gateway/include/godwit/gateway/crashsuspects.h
+++ b/modules/gateway/include/godwit/gateway/crashsuspects.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -27,7 +28,7 @@
 public:
     enum class Decision {
         Run,
-        Trial,  ///< Run it although it is suspended; what becomes of it clears a suspect.
+        Trial,  ///< Run it although it is suspended; an answer clears the suspects in it.
         Refuse, ///< Do not send it to a backend server.
     };
 
@@ -41,7 +42,7 @@
     static constexpr Duration LongSuspension = std::chrono::minutes(10);
     /// Between two trials of this process.
     static constexpr Duration TrialInterval = std::chrono::milliseconds(500);
-    /// Limits of memory. Beyond it the suspect that expires first is dropped.
+    /// Memory limits. At MaxSuspects the suspect that expires first is dropped.
     static constexpr std::size_t MaxSuspects = 1000;
     static constexpr std::size_t MaxHarmlessKeys = 512;
 
@@ -69,6 +70,10 @@
 
     std::size_t suspectCount() const { return m_suspects.size(); }
 
+    /// Number of times that content was suspended or its suspension was prolonged by a crash. If it
+    /// has not changed, no request in progress needs to be cancelled.
+    std::uint64_t suspensionCount() const { return m_suspensionCount; }
+
 private:
     struct Suspect
     {
@@ -84,14 +89,16 @@
     bool isCertain(const ContentKey &key) const;
     /// Whether a shared part other than \a keys is suspended, so that it may be the cause instead.
     bool hasOtherSuspendedPart(const std::vector<ContentKey> &keys, TimePoint now) const;
-    void extendSuspension(const ContentKey &key, TimePoint now);
-    /// Clears the suspects all of whose crashes have the certain cause \a key.
-    void clearExplainedBy(const ContentKey &key);
+    /// Prolongs the suspension of \a key if it is the certain cause.
+    void extendIfCertain(const ContentKey &key, TimePoint now);
+    /// Clears the suspects whose crashes are a proper subset of those of a certain cause.
+    void clearExplained();
     bool isHarmless(const ContentKey &key) const;
     void evict(TimePoint now);
 
     std::map<ContentKey, Suspect> m_suspects;
     TimePoint m_nextTrialAt;
+    std::uint64_t m_suspensionCount = 0;
     /// Kept apart, so that the many requests that are sent once do not displace shared parts.
     RecentKeys m_harmlessParts{MaxHarmlessKeys};
     RecentKeys m_harmlessRequests{MaxHarmlessKeys};
