Take over the crash reports of an earlier process of the same name

Content that crashes engines was tried again after each restart of an entry process: the new process ignored its own key, in which its predecessor had written the crashes, and its first write replaced them, so that processes which started later did not learn of them either.

A process now reads its own key when it starts, or when its first write finds it, and keeps what is in it. The new sections of crashreportexchangetest: the first failed before.

--- a/modules/fleet/include/godwit/fleet/crashreportexchange.h
+++ b/modules/fleet/include/godwit/fleet/crashreportexchange.h
@@ -70,12 +70,16 @@
     };
 
     void handlePut(const KeyValueEntry &entry);
+    /// Takes over what an earlier process of this name has written, which the next write would
+    /// replace.
+    void adoptEarlierKnowledge(StoreRevision revision, const CrashKnowledge &knowledge);
     void scheduleWrite(Duration delay);
     void write();
     void requestLease();
     void writeWithLease();
     void onWritten(const Outcome<StoreRevision> &outcome);
     void readRevision();
+    void onRevisionRead(const Outcome<std::optional<KeyValueEntry>> &outcome);
     std::string encodeKnowledge() const;
     void dropExpired();
 
@@ -97,7 +101,8 @@
     std::deque<TimedKey> m_harmless;   ///< Oldest first.
     std::optional<LeaseId> m_lease;
     TimePoint m_leaseGrantedAt;
-    StoreRevision m_revision; ///< Of the last write of the own key; 0 if it does not exist.
+    StoreRevision m_revision;   ///< Of the last write of the own key; 0 if it does not exist.
+    bool m_knowsOwnKey = false; ///< The own key has been read or written by this process.
     bool m_isWriting = false;
     bool m_isChanged = false; ///< Since the write in progress began.
     std::unique_ptr<Timer> m_writeTimer;
--- a/modules/fleet/src/crashreportexchange.cpp
+++ b/modules/fleet/src/crashreportexchange.cpp
@@ -47,7 +47,8 @@
 
 void CrashReportExchange::handlePut(const KeyValueEntry &entry)
 {
-    if (entry.key == m_key)
+    const bool isOwn = entry.key == m_key;
+    if (isOwn && (m_knowsOwnKey || m_isWriting))
         return;
     const auto decoded = capture([&] { return parseJson<CrashKnowledge>(entry.value); });
     if (const auto *error = std::get_if<Error>(&decoded)) {
@@ -56,12 +57,30 @@
         return;
     }
     const auto &knowledge = std::get<0>(decoded);
+    if (isOwn)
+        adoptEarlierKnowledge(entry.modified, knowledge);
     for (const ContentKey &it : knowledge.harmless)
         m_handlers.onHarmless(it);
     for (const CrashReport &it : knowledge.crashes)
         m_handlers.onCrash(it);
 }
 
+void CrashReportExchange::adoptEarlierKnowledge(StoreRevision revision,
+                                                const CrashKnowledge &knowledge)
+{
+    m_knowsOwnKey = true;
+    m_revision = revision;
+    const TimePoint now = m_scheduler.now();
+    for (const CrashReport &it : knowledge.crashes) {
+        if (std::ranges::find(m_reports, it, &TimedReport::report) == m_reports.end())
+            m_reports.push_back({now, it});
+    }
+    for (const ContentKey &it : knowledge.harmless) {
+        if (std::ranges::find(m_harmless, it, &TimedKey::key) == m_harmless.end())
+            m_harmless.push_back({now, it});
+    }
+}
+
 void CrashReportExchange::publish(const CrashReport &report)
 {
     m_reports.push_back({m_scheduler.now(), report});
@@ -138,6 +157,7 @@
 {
     const auto *error = std::get_if<Error>(&outcome);
     if (!error) {
+        m_knowsOwnKey = true;
         m_revision = std::get<0>(outcome);
         m_isWriting = false;
         if (m_isChanged)
@@ -156,14 +176,21 @@
 {
     m_store.get(m_key, bindWeak<std::optional<KeyValueEntry>>(
                                [this](const Outcome<std::optional<KeyValueEntry>> &outcome) {
-                                   if (const auto *found =
-                                               std::get_if<std::optional<KeyValueEntry>>(&outcome))
-                                       m_revision = *found ? (*found)->modified : StoreRevision{};
-                                   m_isWriting = false;
-                                   scheduleWrite(RetryDelay);
+                                   onRevisionRead(outcome);
                                }));
 }
 
+void CrashReportExchange::onRevisionRead(const Outcome<std::optional<KeyValueEntry>> &outcome)
+{
+    m_isWriting = false;
+    if (const auto *found = std::get_if<std::optional<KeyValueEntry>>(&outcome)) {
+        m_revision = *found ? (*found)->modified : StoreRevision{};
+        if (*found)
+            handlePut(**found);
+    }
+    scheduleWrite(RetryDelay);
+}
+
 std::string CrashReportExchange::encodeKnowledge() const
 {
     CrashKnowledge knowledge;
--- a/modules/fleet/tests/crashreportexchangetest.cpp
+++ b/modules/fleet/tests/crashreportexchangetest.cpp
@@ -160,6 +160,36 @@
         scheduler.advance(CrashReportExchange::ReportLifetime / 2);
         CHECK(publish());
     }
+    // Entry processes are restarted one after the other. Guards against a process that forgets the
+    // crashes that it has reported itself, and makes the others that start later forget them too.
+    SECTION("a process that is restarted takes over what it had written")
+    {
+        Process restarted(scheduler, "one");
+        restarted.receive(write, 11);
+        CHECK(restarted.crashes == std::vector{report("b1"), report("b2")});
+        restarted.exchange.publish(report("b3"));
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        restarted.store.leases.at(0)(LeaseId{6});
+        REQUIRE(restarted.store.writes.size() == 1);
+        CHECK(restarted.store.writes[0].expected == StoreRevision{11});
+        reader.receive(restarted.store.writes[0], 12);
+        CHECK(reader.crashes == std::vector{report("b1"), report("b2"), report("b3")});
+    }
+    SECTION("also if it sees a crash before it has read the key")
+    {
+        Process restarted(scheduler, "one");
+        restarted.exchange.publish(report("b3"));
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        restarted.store.leases.at(0)(LeaseId{6});
+        restarted.store.writes.at(0).done(Error{ResultCode::CompareFailed, "412"});
+        restarted.store.getDone(std::optional(
+                KeyValueEntry{"crashes/one", write.value, StoreRevision{11}, LeaseId{5}}));
+        scheduler.advance(CrashReportExchange::RetryDelay);
+        REQUIRE(restarted.store.writes.size() == 2);
+        reader.receive(restarted.store.writes[1], 12);
+        CHECK(reader.crashes.size() == 3);
+        CHECK(restarted.crashes.size() == 2);
+    }
     // One malformed message must not end the process or the watch.
     SECTION("a record that cannot be read is ignored")
     {
