Take an error of a backend server for no answer to the content

What callers would see: if a backend server answers one request that has crashing content with its own error (status 4xx or 5xx with its seal), the content counts as harmless in that process for good, and in all others as soon as they report it. Requests with it then crash one server after the other without end.

Cause: the head of any response that is passed on was recorded as the start of an answer. A faulty server, or one that reaches the deadline while it reads the prompt, sends an error before it begins to write.

Evidence: gatewayfaultstest, "an error of a server is no answer to the content of the request", fails without the change for 400, 500 and 504: the next request with the part is sent.

Why it works: only a success records a start. Content that only gets errors is a suspect no sooner than a server crashes under it.

--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -92,7 +92,8 @@
         m_bodyMode = BodyMode::Events;
     else
         m_bodyMode = m_streaming ? BodyMode::Unusable : BodyMode::Buffered;
-    if (m_bodyMode == BodyMode::Buffered)
+    // An error may be sent before any work on the content of the request.
+    if (m_bodyMode == BodyMode::Buffered && isSuccess(status))
         m_gateway.recordStart(m_content);
     if (m_bodyMode == BodyMode::Events)
         restartStallTimer();
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -500,6 +500,18 @@
         it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
         CHECK(it.crashReports.size() == 1);
     }
+    // A faulty server or one at its deadline reports an error before it begins to write an answer.
+    // Guards against a part that counts as harmless for good because of such a response.
+    SECTION("an error of a server is no answer to the content of the request")
+    {
+        const int status = GENERATE(400, 500, 504);
+        send("/stream/x", "acb");
+        it.backendCalls.back()->respond(status, "error");
+        send("/stream/x", "acb");
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        CHECK(send("/stream/y", "acb")->status == 503);
+    }
     SECTION("a response that is broken off later was no crash by its request")
     {
         send("/stream/x", "acb");
