Count a crash also if the close of the connection ends the response

What callers would see: a server that sends the head of an event stream on admission, with neither a length nor chunks, and then crashes is not counted as crashed. The content is never suspended, and the next request with it is sent to the next server.

Cause: for such a response the transport reports the close of the connection as its end and not as an error, and only errors were looked at. The request itself was already treated as broken.

Evidence: gatewayfaultstest, "also if the end of the connection would end the response", fails without the change (no report instead of two).

Why it works: both ends go through failAfterClose(). A stream in chunks that ends by itself is still no crash.

--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -118,6 +118,10 @@
     void endAttempt(AttemptOutcome outcome);
     /// Ends the current attempt, then retries the request or gives up.
     void fail(AttemptOutcome outcome, std::string detail);
+    /// Fails because the backend server has closed the connection, which may be a crash.
+    void failAfterClose(std::string detail);
+    /// Fails because the response has ended, by itself or with its connection, before the stream.
+    void failUnfinishedStream(std::string detail);
     void giveUp(AttemptOutcome outcome, const std::string &detail);
     bool mayRetry(bool mayHaveRun) const;
     /// Limit of the Retry-After that the client is expected to honour, with jitter.
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -190,11 +190,19 @@
         onComplete();
         return;
     }
+    if (error->code == ResultCode::PlatformReplyLost)
+        failAfterClose(error->detail);
+    else
+        fail(outcomeOf(error->code), error->detail);
+}
+
+void ForwardedRequest::failAfterClose(std::string detail)
+{
     // A crash closes the connection before the response has begun.
-    const bool mayBeCrash = error->code == ResultCode::PlatformReplyLost && !hasResponseStarted();
+    const bool mayBeCrash = !hasResponseStarted();
     if (mayBeCrash)
         m_gateway.recordCrash(m_attempts.back().instance, m_content);
-    fail(outcomeOf(error->code), error->detail);
+    fail(AttemptOutcome::Broken, std::move(detail));
     if (mayBeCrash)
         m_gateway.cancelSuspended();
 }
@@ -217,11 +225,11 @@
         return;
     case BodyMode::Events:
         if (m_eventSplitter.hasPartialEvent()) {
-            fail(AttemptOutcome::Broken, "response stream ended in the middle of an event");
+            failUnfinishedStream("response stream ended in the middle of an event");
             return;
         }
         if (!m_attempts.back().firstEventsAt && (m_streaming || m_endsWithConnection)) {
-            fail(AttemptOutcome::Broken, "response stream ended without a new event");
+            failUnfinishedStream("response stream ended without a new event");
             return;
         }
         if (!m_streaming)
@@ -239,6 +247,14 @@
     }
 }
 
+void ForwardedRequest::failUnfinishedStream(std::string detail)
+{
+    if (m_endsWithConnection)
+        failAfterClose(std::move(detail));
+    else
+        fail(AttemptOutcome::Broken, std::move(detail));
+}
+
 void ForwardedRequest::sendBufferedResponse()
 {
     endAttempt(m_responseHead.status >= FirstServerError ? AttemptOutcome::Failed
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -512,6 +512,28 @@
         it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
         CHECK(send("/stream/y", "acb")->status == 503);
     }
+    // The end of such a connection is no error of the transport. Guards against a server whose
+    // crashes are not seen because its streams have neither a length nor chunks.
+    SECTION("also if the end of the connection would end the response")
+    {
+        const auto head = [&](HttpHeaders framing) {
+            send("/stream/x", "acb");
+            framing.add("seal", "s");
+            framing.add("events", "1");
+            it.backendCalls.back()->head(200, framing);
+        };
+        head({});
+        it.backendCalls.back()->complete();
+        CHECK(it.crashReports.size() == 1);
+        head({});
+        it.backendCalls.back()->data("id: 1\nda");
+        it.backendCalls.back()->complete();
+        CHECK(it.crashReports.size() == 2);
+        // The server has ended this response itself.
+        head({{"Transfer-Encoding", "chunked"}});
+        it.backendCalls.back()->complete();
+        CHECK(it.crashReports.size() == 2);
+    }
     SECTION("a response that is broken off later was no crash by its request")
     {
         send("/stream/x", "acb");
