Try content that was beside another suspect in all crashes so far

What callers would see: if three servers crash before any of them has answered a request with a part that the crashing requests share with sound ones, both parts count as the certain cause, and the sound requests are refused until none of them has come for ten minutes.

Cause: trials were allowed only for content in two crashes. With three, a part was taken for the cause even if another one was in the same three.

Evidence: crashsuspectstest, "also if the parts were together in every crash so far", fails without the change (Refuse instead of Trial).

Why it works: content in three or more crashes is tried if another suspended part, which the request does not have, was in all of them. The answer clears it; a crash is one that the other part has not, which ends the trials. Content with crashes of its own is not tried any more often than before.

--- a/modules/gateway/include/godwit/gateway/crashsuspects.h
+++ b/modules/gateway/include/godwit/gateway/crashsuspects.h
@@ -20,7 +20,8 @@
 /// Content is a suspect if it was in a request that waited for its response when a backend server
 /// crashed, and suspended after the crash of a second one. Content to which any backend server has
 /// begun an answer is harmless. If several suspects were in the same requests, a request without
-/// one of them is let through now and then as a trial, which finds the cause among them.
+/// one of them is let through now and then as a trial, which finds the cause among them, however
+/// many crashes they have in common.
 /// Processes send each other their reports, so that a suspect counts the crashes that all of them
 /// saw. Has no sockets and no clock.
 class CrashSuspects
@@ -87,8 +88,10 @@
     /// Suspects in \a content that are suspended.
     std::vector<ContentKey> suspendedKeys(const RequestContent &content, TimePoint now) const;
     bool isCertain(const ContentKey &key) const;
-    /// Whether a shared part other than \a keys is suspended, so that it may be the cause instead.
-    bool hasOtherSuspendedPart(const std::vector<ContentKey> &keys, TimePoint now) const;
+    /// Whether a suspended shared part other than \a present may be the cause instead of \a key. If
+    /// \a key was in enough crashes to be the certain cause, the other one was in all of them too.
+    bool hasOtherCause(const ContentKey &key, const std::vector<ContentKey> &present,
+                       TimePoint now) const;
     /// Prolongs the suspension of \a key if it is the certain cause.
     void extendIfCertain(const ContentKey &key, TimePoint now);
     /// Clears the suspects whose crashes are a proper subset of those of a certain cause.
--- a/modules/gateway/src/crashsuspects.cpp
+++ b/modules/gateway/src/crashsuspects.cpp
@@ -20,12 +20,11 @@
     const std::vector<ContentKey> suspended = suspendedKeys(content, now);
     if (suspended.empty())
         return Decision::Run;
-    if (std::ranges::any_of(suspended, [this](const ContentKey &it) { return isCertain(it); })) {
-        for (const ContentKey &it : suspended)
-            extendIfCertain(it, now);
-        return Decision::Refuse;
-    }
-    if (now < m_nextTrialAt || !hasOtherSuspendedPart(suspended, now))
+    for (const ContentKey &it : suspended)
+        extendIfCertain(it, now);
+    const bool mayBeHarmless = std::ranges::all_of(
+            suspended, [&](const ContentKey &it) { return hasOtherCause(it, suspended, now); });
+    if (now < m_nextTrialAt || !mayBeHarmless)
         return Decision::Refuse;
     m_nextTrialAt = now + TrialInterval;
     return Decision::Trial;
@@ -55,11 +54,15 @@
     return m_suspects.at(key).crashes.size() >= CertainCrashes;
 }
 
-bool CrashSuspects::hasOtherSuspendedPart(const std::vector<ContentKey> &keys, TimePoint now) const
+bool CrashSuspects::hasOtherCause(const ContentKey &key, const std::vector<ContentKey> &present,
+                                  TimePoint now) const
 {
+    const auto &crashes = m_suspects.at(key).crashes;
+    const bool needsAllCrashes = isCertain(key);
     return std::ranges::any_of(m_suspects, [&](const auto &it) {
         return !isWholeRequest(it.first) && now < it.second.suspendedUntil
-               && std::ranges::find(keys, it.first) == keys.end();
+               && std::ranges::find(present, it.first) == present.end()
+               && (!needsAllCrashes || std::ranges::includes(it.second.crashes, crashes));
     });
 }
 
--- a/modules/gateway/tests/crashsuspectstest.cpp
+++ b/modules/gateway/tests/crashsuspectstest.cpp
@@ -163,6 +163,29 @@
         CHECK(suspects.decide(content({"fresh"}, "u"), start) == Decision::Run);
         CHECK(suspects.isSuspended(content({"bad"}, "u"), start));
     }
+    // Three servers may crash before any of them has answered. Guards against a part that sound
+    // requests share with the cause and that stays suspended for as long as they come.
+    SECTION("also if the parts were together in every crash so far")
+    {
+        for (int i = 1; i <= 3; ++i)
+            suspects.recordCrash(instance(i), content({"bad", "fresh"}, "r" + std::to_string(i)),
+                                 start);
+        using Decision = CrashSuspects::Decision;
+        CHECK(suspects.decide(content({"bad", "fresh"}, "s"), start) == Decision::Refuse);
+        CHECK(suspects.decide(content({"fresh"}, "s"), start) == Decision::Trial);
+        SECTION("an answer clears the part")
+        {
+            suspects.recordStart(content({"fresh"}, "s"));
+            CHECK(suspects.decide(content({"fresh"}, "t"), start) == Decision::Run);
+            CHECK(suspects.decide(content({"bad"}, "t"), start + 1s) == Decision::Refuse);
+        }
+        SECTION("a crash makes it the cause, of which there is no further trial")
+        {
+            suspects.recordCrash(instance(4), content({"fresh"}, "s"), start);
+            CHECK(suspects.decide(content({"fresh"}, "t"), start + 1s) == Decision::Refuse);
+            CHECK(suspects.decide(content({"bad"}, "t"), start + 1s) == Decision::Run);
+        }
+    }
     SECTION("a request that is sent again is found without a shared part")
     {
         const auto request = content({}, "booking");
