Report all requests that one server has broken together

What callers would see: an entry process that starts later does not learn of content that crashes servers, and sends requests with it again.

Cause: each request that waited at a crashed server was a report of its own, and so was each lost response. A process keeps 64, so that two or three crashes of busy servers, or a few seconds of lost responses, displaced the reports that matter; of one batch, reports could be displaced before they were written.

Evidence: crashreportexchangetest, "all requests that one server has broken are one report", fails without the change: 64 reports of one server, and none of the two earlier crashes.

Why it works: reports of the same server process are merged, with up to 64 suspects of which shared parts are kept before whole requests, so that the limit counts crashed servers.

--- a/modules/fleet/include/godwit/fleet/crashreportexchange.h
+++ b/modules/fleet/include/godwit/fleet/crashreportexchange.h
@@ -45,6 +45,8 @@
     static constexpr Duration BatchDelay = std::chrono::milliseconds(20);
     static constexpr Duration RetryDelay = std::chrono::milliseconds(500);
     static constexpr std::size_t MaxReports = 64;
+    /// Of one report. Shared parts are kept before whole requests.
+    static constexpr std::size_t MaxSuspects = 64;
     static constexpr std::size_t MaxHarmlessKeys = 64;
 
     /// \a name identifies this process among all entry processes.
@@ -73,6 +75,8 @@
     /// Takes over what an earlier process of this name has written, which the next write would
     /// replace.
     void adoptEarlierKnowledge(StoreRevision revision, const CrashKnowledge &knowledge);
+    /// Adds \a report, together with what is known of the same crash, as the newest.
+    void addReport(const CrashReport &report);
     void scheduleWrite(Duration delay);
     void write();
     void requestLease();
--- a/modules/fleet/src/crashreportexchange.cpp
+++ b/modules/fleet/src/crashreportexchange.cpp
@@ -29,6 +29,23 @@
                                              field("harmless", &CrashKnowledge::harmless)};
 };
 
+namespace {
+
+/// Adds those of \a added that are missing in \a suspects, and removes the oldest beyond the limit.
+void mergeSuspects(std::vector<ContentKey> &suspects, const std::vector<ContentKey> &added)
+{
+    for (const ContentKey &it : added) {
+        if (std::ranges::find(suspects, it) == suspects.end())
+            suspects.push_back(it);
+    }
+    while (suspects.size() > CrashReportExchange::MaxSuspects) {
+        const auto whole = std::ranges::find_if(suspects, isWholeRequest);
+        suspects.erase(whole != suspects.end() ? whole : suspects.begin());
+    }
+}
+
+} // namespace
+
 CrashReportExchange::CrashReportExchange(KeyValuePort &store, Scheduler &scheduler, Random random,
                                          const std::string &name, Handlers handlers)
     : m_store(store)
@@ -83,10 +100,24 @@
 
 void CrashReportExchange::publish(const CrashReport &report)
 {
-    m_reports.push_back({m_scheduler.now(), report});
+    addReport(report);
+    scheduleWrite(BatchDelay);
+}
+
+void CrashReportExchange::addReport(const CrashReport &report)
+{
+    TimedReport all{m_scheduler.now(), {report.instance, {}}};
+    const auto known = std::ranges::find_if(m_reports, [&report](const TimedReport &it) {
+        return it.report.instance == report.instance;
+    });
+    if (known != m_reports.end()) {
+        all.report = std::move(known->report);
+        m_reports.erase(known);
+    }
+    mergeSuspects(all.report.suspects, report.suspects);
+    m_reports.push_back(std::move(all));
     if (m_reports.size() > MaxReports)
         m_reports.pop_front();
-    scheduleWrite(BatchDelay);
 }
 
 void CrashReportExchange::publishHarmless(const ContentKey &key)
--- a/modules/fleet/tests/crashreportexchangetest.cpp
+++ b/modules/fleet/tests/crashreportexchangetest.cpp
@@ -190,6 +190,25 @@
         CHECK(reader.crashes.size() == 3);
         CHECK(restarted.crashes.size() == 2);
     }
+    // A crash breaks all requests that wait at the server, and lost responses look alike. Guards
+    // against the report of a crash that is displaced by many of another server, so that a process
+    // that starts later does not learn of it.
+    SECTION("all requests that one server has broken are one report")
+    {
+        write.done(StoreRevision{11});
+        for (std::size_t i = 0; i < 3 * CrashReportExchange::MaxReports; ++i)
+            writer.exchange.publish(
+                    {{BackendId("b3"), 7}, {ContentKey("request-" + std::to_string(i))}});
+        writer.exchange.publish({{BackendId("b3"), 7}, {ContentKey("part-1")}});
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        REQUIRE(writer.store.writes.size() == 2);
+        reader.receive(writer.store.writes[1], 12);
+        REQUIRE(reader.crashes.size() == 3);
+        CHECK(reader.crashes[0] == report("b1"));
+        CHECK(reader.crashes[1] == report("b2"));
+        CHECK(reader.crashes[2].suspects.size() == CrashReportExchange::MaxSuspects);
+        CHECK(reader.crashes[2].suspects.back() == ContentKey("part-1"));
+    }
     // One malformed message must not end the process or the watch.
     SECTION("a record that cannot be read is ignored")
     {
