Keep the limits of the crash record when a restarted process takes it over

What callers would see: with restarts every few minutes the record of a process grows by what it learns between them, until the store refuses it; the other processes then learn of no further crash from it.

Cause: what an earlier process of the same name had written was added without a limit, and behind the newer reports, and a later publish() drops only one entry for each that it adds.

Evidence: crashreportexchangetest, "what a process takes over counts against its limits", fails without the change (65 instead of 64 reports and keys, with the taken over ones as the newest).

Why it works: entries that are taken over go through the same functions as new ones, before those of this process. Their age is still counted from the restart.

--- a/modules/fleet/include/godwit/fleet/crashreportexchange.h
+++ b/modules/fleet/include/godwit/fleet/crashreportexchange.h
@@ -77,6 +77,8 @@
     void adoptEarlierKnowledge(StoreRevision revision, const CrashKnowledge &knowledge);
     /// Adds \a report, together with what is known of the same crash, as the newest.
     void addReport(const CrashReport &report);
+    /// Adds \a key, which is not known yet, as the newest.
+    void addHarmless(const ContentKey &key);
     void scheduleWrite(Duration delay);
     void write();
     void requestLease();
--- a/modules/fleet/src/crashreportexchange.cpp
+++ b/modules/fleet/src/crashreportexchange.cpp
@@ -87,15 +87,19 @@
 {
     m_knowsOwnKey = true;
     m_revision = revision;
-    const TimePoint now = m_scheduler.now();
-    for (const CrashReport &it : knowledge.crashes) {
-        if (std::ranges::find(m_reports, it, &TimedReport::report) == m_reports.end())
-            m_reports.push_back({now, it});
-    }
+    // What this process has learned since its start is newer.
+    const auto ownReports = std::exchange(m_reports, {});
+    for (const CrashReport &it : knowledge.crashes)
+        addReport(it);
+    for (const TimedReport &it : ownReports)
+        addReport(it.report);
+    const auto ownHarmless = std::exchange(m_harmless, {});
     for (const ContentKey &it : knowledge.harmless) {
-        if (std::ranges::find(m_harmless, it, &TimedKey::key) == m_harmless.end())
-            m_harmless.push_back({now, it});
+        if (std::ranges::find(ownHarmless, it, &TimedKey::key) == ownHarmless.end())
+            addHarmless(it);
     }
+    for (const TimedKey &it : ownHarmless)
+        addHarmless(it.key);
 }
 
 void CrashReportExchange::publish(const CrashReport &report)
@@ -129,10 +133,15 @@
             return;
         m_harmless.erase(known);
     }
-    m_harmless.push_back({now, key});
+    addHarmless(key);
+    scheduleWrite(BatchDelay);
+}
+
+void CrashReportExchange::addHarmless(const ContentKey &key)
+{
+    m_harmless.push_back({m_scheduler.now(), key});
     if (m_harmless.size() > MaxHarmlessKeys)
         m_harmless.pop_front();
-    scheduleWrite(BatchDelay);
 }
 
 void CrashReportExchange::scheduleWrite(Duration delay)
--- a/modules/fleet/tests/crashreportexchangetest.cpp
+++ b/modules/fleet/tests/crashreportexchangetest.cpp
@@ -209,6 +209,29 @@
         CHECK(reader.crashes[2].suspects.size() == CrashReportExchange::MaxSuspects);
         CHECK(reader.crashes[2].suspects.back() == ContentKey("part-1"));
     }
+    // Guards against a record that grows with each restart of the process until the service refuses
+    // it.
+    SECTION("what a process takes over counts against its limits")
+    {
+        const std::size_t limit = CrashReportExchange::MaxReports;
+        for (std::size_t i = 0; i < limit; ++i)
+            writer.exchange.publish(report("c" + std::to_string(i)));
+        for (std::size_t i = 0; i < CrashReportExchange::MaxHarmlessKeys; ++i)
+            writer.exchange.publishHarmless(ContentKey(std::to_string(i)));
+        write.done(StoreRevision{11});
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        Process restarted(scheduler, "one");
+        restarted.exchange.publish(report("own"));
+        restarted.exchange.publishHarmless(ContentKey("own"));
+        restarted.receive(writer.store.writes.at(1), 12);
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        restarted.store.leases.at(0)(LeaseId{6});
+        reader.receive(restarted.store.writes.at(0), 13);
+        CHECK(reader.crashes.size() == limit);
+        CHECK(reader.crashes.back() == report("own"));
+        CHECK(reader.harmless.size() == CrashReportExchange::MaxHarmlessKeys);
+        CHECK(reader.harmless.back() == ContentKey("own"));
+    }
     // One malformed message must not end the process or the watch.
     SECTION("a record that cannot be read is ignored")
     {
