Write the crash record again if its lease has run out early

What callers would see: after an outage of the store during which leases run out, an entry process that starts later does not learn of content that crashes servers until one of the others sees a further crash.

Cause: a process watched its own key, but did nothing when it was removed.

Evidence: crashreportexchangetest, "a key that has ended too early is written again", fails without the change (no second lease).

Why it works: the removal of the own key starts a write with a new lease as long as reports are left whose life has not ended.

--- a/modules/fleet/include/godwit/fleet/crashreportexchange.h
+++ b/modules/fleet/include/godwit/fleet/crashreportexchange.h
@@ -72,6 +72,8 @@
     };
 
     void handlePut(const KeyValueEntry &entry);
+    /// Writes the own key again if it has ended before what was written in it.
+    void handleRemoved(const std::string &key);
     /// Takes over what an earlier process of this name has written, which the next write would
     /// replace.
     void adoptEarlierKnowledge(StoreRevision revision, const CrashKnowledge &knowledge);
--- a/modules/fleet/src/crashreportexchange.cpp
+++ b/modules/fleet/src/crashreportexchange.cpp
@@ -54,7 +54,7 @@
     , m_handlers(std::move(handlers))
     , m_mirror(store, scheduler, random, std::string(Prefix),
                {[this](const KeyValueEntry &entry, const auto &) { handlePut(entry); },
-                [](const std::string &) {}, [](TimePoint) {},
+                [this](const std::string &key) { handleRemoved(key); }, [](TimePoint) {},
                 [](bool reachable, const std::string &problem) {
                     logStateChange(reachable ? "store_regained" : "store_lost",
                                    {{"keys", std::string(Prefix)}, {"problem", problem}},
@@ -82,6 +82,20 @@
         m_handlers.onCrash(it);
 }
 
+void CrashReportExchange::handleRemoved(const std::string &key)
+{
+    if (key != m_key)
+        return;
+    dropExpired();
+    if (m_reports.empty() && m_harmless.empty())
+        return;
+    if (!m_isWriting) {
+        m_lease.reset();
+        m_revision = {};
+    }
+    scheduleWrite(BatchDelay);
+}
+
 void CrashReportExchange::adoptEarlierKnowledge(StoreRevision revision,
                                                 const CrashKnowledge &knowledge)
 {
--- a/modules/fleet/tests/crashreportexchangetest.cpp
+++ b/modules/fleet/tests/crashreportexchangetest.cpp
@@ -232,6 +232,30 @@
         CHECK(reader.harmless.size() == CrashReportExchange::MaxHarmlessKeys);
         CHECK(reader.harmless.back() == ContentKey("own"));
     }
+    // Leases may run out while the service is down. Guards against reports that are gone for the
+    // processes that start afterwards.
+    SECTION("a key that has ended too early is written again")
+    {
+        write.done(StoreRevision{11});
+        writer.receive(write, 11);
+        const WatchEvent removed{{write.key, {}, StoreRevision{12}, {}}, true};
+        writer.store.handlers.onEvents({removed});
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        REQUIRE(writer.store.leases.size() == 2);
+        writer.store.leases[1](LeaseId{6});
+        REQUIRE(writer.store.writes.size() == 2);
+        CHECK(writer.store.writes[1].expected == StoreRevision{0});
+        CHECK(writer.store.writes[1].value == write.value);
+    }
+    SECTION("a key that has ended with all that was in it is not")
+    {
+        write.done(StoreRevision{11});
+        writer.receive(write, 11);
+        scheduler.advance(CrashReportExchange::ReportLifetime);
+        writer.store.handlers.onEvents({{{write.key, {}, StoreRevision{12}, {}}, true}});
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        CHECK(writer.store.leases.size() == 1);
+    }
     // One malformed message must not end the process or the watch.
     SECTION("a record that cannot be read is ignored")
     {
