--- a/modules/fleet/src/crashreportexchange.cpp
+++ b/modules/fleet/src/crashreportexchange.cpp
@@ -29,6 +29,23 @@
                                              field("harmless", &CrashKnowledge::harmless)};
 };
 
+namespace {
+
+/// Adds those of \a added that are missing in \a suspects, and removes the oldest beyond the limit.
+void mergeSuspects(std::vector<ContentKey> &suspects, const std::vector<ContentKey> &added)
+{
+    for (const ContentKey &it : added) {
+        if (std::ranges::find(suspects, it) == suspects.end())
+            suspects.push_back(it);
+    }
+    while (suspects.size() > CrashReportExchange::MaxSuspects) {
+        const auto whole = std::ranges::find_if(suspects, isWholeRequest);
+        suspects.erase(whole != suspects.end() ? whole : suspects.begin());
+    }
+}
+
+} // namespace
+
 CrashReportExchange::CrashReportExchange(KeyValuePort &store, Scheduler &scheduler, Random random,
                                          const std::string &name, Handlers handlers)
     : m_store(store)
@@ -37,7 +54,7 @@
     , m_handlers(std::move(handlers))
     , m_mirror(store, scheduler, random, std::string(Prefix),
                {[this](const KeyValueEntry &entry, const auto &) { handlePut(entry); },
-                [](const std::string &) {}, [](TimePoint) {},
+                [this](const std::string &key) { handleRemoved(key); }, [](TimePoint) {},
                 [](bool reachable, const std::string &problem) {
                     logStateChange(reachable ? "store_regained" : "store_lost",
                                    {{"keys", std::string(Prefix)}, {"problem", problem}},
@@ -65,28 +82,60 @@
         m_handlers.onCrash(it);
 }
 
+void CrashReportExchange::handleRemoved(const std::string &key)
+{
+    if (key != m_key)
+        return;
+    dropExpired();
+    if (m_reports.empty() && m_harmless.empty())
+        return;
+    if (!m_isWriting) {
+        m_lease.reset();
+        m_revision = {};
+    }
+    scheduleWrite(BatchDelay);
+}
+
 void CrashReportExchange::adoptEarlierKnowledge(StoreRevision revision,
                                                 const CrashKnowledge &knowledge)
 {
     m_knowsOwnKey = true;
     m_revision = revision;
-    const TimePoint now = m_scheduler.now();
-    for (const CrashReport &it : knowledge.crashes) {
-        if (std::ranges::find(m_reports, it, &TimedReport::report) == m_reports.end())
-            m_reports.push_back({now, it});
-    }
+    // What this process has learned since its start is newer.
+    const auto ownReports = std::exchange(m_reports, {});
+    for (const CrashReport &it : knowledge.crashes)
+        addReport(it);
+    for (const TimedReport &it : ownReports)
+        addReport(it.report);
+    const auto ownHarmless = std::exchange(m_harmless, {});
     for (const ContentKey &it : knowledge.harmless) {
-        if (std::ranges::find(m_harmless, it, &TimedKey::key) == m_harmless.end())
-            m_harmless.push_back({now, it});
+        if (std::ranges::find(ownHarmless, it, &TimedKey::key) == ownHarmless.end())
+            addHarmless(it);
     }
+    for (const TimedKey &it : ownHarmless)
+        addHarmless(it.key);
 }
 
 void CrashReportExchange::publish(const CrashReport &report)
 {
-    m_reports.push_back({m_scheduler.now(), report});
+    addReport(report);
+    scheduleWrite(BatchDelay);
+}
+
+void CrashReportExchange::addReport(const CrashReport &report)
+{
+    TimedReport all{m_scheduler.now(), {report.instance, {}}};
+    const auto known = std::ranges::find_if(m_reports, [&report](const TimedReport &it) {
+        return it.report.instance == report.instance;
+    });
+    if (known != m_reports.end()) {
+        all.report = std::move(known->report);
+        m_reports.erase(known);
+    }
+    mergeSuspects(all.report.suspects, report.suspects);
+    m_reports.push_back(std::move(all));
     if (m_reports.size() > MaxReports)
         m_reports.pop_front();
-    scheduleWrite(BatchDelay);
 }
 
 void CrashReportExchange::publishHarmless(const ContentKey &key)
@@ -98,10 +147,15 @@
             return;
         m_harmless.erase(known);
     }
-    m_harmless.push_back({now, key});
+    addHarmless(key);
+    scheduleWrite(BatchDelay);
+}
+
+void CrashReportExchange::addHarmless(const ContentKey &key)
+{
+    m_harmless.push_back({m_scheduler.now(), key});
     if (m_harmless.size() > MaxHarmlessKeys)
         m_harmless.pop_front();
-    scheduleWrite(BatchDelay);
 }
 
 void CrashReportExchange::scheduleWrite(Duration delay)
--- a/modules/fleet/tests/crashreportexchangetest.cpp
+++ b/modules/fleet/tests/crashreportexchangetest.cpp
@@ -190,6 +190,72 @@
         CHECK(reader.crashes.size() == 3);
         CHECK(restarted.crashes.size() == 2);
     }
+    // A crash breaks all requests that wait at the server, and lost responses look alike. Guards
+    // against the report of a crash that is displaced by many of another server, so that a process
+    // that starts later does not learn of it.
+    SECTION("all requests that one server has broken are one report")
+    {
+        write.done(StoreRevision{11});
+        for (std::size_t i = 0; i < 3 * CrashReportExchange::MaxReports; ++i)
+            writer.exchange.publish(
+                    {{BackendId("b3"), 7}, {ContentKey("request-" + std::to_string(i))}});
+        writer.exchange.publish({{BackendId("b3"), 7}, {ContentKey("part-1")}});
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        REQUIRE(writer.store.writes.size() == 2);
+        reader.receive(writer.store.writes[1], 12);
+        REQUIRE(reader.crashes.size() == 3);
+        CHECK(reader.crashes[0] == report("b1"));
+        CHECK(reader.crashes[1] == report("b2"));
+        CHECK(reader.crashes[2].suspects.size() == CrashReportExchange::MaxSuspects);
+        CHECK(reader.crashes[2].suspects.back() == ContentKey("part-1"));
+    }
+    // Guards against a record that grows with each restart of the process until the service refuses
+    // it.
+    SECTION("what a process takes over counts against its limits")
+    {
+        const std::size_t limit = CrashReportExchange::MaxReports;
+        for (std::size_t i = 0; i < limit; ++i)
+            writer.exchange.publish(report("c" + std::to_string(i)));
+        for (std::size_t i = 0; i < CrashReportExchange::MaxHarmlessKeys; ++i)
+            writer.exchange.publishHarmless(ContentKey(std::to_string(i)));
+        write.done(StoreRevision{11});
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        Process restarted(scheduler, "one");
+        restarted.exchange.publish(report("own"));
+        restarted.exchange.publishHarmless(ContentKey("own"));
+        restarted.receive(writer.store.writes.at(1), 12);
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        restarted.store.leases.at(0)(LeaseId{6});
+        reader.receive(restarted.store.writes.at(0), 13);
+        CHECK(reader.crashes.size() == limit);
+        CHECK(reader.crashes.back() == report("own"));
+        CHECK(reader.harmless.size() == CrashReportExchange::MaxHarmlessKeys);
+        CHECK(reader.harmless.back() == ContentKey("own"));
+    }
+    // Leases may run out while the service is down. Guards against reports that are gone for the
+    // processes that start afterwards.
+    SECTION("a key that has ended too early is written again")
+    {
+        write.done(StoreRevision{11});
+        writer.receive(write, 11);
+        const WatchEvent removed{{write.key, {}, StoreRevision{12}, {}}, true};
+        writer.store.handlers.onEvents({removed});
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        REQUIRE(writer.store.leases.size() == 2);
+        writer.store.leases[1](LeaseId{6});
+        REQUIRE(writer.store.writes.size() == 2);
+        CHECK(writer.store.writes[1].expected == StoreRevision{0});
+        CHECK(writer.store.writes[1].value == write.value);
+    }
+    SECTION("a key that has ended with all that was in it is not")
+    {
+        write.done(StoreRevision{11});
+        writer.receive(write, 11);
+        scheduler.advance(CrashReportExchange::ReportLifetime);
+        writer.store.handlers.onEvents({{{write.key, {}, StoreRevision{12}, {}}, true}});
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        CHECK(writer.store.leases.size() == 1);
+    }
     // One malformed message must not end the process or the watch.
     SECTION("a record that cannot be read is ignored")
     {
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -92,7 +92,8 @@
         m_bodyMode = BodyMode::Events;
     else
         m_bodyMode = m_streaming ? BodyMode::Unusable : BodyMode::Buffered;
-    if (m_bodyMode == BodyMode::Buffered)
+    // An error may be sent before any work on the content of the request.
+    if (m_bodyMode == BodyMode::Buffered && isSuccess(status))
         m_gateway.recordStart(m_content);
     if (m_bodyMode == BodyMode::Events)
         restartStallTimer();
@@ -189,11 +190,19 @@
         onComplete();
         return;
     }
+    if (error->code == ResultCode::PlatformReplyLost)
+        failAfterClose(error->detail);
+    else
+        fail(outcomeOf(error->code), error->detail);
+}
+
+void ForwardedRequest::failAfterClose(std::string detail)
+{
     // A crash closes the connection before the response has begun.
-    const bool mayBeCrash = error->code == ResultCode::PlatformReplyLost && !hasResponseStarted();
+    const bool mayBeCrash = !hasResponseStarted();
     if (mayBeCrash)
         m_gateway.recordCrash(m_attempts.back().instance, m_content);
-    fail(outcomeOf(error->code), error->detail);
+    fail(AttemptOutcome::Broken, std::move(detail));
     if (mayBeCrash)
         m_gateway.cancelSuspended();
 }
@@ -216,11 +225,11 @@
         return;
     case BodyMode::Events:
         if (m_eventSplitter.hasPartialEvent()) {
-            fail(AttemptOutcome::Broken, "response stream ended in the middle of an event");
+            failUnfinishedStream("response stream ended in the middle of an event");
             return;
         }
         if (!m_attempts.back().firstEventsAt && (m_streaming || m_endsWithConnection)) {
-            fail(AttemptOutcome::Broken, "response stream ended without a new event");
+            failUnfinishedStream("response stream ended without a new event");
             return;
         }
         if (!m_streaming)
@@ -238,6 +247,14 @@
     }
 }
 
+void ForwardedRequest::failUnfinishedStream(std::string detail)
+{
+    if (m_endsWithConnection)
+        failAfterClose(std::move(detail));
+    else
+        fail(AttemptOutcome::Broken, std::move(detail));
+}
+
 void ForwardedRequest::sendBufferedResponse()
 {
     endAttempt(m_responseHead.status >= FirstServerError ? AttemptOutcome::Failed
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -500,6 +500,40 @@
         it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
         CHECK(it.crashReports.size() == 1);
     }
+    // A faulty server or one at its deadline reports an error before it begins to write an answer.
+    // Guards against a part that counts as harmless for good because of such a response.
+    SECTION("an error of a server is no answer to the content of the request")
+    {
+        const int status = GENERATE(400, 500, 504);
+        send("/stream/x", "acb");
+        it.backendCalls.back()->respond(status, "error");
+        send("/stream/x", "acb");
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        CHECK(send("/stream/y", "acb")->status == 503);
+    }
+    // The end of such a connection is no error of the transport. Guards against a server whose
+    // crashes are not seen because its streams have neither a length nor chunks.
+    SECTION("also if the end of the connection would end the response")
+    {
+        const auto head = [&](HttpHeaders framing) {
+            send("/stream/x", "acb");
+            framing.add("seal", "s");
+            framing.add("events", "1");
+            it.backendCalls.back()->head(200, framing);
+        };
+        head({});
+        it.backendCalls.back()->complete();
+        CHECK(it.crashReports.size() == 1);
+        head({});
+        it.backendCalls.back()->data("id: 1\nda");
+        it.backendCalls.back()->complete();
+        CHECK(it.crashReports.size() == 2);
+        // The server has ended this response itself.
+        head({{"Transfer-Encoding", "chunked"}});
+        it.backendCalls.back()->complete();
+        CHECK(it.crashReports.size() == 2);
+    }
     SECTION("a response that is broken off later was no crash by its request")
     {
         send("/stream/x", "acb");
