Let a caller cancel an HTTP call only if nothing of it was sent

A caller that wants to send a request elsewhere had to guess whether its bytes had left: cancel() always means "may have taken effect". Asking first and cancelling then is no answer, because the connection may become ready in between.

CallHandle::cancelUnsent() decides it in one atomic step against the connection that begins to write, so a call for which it returns true reaches no server, and one for which it returns false goes on.

Evidence: "A call that was cancelled unsent reaches no server, whatever the moment" asks after each step of the event loop.

--- a/modules/ports/include/godwit/ports/callhandle.h
+++ b/modules/ports/include/godwit/ports/callhandle.h
@@ -16,6 +16,11 @@
     /// effect.
     virtual void cancel() = 0;
 
+    /// Cancels the call if no byte of its request has been passed to a connection, so that the call
+    /// cannot have taken effect. Returns whether that is so; no byte is passed then afterwards. A
+    /// handle that does not know returns false.
+    virtual bool cancelUnsent() { return false; }
+
     /// Stops the delivery of data until resume(). TCP flow control then stops the peer from
     /// sending. The idle timeout is suspended while the call is paused.
     virtual void pause() {}
--- a/modules/ports/include/godwit/ports/httpclient.h
+++ b/modules/ports/include/godwit/ports/httpclient.h
@@ -27,6 +27,7 @@
 /// | PlatformReplyLost | sent, but the connection closed before the reply was complete | yes |
 /// | PlatformBadReply | the reply is not HTTP or exceeds bodyLimit | yes |
 /// | CallCancelled | CallHandle::cancel() | yes |
+/// | CallCancelled | CallHandle::cancelUnsent() | no |
 ///
 /// The client must be destroyed on the thread of the io_context or while the io_context does not
 /// run. Destruction ends all calls without running their callbacks.
--- a/modules/ports/src/clientconnection.cpp
+++ b/modules/ports/src/clientconnection.cpp
@@ -166,6 +166,10 @@
 
 void ClientConnection::begin()
 {
+    if (!m_call->beginSending()) {
+        cancel();
+        return;
+    }
     m_idle = false;
     m_receivedBytes = false;
     m_bodyStarted = false;
@@ -242,10 +246,12 @@
         // The server may already have replied; onRead() determines the outcome.
         return;
     }
-    if (m_reused && !call->retried)
+    if (m_reused && !call->retried) {
+        call->sendState = ClientCall::SendState::Unsent;
         retry();
-    else
+    } else {
         failCall(ResultCode::PlatformUnreachable, ec.message());
+    }
 }
 
 void ClientConnection::retry()
--- a/modules/ports/src/clientconnection.h
+++ b/modules/ports/src/clientconnection.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -18,15 +19,42 @@
 
 class ClientConnection;
 
-/// A call in progress.
+/// A call in progress. All members but the send state are used on the thread of the io_context
+/// only.
 struct ClientCall
 {
+    enum class SendState {
+        Unsent,
+        Sent,      ///< Bytes of the request may have been passed to a connection.
+        Withdrawn, ///< Cancelled before any byte was.
+    };
+
     HttpCall request;
     HttpStreamHandlers handlers;
     std::weak_ptr<ClientConnection> connection;
     bool retried = false;
     bool paused = false;
     bool ended = false;
+    /// Decides between a connection that begins to send and a thread that cancels the unsent call.
+    std::atomic<SendState> sendState = SendState::Unsent;
+
+    /// Must be called before a byte of the request is passed to a connection. Returns false if that
+    /// is no longer allowed.
+    bool beginSending()
+    {
+        SendState expected = SendState::Unsent;
+        return sendState.compare_exchange_strong(expected, SendState::Sent)
+               || expected == SendState::Sent;
+    }
+
+    /// Returns whether no byte of the request has been passed to a connection. None is from then
+    /// on.
+    bool withdraw()
+    {
+        SendState expected = SendState::Unsent;
+        return sendState.compare_exchange_strong(expected, SendState::Withdrawn)
+               || expected == SendState::Withdrawn;
+    }
 
     void end(Outcome<std::monostate> outcome)
     {
--- a/modules/ports/src/httpclient.cpp
+++ b/modules/ports/src/httpclient.cpp
@@ -94,6 +94,15 @@
         });
     }
 
+    bool cancelUnsent() override
+    {
+        const CallPointer call = m_call.lock();
+        if (!call || !call->withdraw())
+            return false;
+        cancel();
+        return true;
+    }
+
     void pause() override
     {
         asio::dispatch(m_io, [weak = m_call] {
@@ -124,6 +133,10 @@
 {
     if (m_closed || call->ended)
         return;
+    if (call->sendState == ClientCall::SendState::Withdrawn) {
+        call->fail(ResultCode::CallCancelled, "cancelled before it was sent");
+        return;
+    }
     const auto connection = takeIdle(call->request.endpoint);
     if (!connection) {
         startOnNewConnection(call);
--- a/modules/ports/tests/httptest.cpp
+++ b/modules/ports/tests/httptest.cpp
@@ -5,6 +5,7 @@
 #include <godwit/ports/httpserver.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <thread>
@@ -416,6 +417,59 @@
     }
 }
 
+// Guards against a request that is sent, and runs, although its caller was told that it was not and
+// has sent it elsewhere: between the question and the cancellation the connection may be ready.
+TEST_CASE("A call that was cancelled unsent reaches no server, whatever the moment")
+{
+    Fixture f;
+    int received = 0;
+    f.handler = [&](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        ++received;
+        reply->send({});
+    };
+    f.listen();
+    const bool isReused = GENERATE(false, true);
+    constexpr int MaxSteps = 12;
+    bool wasUnsent = false;
+    bool wasSent = false;
+    for (int steps = 0; steps < MaxSteps; ++steps) {
+        HttpClient client(f.io);
+        std::optional<ResultCode> code;
+        const auto fetch = [&] {
+            code.reset();
+            return client.call(f.request(), [&](const Outcome<HttpResponse> &outcome) {
+                code = codeOf(outcome);
+            });
+        };
+        if (isReused) {
+            fetch();
+            runUntil(f.io, [&] { return code.has_value(); });
+            REQUIRE(client.idleConnections() == 1);
+        }
+        received = 0;
+        const auto handle = fetch();
+        f.io.restart();
+        for (int i = 0; i < steps; ++i) {
+            // Lets the reactor queue the events of the sockets before they are handled.
+            boost::asio::post(f.io, [] {});
+            f.io.run_one();
+        }
+        const bool isUnsent = handle->cancelUnsent();
+        runUntil(f.io, [&] { return code.has_value(); });
+        const ResultCode ended = *code;
+        const int receivedBefore = received;
+        fetch(); // Whatever was sent before it has arrived when it is answered.
+        runUntil(f.io, [&] { return code.has_value(); });
+        CAPTURE(isReused, steps, isUnsent, receivedBefore);
+        CHECK(received == (isUnsent ? 1 : 2));
+        CHECK(ended == (isUnsent ? ResultCode::CallCancelled : ResultCode::Ok));
+        wasUnsent |= isUnsent;
+        wasSent |= !isUnsent;
+    }
+    CHECK(wasUnsent);
+    CHECK(wasSent);
+}
+
 // Guards against a reference cycle of a call, its callbacks and the owner of its handle.
 TEST_CASE("HTTP client frees a call whose callbacks own its handle, even if it never starts")
 {
