Move unsent requests when their backend server wants no new ones

A request whose connection was still being opened when another response said that the server leaves, or wants no requests for some time, was sent to it all the same: the statement was only read when a server is chosen.

The gateway now cancels the attempts at that instance of which no byte has been sent, and places their requests anew at once. Such an attempt has not run, is not charged to the retry budget, and counts neither as a failure of the server nor towards the limit of attempts; each one excludes a server, so they end. Attempts whose bytes may have left go on.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -27,6 +27,7 @@
     Broken,       ///< The connection was lost, or the response was malformed.
     Silent,       ///< Timed out without data.
     Abandoned,    ///< Cancelled; says nothing about the backend server.
+    Withdrawn,    ///< Cancelled before any byte was sent; not executed.
 };
 
 /// Whether the response can start within the latency objective of its route.
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -98,6 +98,8 @@
     void recordStart(const RequestContent &content);
     /// Cancels the attempts that have not started and whose content is suspended.
     void cancelSuspended();
+    /// Sends the requests of which \a instance has not been sent a byte to other backend servers.
+    void moveUnsent(const BackendInstance &instance);
     /// Estimates the time that a client spent on earlier attempts at the same request from how far
     /// \a clientTimeout has shrunk below the usual one.
     Duration estimateEarlierWait(const std::string &route, const CustomerId &customer,
--- a/modules/gateway/src/availabilityobserver.h
+++ b/modules/gateway/src/availabilityobserver.h
@@ -15,8 +15,10 @@
 /// connection of \a attempt states about its backend server: also one that comes after the attempt
 /// has ended, an interim one, and a late one to an earlier call. All of them are attributed to the
 /// instance of the attempt, also one of another process at its address, as the instance is gone
-/// then. \a environment and \a pool must outlive the calls of the handlers.
+/// then. \a environment and \a pool must outlive the calls of the handlers. \a onUnavailable is
+/// called when the instance has become unavailable.
 HttpStreamHandlers observeAvailability(HttpStreamHandlers handlers, ObservedAttempt attempt,
-                                       const Gateway::Environment &environment, BackendPool &pool);
+                                       const Gateway::Environment &environment, BackendPool &pool,
+                                       std::function<void()> onUnavailable);
 
 } // namespace godwit
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -543,6 +543,7 @@
         --backend->localRequests;
     switch (outcome) {
     case AttemptOutcome::Abandoned:
+    case AttemptOutcome::Withdrawn:
         return;
     case AttemptOutcome::Complete: {
         Service &service = m_services[backend->record.service];
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -53,7 +53,7 @@
 bool mayHaveRun(AttemptOutcome outcome)
 {
     return outcome != AttemptOutcome::Rejected && outcome != AttemptOutcome::OtherProcess
-           && outcome != AttemptOutcome::Unreachable;
+           && outcome != AttemptOutcome::Unreachable && outcome != AttemptOutcome::Withdrawn;
 }
 
 } // namespace
@@ -174,6 +174,14 @@
     refuseSuspended();
 }
 
+void ForwardedRequest::moveIfUnsent(const BackendInstance &instance)
+{
+    if (m_ended || !m_attemptInProgress || m_attempts.back().instance != instance || !m_call
+        || !m_call->cancelUnsent())
+        return;
+    fail(AttemptOutcome::Withdrawn, "the backend server wants no new requests");
+}
+
 void ForwardedRequest::startAttempt()
 {
     const auto decision = m_gateway.m_crashSuspects.decide(m_content, now());
@@ -209,7 +217,10 @@
     m_call = m_gateway.m_environment.send(
             std::move(call),
             observeAvailability(handlersFor(++m_attemptSerial), {choice.instance(), m_request.id},
-                                m_gateway.m_environment, m_gateway.m_backends));
+                                m_gateway.m_environment, m_gateway.m_backends,
+                                [&gateway = m_gateway, instance = choice.instance()] {
+                                    gateway.moveUnsent(instance);
+                                }));
     m_startTimer.reset();
     m_stallTimer.reset();
     limitStart();
@@ -338,12 +349,19 @@
     m_call.reset();
 }
 
+std::size_t ForwardedRequest::sentAttempts() const
+{
+    return m_attempts.size()
+           - static_cast<std::size_t>(std::ranges::count(m_attempts, AttemptOutcome::Withdrawn,
+                                                         &PastAttempt::outcome));
+}
+
 bool ForwardedRequest::mayRetry(bool mayHaveRun) const
 {
     const Route &route = *m_admission.route;
     const bool canRun = m_possibleRuns < route.maxAttempts;
     const bool allowed = !mayHaveRun || route.isRepeatable();
-    return allowed && canRun && m_attempts.size() < route.maxAttempts + MaxRejectedAttempts
+    return allowed && canRun && sentAttempts() < route.maxAttempts + MaxRejectedAttempts
            && now() < m_deadline;
 }
 
@@ -363,8 +381,10 @@
     }
     // An attempt that reached no backend server does not count against the retry budget, and the
     // retry after a failure was already charged by mayRetryAfterFailure().
-    if (outcome != AttemptOutcome::Unreachable && outcome != AttemptOutcome::Failed
-        && !m_gateway.m_retryBudget.tryAcquire(m_admission.service, now())) {
+    const bool isUncharged = outcome == AttemptOutcome::Unreachable
+                             || outcome == AttemptOutcome::Withdrawn
+                             || outcome == AttemptOutcome::Failed;
+    if (!isUncharged && !m_gateway.m_retryBudget.tryAcquire(m_admission.service, now())) {
         giveUp(outcome, detail + "; the retry budget is spent");
         return;
     }
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -34,6 +34,10 @@
     /// Gives up if the content of the request is suspended and no response has started.
     void cancelIfSuspended();
 
+    /// Sends the request to another backend server if the current attempt is at \a instance and no
+    /// byte of it has been sent.
+    void moveIfUnsent(const BackendInstance &instance);
+
     /// Cancels the current attempt soon after its weights become outdated if its response has not
     /// started by then. Called again when a newer version is announced.
     void limitStart();
@@ -70,6 +74,8 @@
     };
 
     void startAttempt();
+    /// Number of attempts of which a backend server may have received something.
+    std::size_t sentAttempts() const;
     /// Ends the request because its content crashes backend servers.
     void refuseSuspended();
     /// Whether the backend server has begun to answer the current attempt.
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -133,6 +133,13 @@
         request->cancelIfSuspended();
 }
 
+void Gateway::moveUnsent(const BackendInstance &instance)
+{
+    // The end of a request changes the set.
+    for (const auto &request : std::set(m_requests))
+        request->moveIfUnsent(instance);
+}
+
 std::optional<Error> Gateway::checkAccess(const ClientRequest &request, const Route &route,
                                           CustomerId &customer,
                                           std::optional<std::uint32_t> &priority) const
--- a/modules/gateway/src/gatewaymetrics.cpp
+++ b/modules/gateway/src/gatewaymetrics.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 8> AttemptOutcomeNames{
-        "complete",    "failed", "rejected", "other_process",
-        "unreachable", "broken", "silent",   "abandoned"};
+constexpr std::array<std::string_view, 9> AttemptOutcomeNames{
+        "complete", "failed", "rejected",  "other_process", "unreachable",
+        "broken",   "silent", "abandoned", "withdrawn"};
 
 } // namespace
 
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -116,9 +116,15 @@
 {
     HttpCall call;
     HttpStreamHandlers handlers;
+    bool sent = true; ///< Bytes of the request may have left.
     bool cancelled = false;
 
     void cancel() override { cancelled = true; }
+    bool cancelUnsent() override
+    {
+        cancelled |= !sent;
+        return !sent;
+    }
     std::string backend() const { return std::string(call.headers.value("backend")); }
     void head(int status, HttpHeaders headers) { handlers.onHeader(status, headers); }
     void data(std::string_view bytes) { handlers.onData(bytes); }
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -545,6 +545,118 @@
     }
 }
 
+// Guards against requests that reach a server after it has stated that it wants none, because their
+// connection was still being opened at that moment.
+TEST_CASE("Gateway moves unsent requests when their backend server wants no new ones")
+{
+    Fixture it;
+    it.configure();
+    it.sendRequest("/book/x");
+    const auto stating = it.backendCalls[0];
+    const std::string server = stating->backend();
+    // Requests that stay in progress, until the second one is at the same server.
+    const auto fill = [&](const std::string &target, bool sent) {
+        for (int i = 0; i < 20; ++i) {
+            auto view = it.sendRequest(target);
+            it.backendCalls.back()->sent = sent;
+            if (it.backendCalls.back()->backend() == server)
+                return std::pair(std::move(view), it.backendCalls.back());
+        }
+        FAIL("no request at the server");
+        return std::pair(std::shared_ptr<ClientView>(), stating);
+    };
+    const bool isPause = GENERATE(false, true);
+    const HttpHeaders statement = isPause ? HttpHeaders{{"not-run", "1"}, {"pause", "900"}}
+                                          : HttpHeaders{{"not-run", "1"}, {"leaving", "1"}};
+    CAPTURE(isPause);
+
+    SECTION("also one that must not be repeated, without a charge to the retry budget")
+    {
+        const auto [view, unsent] = fill("/book/x", false);
+        while (it.gateway.retryBudget().tryAcquire("desk", it.scheduler.now())) {
+        }
+        const std::size_t before = it.backendCalls.size();
+        stating->head(503, statement);
+        CHECK(unsent->cancelled);
+        REQUIRE(it.backendCalls.size() == before + 1);
+        const auto moved = it.backendCalls.back();
+        CHECK(moved->backend() != server);
+        // The cancelled call ends later, and must not end the request.
+        unsent->fail(ResultCode::CallCancelled);
+        moved->respond(200, "done");
+        CHECK(view->body == "done");
+    }
+    SECTION("but none of which bytes may have left")
+    {
+        const auto [view, sent] = fill("/book/x", true);
+        const std::size_t before = it.backendCalls.size();
+        stating->head(503, statement);
+        CHECK_FALSE(sent->cancelled);
+        CHECK(it.backendCalls.size() == before);
+        sent->respond(200, "done");
+        CHECK(view->body == "done");
+    }
+    SECTION("and none at another process at the same address")
+    {
+        BackendRecord successor{
+                BackendId("b4"), "desk", {"10.0.0.4", 80}, ZoneId("z"), 6, false, 2, {},
+                std::nullopt};
+        successor.id = BackendId(server);
+        it.gateway.backends().update(successor, it.scheduler.now());
+        const auto [view, unsent] = fill("/book/x", false);
+        stating->head(503, statement);
+        CHECK_FALSE(unsent->cancelled);
+    }
+    // Guards against clients that are told that a request may have run, or that come back at once.
+    SECTION("if there is no other server, it is refused as not run")
+    {
+        it.gateway.backends().remove(BackendId("b1"));
+        it.gateway.backends().remove(BackendId("b2"));
+        it.gateway.backends().remove(BackendId("b3"));
+        it.gateway.backends().update({BackendId(server),
+                                      "desk",
+                                      stating->call.endpoint,
+                                      ZoneId("z"),
+                                      6,
+                                      false,
+                                      1,
+                                      {},
+                                      std::nullopt},
+                                     it.scheduler.now());
+        const auto [view, unsent] = fill("/book/x", false);
+        stating->head(503, statement);
+        CHECK(unsent->cancelled);
+        CHECK(view->status == 503);
+        CHECK(view->headers.find("Retry-After"));
+    }
+    // Guards against a request that is given up because many servers leave one after the other.
+    SECTION("however often")
+    {
+        constexpr int Servers = 9;
+        for (int i = 4; i <= Servers; ++i)
+            it.gateway.backends().update({BackendId("b" + std::to_string(i)),
+                                          "desk",
+                                          {"10.0.0." + std::to_string(i), 80},
+                                          ZoneId("z"),
+                                          6,
+                                          false,
+                                          1,
+                                          {},
+                                          std::nullopt},
+                                         it.scheduler.now());
+        const auto view = it.sendRequest("/book/x");
+        for (int i = 1; i < Servers - 1; ++i) {
+            const auto unsent = it.backendCalls.back();
+            unsent->sent = false;
+            unsent->handlers.onOtherHeader(503, statement);
+            REQUIRE(unsent->cancelled);
+            REQUIRE(it.backendCalls.back() != unsent);
+        }
+        it.backendCalls.back()->respond(200, "done");
+        CHECK(view->body == "done");
+    }
+}
+
 TEST_CASE("Gateway keeps to the retry time of backend servers")
 {
     Fixture it;
