Judge in the soak whether entry processes keep to a Retry-After

The soak played servers that want no requests for some time, but did not notice requests that reached them before its end.

The stand-in of a server now records each request that reaches it, also those that it turns away. At most two may reach a server from one entry process between half a second after its 503 with Retry-After and the end of that time. A restart or a pause of the process, or a fault of the connections to the server, excuses those after it; both are recorded with their ends.

Evidence: a section of "Violations in a soak record" for the check and each excuse.

--- a/bench/src/soakfleet.cpp
+++ b/bench/src/soakfleet.cpp
@@ -151,10 +151,25 @@
     BOOST_LEAF_CHECK(engine.process->start());
     engine.listen = engine.process->endpoint();
     engine.proxy->setTarget(engine.listen);
+    if (engine.hasLinkFault)
+        recordLinkFault(engine);
     publishRecord(index);
     return {};
 }
 
+void SoakFleet::recordLinkFault(const Engine &engine)
+{
+    if (!engine.process)
+        return;
+    auto &faults = m_record.serverLinkFaults[engine.process->options().id];
+    const TimePoint now = MonotonicClock::now();
+    const bool isRecorded = !faults.empty() && faults.back().to == TimePoint::max();
+    if (engine.hasLinkFault && !isRecorded)
+        faults.push_back({now});
+    else if (!engine.hasLinkFault && isRecorded)
+        faults.back().to = now;
+}
+
 void SoakFleet::publishRecord(std::size_t index)
 {
     const Engine &engine = m_engines[index];
@@ -228,11 +243,20 @@
 void SoakFleet::setEngineFault(std::size_t engine, const LinkFault &fault)
 {
     m_engines[engine].proxy->setFault(fault);
+    m_engines[engine].hasLinkFault = fault.delay > Duration::zero() || fault.holdRequests
+                                     || fault.holdReplies || fault.refuse;
+    recordLinkFault(m_engines[engine]);
 }
 
 void SoakFleet::resetEngine(std::size_t engine)
 {
     m_engines[engine].proxy->resetConnections();
+    if (m_engines[engine].process) {
+        const TimePoint now = MonotonicClock::now();
+        // In front, since a fault that has not ended must remain the last one.
+        auto &faults = m_record.serverLinkFaults[m_engines[engine].process->options().id];
+        faults.insert(faults.begin(), {now, now});
+    }
 }
 
 bool SoakFleet::allEnginesCurrent() const
@@ -314,6 +338,7 @@
     std::ofstream(file) << settingsText(member);
     member.isExpected = false;
     member.isStopping = false;
+    endPause(member);
     member.pauses = 0;
     if (member.isEntry)
         m_record.entryStarts.emplace_back(member.index, MonotonicClock::now());
@@ -347,7 +372,8 @@
 void SoakFleet::pauseProcess(std::size_t index)
 {
     Member &member = m_members[index];
-    ++member.pauses;
+    if (++member.pauses == 1 && member.isEntry)
+        m_record.entryPauses[member.index].push_back({MonotonicClock::now()});
     member.isStopping = false;
     m_processes.signal(member.name, SIGSTOP);
 }
@@ -355,8 +381,17 @@
 void SoakFleet::resumeProcess(std::size_t index)
 {
     Member &member = m_members[index];
-    if (member.pauses > 0 && --member.pauses == 0)
-        m_processes.signal(member.name, SIGCONT);
+    if (member.pauses == 0 || --member.pauses > 0)
+        return;
+    m_processes.signal(member.name, SIGCONT);
+    endPause(member);
+}
+
+void SoakFleet::endPause(const Member &member)
+{
+    const auto pauses = m_record.entryPauses.find(member.index);
+    if (member.isEntry && pauses != m_record.entryPauses.end())
+        pauses->second.back().to = std::min(pauses->second.back().to, MonotonicClock::now());
 }
 
 void SoakFleet::reloadProcess(std::size_t index)
--- a/bench/src/soakfleet.h
+++ b/bench/src/soakfleet.h
@@ -103,6 +103,7 @@
         std::string zone;
         int generation = 0;
         bool isDraining = false;
+        bool hasLinkFault = false;
         std::uint64_t version = 0;
         std::map<std::uint32_t, std::string> staged;
         std::unique_ptr<boost::asio::steady_timer> timer;
@@ -115,8 +116,12 @@
     Result<void> startEngine(std::size_t index);
     Result<void> startOrigin();
     void startMember(std::size_t index);
+    /// Records that the pause of \a member has ended, if one was in effect.
+    void endPause(const Member &member);
     void handleMemberExit(std::size_t index);
     void removeEngine(std::size_t index, bool isRecordKept);
+    /// Records that a fault of the connections to \a engine has begun or ended.
+    void recordLinkFault(const Engine &engine);
     void restartEngine(std::size_t index);
     void publishConfiguration();
     void publishRecord(std::size_t engine);
--- a/bench/src/soakrecord.cpp
+++ b/bench/src/soakrecord.cpp
@@ -1,11 +1,14 @@
 #include "soakrecord.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstddef>
 
 namespace godwit {
 
 namespace {
 
+using standin::FleetArrival;
 using standin::FleetRequestKind;
 using standin::FleetRun;
 
@@ -13,6 +16,9 @@
 constexpr Duration KeyRevocationLimit = std::chrono::milliseconds(5000);
 constexpr std::size_t MaxAttempts = 3;
 constexpr std::size_t MaxBookingAttempts = 2;
+/// Requests that are on their way when a server states a retry time may still arrive for this long.
+constexpr Duration RetryAfterGrace = std::chrono::milliseconds(500);
+constexpr std::ptrdiff_t MaxEarlyArrivals = 2;
 
 using Runs = std::vector<const FleetRun *>;
 using Check = std::string (*)(const SoakRecord &, const SoakOutcome &, const Runs &);
@@ -140,6 +146,61 @@
     }
 }
 
+/// Returns the retry time in \a text; the first of several, and zero if it is malformed.
+Duration retryTime(const std::string &text)
+{
+    double seconds = 0;
+    std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return fromSeconds(std::max(0.0, seconds));
+}
+
+bool isDisturbed(const std::vector<SoakDisturbance> &disturbances, TimePoint from, TimePoint to)
+{
+    return std::ranges::any_of(disturbances, [&](const SoakDisturbance &it) {
+        return it.from <= to && it.to >= from;
+    });
+}
+
+/// Finds more than MaxEarlyArrivals requests of an entry process at a backend server between
+/// RetryAfterGrace after it has turned the process away with a retry time and the end of that time.
+/// A restart or a pause of the process, or a fault of the connections to the server, excuses those
+/// after it.
+void findEarlyArrivals(const SoakRecord &record, std::vector<std::string> &broken)
+{
+    std::map<std::string, std::size_t> entryOf;
+    for (const SoakOutcome &it : record.outcomes)
+        entryOf[it.attempt.id] = it.entry;
+    std::map<std::pair<std::size_t, std::string>, std::vector<const FleetArrival *>> arrivals;
+    for (const FleetArrival &it : record.ledger.arrivals) {
+        const auto entry = entryOf.find(it.attempt);
+        if (entry != entryOf.end())
+            arrivals[{entry->second, it.engine}].push_back(&it);
+    }
+    const auto find = [](const auto &map, const auto &key) {
+        const auto it = map.find(key);
+        return it == map.end() ? std::vector<SoakDisturbance>() : it->second;
+    };
+    for (const auto &[key, list] : arrivals) {
+        const auto pauses = find(record.entryPauses, key.first);
+        const auto linkFaults = find(record.serverLinkFaults, key.second);
+        const auto isEarly = [&](const FleetArrival &stated, const FleetArrival &arrival) {
+            return arrival.at > stated.at + RetryAfterGrace
+                   && arrival.at < stated.at + retryTime(stated.retryAfter)
+                   && !hasRestarted(record, key.first, stated.at)
+                   && !isDisturbed(pauses, stated.at, arrival.at)
+                   && !isDisturbed(linkFaults, stated.at, arrival.at);
+        };
+        for (const FleetArrival *stated : list) {
+            const auto early = std::ranges::count_if(
+                    list, [&](const FleetArrival *it) { return isEarly(*stated, *it); });
+            if (early > MaxEarlyArrivals)
+                broken.push_back(stated->attempt + ": turned away with a retry time of "
+                                 + stated->retryAfter + ", but " + std::to_string(early)
+                                 + " requests reached " + key.second + " before its end");
+        }
+    }
+}
+
 } // namespace
 
 bool isRefusal(int status)
@@ -156,6 +217,7 @@
     for (const FleetRun &it : record.ledger.runs)
         runs[it.attempt].push_back(&it);
     findRunsAtLeavingServers(record, runs, broken);
+    findEarlyArrivals(record, broken);
     for (const SoakOutcome &outcome : record.outcomes) {
         for (const Check check : Checks) {
             const std::string problem = check(record, outcome, runs[outcome.attempt.id]);
--- a/bench/src/soakrecord.h
+++ b/bench/src/soakrecord.h
@@ -27,6 +27,13 @@
     TimePoint ended;
 };
 
+/// A time span in which a process or a connection did not work.
+struct SoakDisturbance
+{
+    TimePoint from;
+    TimePoint to = TimePoint::max();
+};
+
 /// The observations of a run that findViolations() checks.
 struct SoakRecord
 {
@@ -34,6 +41,10 @@
     standin::FleetLedger ledger;
     std::map<std::string, TimePoint> revokedKeys; ///< Time at which the store acknowledged it.
     std::vector<std::pair<std::size_t, TimePoint>> entryStarts; ///< Of each entry process.
+    /// Pauses of each entry process.
+    std::map<std::size_t, std::vector<SoakDisturbance>> entryPauses;
+    /// Faults and resets of the connections to each backend server, by its id.
+    std::map<std::string, std::vector<SoakDisturbance>> serverLinkFaults;
     std::vector<std::string> problems; ///< Violations and bench errors of the run.
 };
 
@@ -43,8 +54,8 @@
 /// Returns one line for each violated guarantee in \a record: wrong or incomplete responses that
 /// appear valid, valid requests that were denied, requests that ran too often, although refused,
 /// without a route or a valid key, for another customer or with two versions of the weights,
-/// requests at a backend server that an entry process must know to leave, and loads of pieces that
-/// do not belong together.
+/// requests at a backend server that an entry process must know to leave or to want none, and loads
+/// of pieces that do not belong together.
 std::vector<std::string> findViolations(const SoakRecord &record);
 
 } // namespace godwit
--- a/bench/tests/soakrecordtest.cpp
+++ b/bench/tests/soakrecordtest.cpp
@@ -80,6 +80,66 @@
             CHECK(findViolations(record).empty());
         }
     }
+    SECTION("with requests before the end of a retry time")
+    {
+        record.ledger.runs.clear();
+        const auto arrive = [&](const std::string &attempt, Duration after) {
+            record.ledger.arrivals.push_back({attempt, "e1", Start + after, ""});
+            SoakOutcome it;
+            it.attempt.id = attempt;
+            it.customer = "customer";
+            it.status = 503;
+            record.outcomes.push_back(it);
+        };
+        arrive("a1", 0ms);
+        record.ledger.arrivals.front().retryAfter = "2.5";
+        arrive("a2", 700ms);
+        arrive("a3", 900ms);
+        CHECK(findViolations(record).empty());
+        arrive("a4", 1100ms);
+        CHECK(findViolations(record).size() == 1);
+
+        SECTION("but not if one of them came within the first half second, or after its end")
+        {
+            record.ledger.arrivals.back().at = Start + 400ms;
+            CHECK(findViolations(record).empty());
+            record.ledger.arrivals.back().at = Start + 2600ms;
+            CHECK(findViolations(record).empty());
+            record.ledger.arrivals.back().at = Start + 2400ms;
+            CHECK(findViolations(record).size() == 1);
+        }
+        SECTION("nor if one came from another entry process, or reached another server")
+        {
+            record.outcomes.back().entry = 1;
+            CHECK(findViolations(record).empty());
+            record.outcomes.back().entry = 0;
+            record.ledger.arrivals.back().engine = "e2";
+            CHECK(findViolations(record).empty());
+        }
+        SECTION("nor if the retry time is malformed, or the shortest one that was stated is over")
+        {
+            record.ledger.arrivals.front().retryAfter = "soon";
+            CHECK(findViolations(record).empty());
+            record.ledger.arrivals.front().retryAfter = "-1";
+            CHECK(findViolations(record).empty());
+            record.ledger.arrivals.front().retryAfter = "1, 2";
+            CHECK(findViolations(record).empty());
+        }
+        SECTION("nor if the entry process was restarted or paused, or its connections failed")
+        {
+            record.entryStarts = {{0, Start + 300ms}};
+            CHECK(findViolations(record).empty());
+            record.entryStarts = {{0, Start - 300ms}};
+            record.entryPauses[0] = {{Start - 400ms, Start - 300ms}};
+            record.serverLinkFaults["e1"] = record.entryPauses[0];
+            CHECK(findViolations(record).size() == 1);
+            record.entryPauses[0].push_back({Start + 300ms, Start + 400ms});
+            CHECK(findViolations(record).empty());
+            record.entryPauses.clear();
+            record.serverLinkFaults["e1"].push_back({Start + 1s});
+            CHECK(findViolations(record).empty());
+        }
+    }
     SECTION("of a plain request")
     {
         record.outcomes = {served(FleetRequestKind::Booking)};
--- a/standins/include/godwit/standin/fleetenginestandin.h
+++ b/standins/include/godwit/standin/fleetenginestandin.h
@@ -29,10 +29,20 @@
     TimePoint at;
 };
 
+/// A request of a client that has reached the engine that it was meant for, whether or not it ran.
+struct FleetArrival
+{
+    std::string attempt;
+    std::string engine;
+    TimePoint at;
+    std::string retryAfter; ///< The retry time with which it was turned away, if any.
+};
+
 /// Requests and orders handled by all engines of a fleet, including stopped engines.
 struct FleetLedger
 {
     std::vector<FleetRun> runs;
+    std::vector<FleetArrival> arrivals;
     std::vector<std::string> invalidLoads; ///< Load orders without all pieces of one version.
     std::size_t orders = 0;
 };
@@ -101,7 +111,7 @@
     void handleOrder(const HttpRequest &request, HttpReply &reply);
     void waitForLoad();
     void serve(const HttpRequest &request, const Reply &reply);
-    bool rejectIfUnavailable(const HttpRequest &request, HttpReply &reply) const;
+    bool rejectIfUnavailable(const HttpRequest &request, HttpReply &reply);
     void sendNextEvent(std::list<Run>::iterator run);
     void sendReply(std::list<Run>::iterator run);
     void schedule(std::list<Run>::iterator run, Duration delay,
--- a/standins/src/fleetenginestandin.cpp
+++ b/standins/src/fleetenginestandin.cpp
@@ -177,7 +177,7 @@
             });
 }
 
-bool FleetEngineStandin::rejectIfUnavailable(const HttpRequest &request, HttpReply &reply) const
+bool FleetEngineStandin::rejectIfUnavailable(const HttpRequest &request, HttpReply &reply)
 {
     const std::string_view expected = request.headers.value("X-Expect-Instance");
     const std::string_view version = request.headers.value("X-Expect-Version");
@@ -186,6 +186,8 @@
         reply.send(notExecuted(421, request));
         return true;
     }
+    m_ledger.arrivals.push_back(
+            {attemptIdOf(request), m_options.id, MonotonicClock::now(), m_retryAfter.value_or("")});
     if (m_retryAfter) {
         HttpResponse response = notExecuted(503, request);
         response.headers.add("Retry-After", *m_retryAfter);
