Limit the chunk headers and trailers of a request

A caller that never ended a chunk extension, a chunk size or the trailers of its request made the server keep every byte until the request timeout: the limit of the headers did not apply to them. Unparsed bytes above headerLimit now end the request with 431; a body is consumed as it arrives and is not affected.

--- a/modules/ports/src/serverconnection.cpp
+++ b/modules/ports/src/serverconnection.cpp
@@ -329,6 +329,9 @@
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
         ErrorCode ec;
         m_buffer.consume(m_parser->put(m_buffer.data(), ec));
+        // An incomplete header, chunk header or trailer. The body is consumed as it arrives.
+        if (ec == http::error::need_more && m_buffer.size() > m_shared->options.headerLimit)
+            ec = http::error::header_limit;
         if (ec == http::error::need_more)
             break;
         if (ec) {
--- /dev/null
+++ b/modules/ports/tests/httpserverrobustnesstest.cpp
@@ -0,0 +1,102 @@
+#include "loopback.h"
+
+#include <godwit/ports/httpserver.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+using namespace godwit;
+using namespace std::chrono_literals;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+/// Server that records the requests that its handler receives.
+struct RecordingServer
+{
+    boost::asio::io_context io;
+    HttpServerOptions options;
+    std::vector<HttpRequest> requests;
+    std::unique_ptr<HttpServer> server;
+
+    void listen()
+    {
+        auto outcome = capture([&] {
+            return HttpServer::listen(io, options, [this](HttpRequest request, const auto &reply) {
+                requests.push_back(std::move(request));
+                reply->send({200, {}, "ok"});
+            });
+        });
+        REQUIRE(succeeded(outcome));
+        server = std::move(std::get<0>(outcome));
+    }
+
+    /// Sends \a bytes, and \a more repeatedly until the server closes the connection. Returns what
+    /// the server sent.
+    std::string exchange(const std::string &bytes, const std::string &more = {})
+    {
+        tcp::socket socket(io);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), server->boundPort()});
+        std::string received;
+        std::array<char, 4096> chunk{};
+        bool isClosed = false;
+        bool isWriting = false;
+        std::function<void(const std::string &)> write = [&](const std::string &part) {
+            isWriting = true;
+            boost::asio::async_write(socket, boost::asio::buffer(part),
+                                     [&](auto ec, std::size_t n) {
+                                         isWriting = false;
+                                         sent += n;
+                                         if (!ec && !isClosed && !more.empty())
+                                             write(more);
+                                     });
+        };
+        std::function<void()> read = [&] {
+            socket.async_read_some(boost::asio::buffer(chunk), [&](auto ec, std::size_t n) {
+                received.append(chunk.data(), n);
+                isClosed = static_cast<bool>(ec);
+                if (!isClosed)
+                    read();
+            });
+        };
+        write(bytes);
+        read();
+        runUntil(io, [&] { return isClosed; });
+        boost::system::error_code ec;
+        socket.close(ec);
+        runUntil(io, [&] { return !isWriting; });
+        return received;
+    }
+
+    std::size_t sent = 0;
+};
+
+} // namespace
+
+// Guards against a caller that makes the process use more memory with every byte, within the
+// framing of a request that it never ends.
+TEST_CASE("HTTP server limits the framing of a chunked request")
+{
+    RecordingServer it;
+    it.options.requestTimeout = 5s;
+    it.listen();
+    struct Row
+    {
+        const char *what;
+        std::string head;
+        std::string part;
+    };
+    const std::string kilobyte(1024, 'x');
+    const auto row = GENERATE_COPY(Row{"a chunk extension", "5;", kilobyte},
+                                   Row{"a chunk size", "0", std::string(1024, '0')},
+                                   Row{"a trailer", "0\r\nX-A: ", kilobyte},
+                                   Row{"trailer lines", "0\r\n", "X-A: " + kilobyte + "\r\n"});
+    INFO(row.what);
+    constexpr std::size_t MaxAccepted = 8UL * 1024 * 1024; // mostly socket buffers
+    const std::string received = it.exchange(
+            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + row.head,
+            row.part);
+    CHECK((received.starts_with("HTTP/1.1 4") || received.empty()));
+    CHECK(received.find("HTTP/1.1 408") == std::string::npos);
+    CHECK(it.requests.empty());
+    CHECK(it.sent < MaxAccepted);
+}
