Reject messages with an encoding other than chunked

A request with "Transfer-Encoding: gzip", "chunked, gzip" or an unknown one was read as if it had no body, and the bytes of its body were run as the next request: the new test "HTTP server runs no request out of the body of another one" found the inner request at the handler. The parser of Beast ignores such encodings. HttpParser now fails unless the encoding is chunked alone, for responses as well.

--- a/modules/ports/src/httpparser.h
+++ b/modules/ports/src/httpparser.h
@@ -2,7 +2,9 @@
 
 #include <godwit/ports/httpheaders.h>
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <functional>
 #include <string>
@@ -11,7 +13,7 @@
 namespace godwit {
 
 /// Incremental parser of one HTTP message. Collects the start line and the headers, and delivers
-/// the body in parts.
+/// the body in parts. Fails if the body has an encoding other than chunked.
 template <bool IsRequest>
 class HttpParser : public boost::beast::http::basic_parser<IsRequest>
 {
@@ -37,8 +39,13 @@
         target = std::string(view(targetText));
     }
     void on_response_impl(int code, View, int, Code &) override { status = code; }
-    void on_field_impl(boost::beast::http::field, View name, View value, Code &) override
+    void on_field_impl(boost::beast::http::field field, View name, View value, Code &ec) override
     {
+        // The base class reads a body of an unknown encoding as if it had none: the end of the body
+        // would not be found.
+        if (field == boost::beast::http::field::transfer_encoding
+            && !boost::beast::iequals(value, "chunked"))
+            ec = boost::beast::http::error::bad_transfer_encoding;
         headers.add(view(name), view(value));
     }
     void on_header_impl(Code &) override
--- a/modules/ports/tests/httpserverrobustnesstest.cpp
+++ b/modules/ports/tests/httpserverrobustnesstest.cpp
@@ -100,3 +100,66 @@
     CHECK(it.requests.empty());
     CHECK(it.sent < MaxAccepted);
 }
+
+// Guards against the body of a request that is read as a further request.
+TEST_CASE("HTTP server runs no request out of the body of another one")
+{
+    RecordingServer it;
+    it.options.idleTimeout = 100ms;
+    it.options.requestTimeout = 100ms;
+    it.listen();
+    const std::string inner = "GET /inner HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string length = std::to_string(inner.size());
+    const std::string chunk = "20\r\n" + inner + "\r\n0\r\n\r\n";
+    REQUIRE(inner.size() == 0x20);
+    struct Row
+    {
+        const char *what;
+        std::string framing;
+        std::string body;
+    };
+    const auto row = GENERATE_COPY(
+            Row{"an encoding other than chunked", "Transfer-Encoding: gzip\r\n", inner},
+            Row{"an encoding after chunked", "Transfer-Encoding: chunked, gzip\r\n", inner},
+            Row{"an encoding before chunked", "Transfer-Encoding: gzip, chunked\r\n", chunk},
+            Row{"an unknown encoding", "Transfer-Encoding: xchunked\r\n", inner},
+            Row{"an encoding in quotes", "Transfer-Encoding: \"chunked\"\r\n", inner},
+            Row{"an empty encoding", "Transfer-Encoding:\r\n", inner},
+            Row{"two encodings", "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+                chunk},
+            Row{"two encodings, the first one unknown",
+                "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", chunk},
+            Row{"an encoding and a length",
+                "Transfer-Encoding: chunked\r\nContent-Length: " + length + "\r\n", inner},
+            Row{"a length and an encoding", "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n",
+                chunk},
+            Row{"an unknown encoding and a length",
+                "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n", inner},
+            Row{"a length and an unknown encoding",
+                "Content-Length: 0\r\nTransfer-Encoding: gzip\r\n", inner},
+            Row{"two lengths", "Content-Length: 0\r\nContent-Length: " + length + "\r\n", inner},
+            Row{"a list of lengths", "Content-Length: 0, " + length + "\r\n", inner},
+            Row{"a negative length", "Content-Length: -1\r\n", inner},
+            Row{"a length with a sign", "Content-Length: +0\r\n", inner},
+            Row{"a hexadecimal length", "Content-Length: 0x20\r\n", inner},
+            Row{"an empty length", "Content-Length:\r\n", inner},
+            Row{"a length that overflows", "Content-Length: 18446744073709551616\r\n", inner},
+            Row{"a space before the colon", "Content-Length : " + length + "\r\n", inner},
+            Row{"a folded encoding", "Transfer-Encoding:\r\n chunked\r\n", inner},
+            Row{"a bare line feed", "X-A: b\nTransfer-Encoding: chunked\r\n", inner},
+            Row{"a bare carriage return", "X-A: b\rContent-Length: 0\r\n", inner},
+            Row{"a chunk size that overflows", "Transfer-Encoding: chunked\r\n",
+                "10000000000000000\r\n" + inner},
+            Row{"a negative chunk size", "Transfer-Encoding: chunked\r\n", "-1\r\n" + inner},
+            Row{"a chunk longer than its size", "Transfer-Encoding: chunked\r\n",
+                "1\r\n" + inner + "\r\n0\r\n\r\n"},
+            Row{"a length in a trailer", "Transfer-Encoding: chunked\r\n",
+                "0\r\nContent-Length: " + length + "\r\n\r\n" + inner});
+    INFO(row.what);
+    const std::string received =
+            it.exchange("POST /outer HTTP/1.1\r\nHost: h\r\n" + row.framing + "\r\n" + row.body);
+    CAPTURE(received);
+    for (const HttpRequest &request : it.requests)
+        CHECK(request.target != "/inner");
+    CHECK(received.starts_with("HTTP/1.1 4"));
+}
