Ignore the trailers of a request

Trailers were appended to the headers of a request, so that a key or a model in a trailer was used and passed on to a backend server as a header. The parser of Beast reports both by the same function. HttpParser now drops fields after the end of the header. Guarded by the test "HTTP server ignores the trailers of a request", which passes with the change; its failure without it was not looked at in the shortened output of the run.

--- a/modules/ports/src/httpparser.h
+++ b/modules/ports/src/httpparser.h
@@ -13,7 +13,7 @@
 namespace godwit {
 
 /// Incremental parser of one HTTP message. Collects the start line and the headers, and delivers
-/// the body in parts. Fails if the body has an encoding other than chunked.
+/// the body in parts. Trailers are ignored. Fails if the body has an encoding other than chunked.
 template <bool IsRequest>
 class HttpParser : public boost::beast::http::basic_parser<IsRequest>
 {
@@ -41,6 +41,8 @@
     void on_response_impl(int code, View, int, Code &) override { status = code; }
     void on_field_impl(boost::beast::http::field field, View name, View value, Code &ec) override
     {
+        if (m_isHeaderComplete)
+            return;
         // The base class reads a body of an unknown encoding as if it had none: the end of the body
         // would not be found.
         if (field == boost::beast::http::field::transfer_encoding
@@ -50,6 +52,7 @@
     }
     void on_header_impl(Code &) override
     {
+        m_isHeaderComplete = true;
         if (onHeader)
             onHeader();
     }
@@ -68,6 +71,8 @@
             onBody(view(data));
         return data.size();
     }
+
+    bool m_isHeaderComplete = false; ///< Further fields are trailers.
 };
 
 } // namespace godwit
--- a/modules/ports/tests/httpserverrobustnesstest.cpp
+++ b/modules/ports/tests/httpserverrobustnesstest.cpp
@@ -163,3 +163,20 @@
         CHECK(request.target != "/inner");
     CHECK(received.starts_with("HTTP/1.1 4"));
 }
+
+// Guards against a request that is changed by its trailers: they are not part of its headers.
+TEST_CASE("HTTP server ignores the trailers of a request")
+{
+    RecordingServer it;
+    it.options.idleTimeout = 100ms;
+    it.listen();
+    const std::string received =
+            it.exchange("POST / HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "2;a=b\r\nab\r\n0;c\r\nX-B: 2\r\nAuthorization: t\r\n\r\n");
+    CHECK(received.starts_with("HTTP/1.1 200"));
+    REQUIRE(it.requests.size() == 1);
+    CHECK(it.requests[0].body == "ab");
+    CHECK(it.requests[0].headers.value("X-A") == "1");
+    CHECK(it.requests[0].headers.find("X-B") == nullptr);
+    CHECK(it.requests[0].headers.find("Authorization") == nullptr);
+}
