Load no older weights into an engine that serves newer ones

A host process that has restarted reads the configuration and the list of versions by separate calls. If the list is lost or late, it wants the first version alone, without a window, and ordered it at once, also from an engine that served a newer one: requests whose backend record still stated the newer version would have begun on the older one.

The rollout now reads nothing and orders nothing for a version that is older than what the engine reports, and asks for the versions again. The two sections of rollouttest failed before (the engine went back to version 1).

--- a/modules/rollout/include/godwit/rollout/modelengineport.h
+++ b/modules/rollout/include/godwit/rollout/modelengineport.h
@@ -27,6 +27,9 @@
     friend bool operator==(const EngineReport &, const EngineReport &) = default;
 };
 
+/// Whether the engine serves a version of \a model that is newer than \a version.
+bool servesNewerVersion(const EngineReport &report, const ModelId &model, std::uint64_t version);
+
 /// Orders the engine to load the staged chunks of a version once its running requests have
 /// finished.
 struct EngineLoadOrder
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -37,7 +37,8 @@
         PeerTransport &peers;
         /// Called when the origin does not respond; its address may have changed. May be empty.
         std::function<void()> onOriginUnreachable = {};
-        /// A peer loads a version that setWantedVersion() has not been called with. May be empty.
+        /// A peer loads, or the engine serves, a version newer than the last one that was passed to
+        /// setWantedVersion(). May be empty.
         std::function<void()> onNewerVersionSeen = {};
     };
 
@@ -54,7 +55,8 @@
     /// origin.
     void setParticipants(std::vector<Participant> participants);
 
-    /// Requests \a version of \a model. Versions older than the last one requested are ignored. If
+    /// Requests \a version of \a model. Versions older than the last one requested are ignored, and
+    /// nothing is loaded into an engine that serves a newer one. If
     /// all chunks of the previous version are staged, that version is loaded first, because its
     /// deadline is earlier; if it is still being transferred, it is dropped.
     /// Without \a window the version may have been wanted for a long time, so the engine loads it
--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -43,6 +43,13 @@
     });
 }
 
+bool servesNewerVersion(const EngineReport &report, const ModelId &model, std::uint64_t version)
+{
+    return std::ranges::any_of(report.models, [&](const ServedModel &it) {
+        return it.model == model && it.version > version;
+    });
+}
+
 bool EngineStager::isServing(const EngineReport &report) const
 {
     const bool isListed = std::ranges::any_of(report.models, [this](const ServedModel &it) {
@@ -66,7 +73,8 @@
         m_handlers.onServing();
         return;
     }
-    if (!report || report->busy) {
+    const bool isOutdated = report && servesNewerVersion(*report, m_manifest->model, m_version);
+    if (!report || report->busy || isOutdated) {
         runAfter(beforeOrder ? &EngineStager::pollBeforeOrder : &EngineStager::pollAfterOrder,
                  ReportPollInterval);
         return;
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -106,7 +106,9 @@
         m_loadSchedules[model].announceVersion(version, *window);
     logStateChange("rollout_begun",
                    {{"model", model.value()}, {"version", version}, {"previous", previous}});
-    if (!rollouts.front().awaitingOrder)
+    const bool isFrontOutdated =
+            m_lastReport && servesNewerVersion(*m_lastReport, model, rollouts.front().version);
+    if (!rollouts.front().awaitingOrder || isFrontOutdated)
         endOlderRollouts(rollout);
     checkEngine();
 }
@@ -144,6 +146,8 @@
     if (!report)
         return;
     m_lastReport = *report;
+    for (const ServedModel &it : report->models)
+        reportIfNewer(it.model, it.version);
     for (auto &[model, rollouts] : m_rollouts) {
         for (Rollout &it : rollouts)
             reconcile(*report, it);
@@ -172,8 +176,10 @@
 void VersionRollout::startIfNeeded(Rollout &rollout)
 {
     const bool begun = rollout.manifest || rollout.isReadingManifest || rollout.retryTimer;
-    // Without a report, an engine that already serves the version would be loaded again.
-    if (m_origin && m_participantsKnown && m_lastReport && !rollout.isServing && !begun)
+    // Without a report, an engine that already serves the version would be loaded again. One that
+    // serves a newer version shows that this process has yet to learn of it.
+    if (m_origin && m_participantsKnown && m_lastReport && !rollout.isServing && !begun
+        && !servesNewerVersion(*m_lastReport, rollout.model, rollout.version))
         readManifest(rollout);
 }
 
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -132,6 +132,33 @@
         it.scheduler.advance(2s);
         CHECK(it.isServing(2));
     }
+    // A host process that has restarted may learn of the first version, from the configuration,
+    // long before it can list the newer ones. Guards against an engine that goes back to weights
+    // that may not serve any more.
+    SECTION("an engine that serves a newer version is left as it is")
+    {
+        it.engine.serve(2);
+        it.rollout.setWantedVersion(TestModel, 1, std::nullopt);
+        it.scheduler.advance(3s);
+        CHECK(it.engine.orders.empty());
+        CHECK(it.isServing(2));
+        CHECK(it.origin->chunkReads == 0);
+        CHECK(it.newerVersions > 0);
+    }
+    SECTION("also if it got the newer version while the older one was staged")
+    {
+        it.engine.report.busy = true;
+        it.stageAll(1);
+        it.rollout.setWantedVersion(TestModel, 1, std::nullopt);
+        it.scheduler.advance(1s);
+        it.engine.report.busy = false;
+        it.engine.serve(2);
+        it.scheduler.advance(2s);
+        CHECK(it.engine.orders.empty());
+        it.rollout.setWantedVersion(TestModel, 3, std::nullopt);
+        it.scheduler.advance(3s);
+        CHECK(it.isServing(3));
+    }
 }
 
 // Most chunks are only in the engine's staging area when peers request them.
