--- a/modules/gateway/include/godwit/gateway/crashsuspects.h
+++ b/modules/gateway/include/godwit/gateway/crashsuspects.h
@@ -88,9 +88,8 @@
     /// Suspects in \a content that are suspended.
     std::vector<ContentKey> suspendedKeys(const RequestContent &content, TimePoint now) const;
     bool isCertain(const ContentKey &key) const;
-    /// Whether suspended shared parts other than \a present may be the cause instead of \a key: all
-    /// crashes of \a key are also theirs. If \a key was in enough crashes to be the certain cause,
-    /// they are all those of a single part.
+    /// Whether a suspended shared part other than \a present may be the cause instead of \a key. If
+    /// \a key was in enough crashes to be the certain cause, the other one was in all of them too.
     bool hasOtherCause(const ContentKey &key, const std::vector<ContentKey> &present,
                        TimePoint now) const;
     /// Prolongs the suspension of \a key if it is the certain cause.
--- a/modules/gateway/src/crashsuspects.cpp
+++ b/modules/gateway/src/crashsuspects.cpp
@@ -58,16 +58,12 @@
                                   TimePoint now) const
 {
     const auto &crashes = m_suspects.at(key).crashes;
-    std::set<BackendInstance> explained;
-    for (const auto &[other, suspect] : m_suspects) {
-        if (isWholeRequest(other) || now >= suspect.suspendedUntil
-            || std::ranges::find(present, other) != present.end())
-            continue;
-        if (std::ranges::includes(suspect.crashes, crashes))
-            return true;
-        explained.insert(suspect.crashes.begin(), suspect.crashes.end());
-    }
-    return !isCertain(key) && std::ranges::includes(explained, crashes);
+    const bool needsAllCrashes = isCertain(key);
+    return std::ranges::any_of(m_suspects, [&](const auto &it) {
+        return !isWholeRequest(it.first) && now < it.second.suspendedUntil
+               && std::ranges::find(present, it.first) == present.end()
+               && (!needsAllCrashes || std::ranges::includes(it.second.crashes, crashes));
+    });
 }
 
 void CrashSuspects::extendIfCertain(const ContentKey &key, TimePoint now)
