Wait on at a silent server until another one can take its place

Cause: a silence timeout ended the attempt first and asked for a replacement afterwards. With the retry budget spent, no other server able to accept the request, or a rejection by the next one, nothing took its place. The class of fault: work is given up before something better is known to be available.

The timeouts for the first byte and within a stream are now timers of the request. When one passes, another server is chosen and the retry is acquired first; if there is none, the attempt goes on, and the timer starts again. A stream that has begun is set aside while another attempt resumes it: the first new event of either decides, and the other one is cancelled; if the new attempt is rejected or breaks off, the stream goes on at its server. The pool learns of the silence at once, and that it has ended. As before, idle connections to a silent server are closed, since a device on the path may have dropped their state (CallHandle::reportSilence).

New in logs and metrics: "silences" of an attempt, godwit_silences_total{action}.

Seen to fail before, in "Gateway ends no attempt for silence before another server can take its place": "engine.call.idleTimeout >= 20s", "CHECK_FALSE( engine.cancelled )", "CHECK_FALSE( view->aborted )", "view->body == event(1) + event(2)", "it.backendCalls[1]->cancelled".

Two tests changed. "Gateway tells slow streams from stalled ones" expected that the stalled attempt is cancelled as soon as the next one begins; it must now be cancelled when that one sends its event, and the body is checked as well. The fixture of the tests of outdated weights had a route whose silence timeout (0.4 s, not modelled by the fake client before) passes within the times of the tests; its objective is 0.6 s now, the checks are the same.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -141,6 +141,11 @@
     void onResponseStarted(const BackendId &id, RequestUrgency urgency);
     /// The response to a request that found a free slot started \a delay later than predicted.
     void recordStartDelay(const BackendId &id, Duration delay, TimePoint now);
+    /// An attempt has had no answer for unusually long and goes on. Counts as a failure until
+    /// onSilenceEnded().
+    void onSilence(const BackendId &id, TimePoint now);
+    /// The backend server has gone on with an attempt after onSilence().
+    void onSilenceEnded(const BackendId &id, TimePoint now);
     /// The attempt ended. \a held is the time since its response started, or since it was sent if
     /// no response has started.
     void onAttemptFinished(const BackendId &id, AttemptOutcome outcome, Duration held,
@@ -224,6 +229,7 @@
     /// Time until \a backend with \a load requests has a free slot for a request of \a urgency.
     static double waitSeconds(const Backend &backend, RequestUrgency urgency, double load,
                               double slots, double hold);
+    static void recordFailure(Backend &backend, TimePoint now);
     static void removeFromQueue(Backend &backend, RequestUrgency urgency);
     /// Weight, from 0 to 1, of the last load report of \a backend; decays with its age.
     static double loadReportWeight(const Backend &backend, TimePoint now);
--- a/modules/gateway/include/godwit/gateway/gatewaymetrics.h
+++ b/modules/gateway/include/godwit/gateway/gatewaymetrics.h
@@ -9,6 +9,13 @@
 
 namespace godwit {
 
+/// What follows the silence of a backend server.
+enum class SilenceAction {
+    Retry,          ///< Another backend server gets the request.
+    WaitForBackend, ///< No other backend server can accept it now.
+    WaitForBudget,  ///< The retry budget is spent.
+};
+
 /// Counters and latency summaries of a Gateway.
 class GatewayMetrics
 {
@@ -23,6 +30,8 @@
     void recordRefusal(ResultCode reason);
     void recordAttempt(AttemptOutcome outcome);
     void recordRetry(std::string_view reason);
+    /// A backend server sent nothing within the silence timeout of an attempt.
+    void recordSilence(SilenceAction action);
     void recordClientDisconnect() { m_clientDisconnects.add(1); }
     /// A request was refused or cancelled because its content crashes backend servers.
     void recordSuspended() { m_suspended.add(1); }
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -533,6 +533,28 @@
         removeFromQueue(*backend, urgency);
 }
 
+void BackendPool::onSilence(const BackendId &id, TimePoint now)
+{
+    if (Backend *backend = find(id))
+        recordFailure(*backend, now);
+}
+
+void BackendPool::onSilenceEnded(const BackendId &id, TimePoint now)
+{
+    Backend *backend = find(id);
+    if (!backend)
+        return;
+    backend->consecutiveFailures = 0;
+    backend->backoffUntil = std::min(backend->backoffUntil, now);
+}
+
+void BackendPool::recordFailure(Backend &backend, TimePoint now)
+{
+    ++backend.consecutiveFailures;
+    backend.failureRate += FailureWeight * (1 - backend.failureRate);
+    backend.backoffUntil = now + failureBackoff(backend.consecutiveFailures);
+}
+
 void BackendPool::onAttemptFinished(const BackendId &id, AttemptOutcome outcome, Duration held,
                                     TimePoint now)
 {
@@ -569,9 +591,7 @@
     case AttemptOutcome::Unreachable:
     case AttemptOutcome::Broken:
     case AttemptOutcome::Silent:
-        ++backend->consecutiveFailures;
-        backend->failureRate += FailureWeight * (1 - backend->failureRate);
-        backend->backoffUntil = now + failureBackoff(backend->consecutiveFailures);
+        recordFailure(*backend, now);
         return;
     }
 }
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -17,10 +17,6 @@
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
 /// A connection attempt may take this fraction of the remaining time.
 constexpr int ConnectTimeoutDivisor = 3;
-/// Timeout, in objectives of the route, until the first byte of the response to a request that may
-/// be repeated; it is then sent to another backend server.
-constexpr int SilenceTimeoutObjectives = 2;
-constexpr Duration MinSilenceTimeout = std::chrono::milliseconds(400);
 /// Attempts allowed in addition to those of the route, because rejected ones do not count towards
 /// that limit.
 constexpr std::size_t MaxRejectedAttempts = 2;
@@ -158,7 +154,7 @@
 bool ForwardedRequest::hasResponseStarted() const
 {
     if (m_bodyMode == BodyMode::Events)
-        return m_attempts.back().firstEventsAt.has_value();
+        return currentAttempt().firstEventsAt.has_value();
     return m_bodyMode != BodyMode::None;
 }
 
@@ -176,7 +172,7 @@
 
 void ForwardedRequest::moveIfUnsent(const BackendInstance &instance)
 {
-    if (m_ended || !m_attemptInProgress || m_attempts.back().instance != instance || !m_call
+    if (m_ended || !m_attemptInProgress || currentAttempt().instance != instance || !m_call
         || !m_call->cancelUnsent())
         return;
     fail(AttemptOutcome::Withdrawn, "the backend server wants no new requests");
@@ -191,16 +187,21 @@
         return;
     }
     const auto found = chooseBackend();
-    if (const auto *none = std::get_if<NoBackend>(&found)) {
-        m_passedOver = none->passedOver;
-        if (m_possibleRuns > 0 || m_streaming)
-            giveUp(AttemptOutcome::Broken, "no other backend server can accept the request");
-        else
-            refuse(refusalCode(*none), refusalDetail(*none),
-                   none->isWaitKnown() ? none->shortestWait : DefaultRetryAfter);
+    if (const auto *choice = std::get_if<BackendChoice>(&found)) {
+        startAttemptAt(*choice);
         return;
     }
-    const auto &choice = std::get<BackendChoice>(found);
+    const auto &none = std::get<NoBackend>(found);
+    m_passedOver = none.passedOver;
+    if (m_possibleRuns > 0 || m_streaming)
+        giveUp(AttemptOutcome::Broken, "no other backend server can accept the request");
+    else
+        refuse(refusalCode(none), refusalDetail(none),
+               none.isWaitKnown() ? none.shortestWait : DefaultRetryAfter);
+}
+
+void ForwardedRequest::startAttemptAt(const BackendChoice &choice)
+{
     m_passedOver = choice.passedOver;
     m_attempts.push_back({.backend = choice.id,
                           .instance = choice.instance(),
@@ -208,6 +209,8 @@
                           .foundFreeSlot = choice.hasFreeSlot,
                           .recordedVersion = choice.weightsVersion,
                           .sentAt = now()});
+    m_currentAttempt = m_attempts.size() - 1;
+    m_attemptSerial = ++m_lastSerial;
     m_bodyMode = BodyMode::None;
     m_bufferedBody.clear();
     m_attemptInProgress = true;
@@ -216,24 +219,24 @@
     m_correlation = call.correlation;
     m_call = m_gateway.m_environment.send(
             std::move(call),
-            observeAvailability(handlersFor(++m_attemptSerial), {choice.instance(), m_request.id},
+            observeAvailability(handlersFor(m_attemptSerial), {choice.instance(), m_request.id},
                                 m_gateway.m_environment, m_gateway.m_backends,
                                 [&gateway = m_gateway, instance = choice.instance()] {
                                     gateway.moveUnsent(instance);
                                 }));
     m_startTimer.reset();
-    m_stallTimer.reset();
+    restartSilenceTimer();
     limitStart();
 }
 
 void ForwardedRequest::limitStart()
 {
-    if (!m_attemptInProgress || !m_attempts.back().recordedVersion)
+    if (!m_attemptInProgress || !currentAttempt().recordedVersion)
         return;
     // The head of a stream states what the record may not know yet.
     const auto version = m_bodyMode == BodyMode::Events && m_responseHead.weightsVersion
                                  ? m_responseHead.weightsVersion
-                                 : m_attempts.back().recordedVersion;
+                                 : currentAttempt().recordedVersion;
     const auto expiry = m_gateway.m_backends.versionExpiry(m_request.model, *version);
     if (!expiry)
         return;
@@ -256,14 +259,14 @@
     const auto &stated = m_responseHead.weightsVersion;
     const bool isNewest =
             stated && !m_gateway.m_backends.versionExpiry(m_request.model, *stated).has_value();
-    return !m_attempts.back().firstEventsAt && !isNewest;
+    return !currentAttempt().firstEventsAt && !isNewest;
 }
 
 void ForwardedRequest::cancelIfNotStarted(TimePoint expiry)
 {
     if (!mayStartOutdated())
         return;
-    m_attempts.back().cancelledAfterGrace = now() - expiry - VersionWindow::StartMargin;
+    currentAttempt().cancelledAfterGrace = now() - expiry - VersionWindow::StartMargin;
     if (m_call)
         m_call->cancel();
     fail(AttemptOutcome::Abandoned, "the response did not start before the weights of the backend "
@@ -286,14 +289,6 @@
     HttpCall call = m_gateway.m_environment.protocol.forward(m_request, parameters);
     call.connectTimeout = std::min(ConnectTimeout, remaining / ConnectTimeoutDivisor);
     call.idleTimeout = remaining + DeadlineGrace;
-    const Route &route = *m_admission.route;
-    if (route.isRepeatable() && m_possibleRuns + 1 < route.maxAttempts) {
-        const Duration silence =
-                std::max(MinSilenceTimeout, SilenceTimeoutObjectives * route.objective);
-        call.idleTimeout = std::min(call.idleTimeout, silence);
-        if (route.kind == RouteKind::Streaming)
-            call.stallTimeout = stallTimeout();
-    }
     return call;
 }
 
@@ -307,18 +302,28 @@
                        ? self
                        : nullptr;
     };
+    const auto stalled = [weak, serial] {
+        const auto self = weak.lock();
+        return self && self->m_stalled && self->m_stalled->serial == serial && !self->m_ended
+                       ? self
+                       : nullptr;
+    };
     HttpStreamHandlers handlers;
     handlers.onHeader = [current](int status, const HttpHeaders &headers) {
         if (const auto self = current())
             self->onHead(status, headers);
     };
-    handlers.onData = [current](std::string_view data) {
+    handlers.onData = [current, stalled](std::string_view data) {
         if (const auto self = current())
             self->onData(data);
+        else if (const auto other = stalled())
+            other->onStalledData(data);
     };
-    handlers.onEnd = [current](const Outcome<std::monostate> &outcome) {
+    handlers.onEnd = [current, stalled](const Outcome<std::monostate> &outcome) {
         if (const auto self = current())
             self->onEnd(outcome);
+        else if (const auto other = stalled())
+            other->onStalledEnd(outcome);
     };
     return handlers;
 }
@@ -336,17 +341,24 @@
 {
     if (!std::exchange(m_attemptInProgress, false))
         return;
-    m_stallTimer.reset();
+    m_silenceTimer.reset();
     m_gateway.m_bufferedBytes -= m_bufferedBody.size();
-    PastAttempt &attempt = m_attempts.back();
+    recordEnd(currentAttempt(), m_urgency, outcome);
+    m_call.reset();
+}
+
+void ForwardedRequest::recordEnd(PastAttempt &attempt, RequestUrgency urgency,
+                                 AttemptOutcome outcome)
+{
     attempt.outcome = outcome;
     if (!attempt.firstEventsAt)
-        m_gateway.m_backends.onFinishedBeforeResponse(attempt.backend, m_urgency);
-    m_gateway.m_backends.onAttemptFinished(attempt.backend, outcome,
-                                           now() - attempt.firstEventsAt.value_or(attempt.sentAt),
-                                           now());
+        m_gateway.m_backends.onFinishedBeforeResponse(attempt.backend, urgency);
+    // The pool knows of the silence already, see onSilence().
+    const bool isReported = outcome == AttemptOutcome::Silent && attempt.silences > 0;
+    m_gateway.m_backends.onAttemptFinished(
+            attempt.backend, isReported ? AttemptOutcome::Abandoned : outcome,
+            now() - attempt.firstEventsAt.value_or(attempt.sentAt), now());
     m_gateway.m_environment.metrics.recordAttempt(outcome);
-    m_call.reset();
 }
 
 std::size_t ForwardedRequest::sentAttempts() const
@@ -394,12 +406,16 @@
 
 void ForwardedRequest::giveUp(AttemptOutcome outcome, const std::string &detail)
 {
+    if (m_stalled) {
+        returnToStalledAttempt();
+        return;
+    }
     if (m_streaming) {
         m_reply->abort();
         this->finishRequest(0, ResultCode::StreamBroken, detail);
         return;
     }
-    if (m_attempts.back().outcome == AttemptOutcome::Failed) {
+    if (currentAttempt().outcome == AttemptOutcome::Failed) {
         sendBufferedResponse(); // No retry is possible; see mayRetryAfterFailure().
         return;
     }
@@ -461,6 +477,7 @@
 {
     if (std::exchange(m_ended, true))
         return;
+    dropStalledAttempt(AttemptOutcome::Abandoned);
     const Duration elapsed = now() - m_arrivedAt;
     if (code == ResultCode::Ok)
         m_gateway.m_environment.metrics.recordResponse(status, elapsed);
@@ -479,6 +496,8 @@
             attempt["weights"] = *it.weightsVersion;
         if (it.outdatedFor)
             attempt["outdated_ms"] = toMilliseconds(*it.outdatedFor);
+        if (it.silences > 0)
+            attempt["silences"] = it.silences;
         if (it.cancelledAfterGrace)
             attempt["cancelled_after_grace_ms"] = toMilliseconds(*it.cancelledAfterGrace);
         attempts.push_back(std::move(attempt));
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -70,10 +70,28 @@
         /// Time from the end of the grace period of its weights to the cancellation because of
         /// them; negative if it was cancelled before, as it should be.
         std::optional<Duration> cancelledAfterGrace = {};
+        std::uint32_t silences = 0; ///< Silence timeouts that have passed.
+        bool isSilent = false;      ///< One has passed since the last events.
         std::optional<AttemptOutcome> outcome = {};
     };
 
+    /// An attempt whose stream has begun and whose backend server has been silent since, while
+    /// another attempt to resume the stream is in progress.
+    struct StalledAttempt
+    {
+        std::size_t index; ///< In m_attempts.
+        std::uint64_t serial;
+        std::shared_ptr<CallHandle> call;
+        BackendResponseHead head;
+        bool endsWithConnection;
+        RequestUrgency urgency;
+        EventSplitter eventSplitter;
+    };
+
     void startAttempt();
+    void startAttemptAt(const BackendChoice &choice);
+    PastAttempt &currentAttempt() { return m_attempts[m_currentAttempt]; }
+    const PastAttempt &currentAttempt() const { return m_attempts[m_currentAttempt]; }
     /// Number of attempts of which a backend server may have received something.
     std::size_t sentAttempts() const;
     /// Ends the request because its content crashes backend servers.
@@ -105,11 +123,24 @@
     void onEnd(const Outcome<std::monostate> &outcome);
     void onComplete();
     void onEvents(std::string_view data);
+    void passOn(std::string events);
     /// Whether a body without a declared length, or all buffered bodies together, are too long.
     bool isBodyTooLarge(std::size_t more) const;
-    /// Ends the attempt unless an event arrives within the stall timeout. Other bytes do not count.
-    void restartStallTimer();
-    Duration stallTimeout() const;
+    /// Looks for another backend server unless the current one sends something within the silence
+    /// timeout; of a stream that has begun only events count. Does nothing if the route does not
+    /// allow another attempt.
+    void restartSilenceTimer();
+    /// Longest usual time until the response, or between two events of a stream.
+    Duration silenceTimeout() const;
+    /// Sends the request to another backend server if one can accept it, and waits on otherwise.
+    void onSilence();
+    /// Keeps the current attempt beside the next one until one of them sends an event.
+    void setAsideStalledAttempt();
+    /// Makes the stalled attempt the current one again, in place of the one that was to resume it.
+    void returnToStalledAttempt();
+    void dropStalledAttempt(AttemptOutcome outcome);
+    void onStalledData(std::string_view data);
+    void onStalledEnd(const Outcome<std::monostate> &outcome);
     /// Reports the start of the response, or the gap since its last events, to the pool.
     void recordEventTiming();
     void recordResponseStart(PastAttempt &attempt, TimePoint at);
@@ -122,6 +153,7 @@
 
     /// Ends the current attempt.
     void endAttempt(AttemptOutcome outcome);
+    void recordEnd(PastAttempt &attempt, RequestUrgency urgency, AttemptOutcome outcome);
     /// Ends the current attempt, then retries the request or gives up.
     void fail(AttemptOutcome outcome, std::string detail);
     /// Fails because the backend server has closed the connection, which may be a crash.
@@ -146,12 +178,15 @@
     Duration m_earlierWait{0}; ///< Estimate of the time that the client spent on earlier attempts.
     TimePoint m_deadline;      ///< The earlier of the deadlines of client and route.
     std::unique_ptr<Timer> m_deadlineTimer;
-    std::unique_ptr<Timer> m_startTimer; ///< Of the current attempt.
-    std::unique_ptr<Timer> m_stallTimer; ///< Of the current attempt.
+    std::unique_ptr<Timer> m_startTimer;   ///< Of the current attempt.
+    std::unique_ptr<Timer> m_silenceTimer; ///< Of the current attempt.
     std::vector<PastAttempt> m_attempts;
+    std::size_t m_currentAttempt = 0; ///< In m_attempts.
+    std::optional<StalledAttempt> m_stalled;
     std::vector<PassedOverBackend> m_passedOver; ///< When the last attempt was placed or refused.
     std::shared_ptr<CallHandle> m_call;
-    std::uint64_t m_attemptSerial = 0; ///< Callbacks of other attempts are ignored.
+    std::uint64_t m_attemptSerial = 0; ///< Callbacks of earlier attempts are ignored.
+    std::uint64_t m_lastSerial = 0;
     BackendResponseHead m_responseHead;
     std::optional<std::uint64_t> m_weightsVersion; ///< Of the start of the stream.
     BodyMode m_bodyMode = BodyMode::None;
@@ -163,7 +198,8 @@
     /// By which the response of the current attempt identifies this request.
     std::optional<HttpCorrelation> m_correlation;
     EventSplitter m_eventSplitter;
-    std::uint32_t m_possibleRuns = 0;                  ///< Attempts that may have been executed.
+    /// Attempts, besides the current one, that may have been executed.
+    std::uint32_t m_possibleRuns = 0;
     RequestUrgency m_urgency = RequestUrgency::OnTime; ///< Of the current attempt.
     bool m_streaming = false;                          ///< The head of the response has been sent.
     bool m_attemptInProgress = false;
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// Timeout within a stream that may be repeated, in maximum event gaps of the route or in measured
-/// gaps of the backend server, whichever are longer: a slow stream is not resumed elsewhere.
-constexpr int StallTimeoutGaps = 3;
-constexpr Duration MinStallTimeout = std::chrono::milliseconds(800);
 /// Maximum size of a body without a declared length, and of the bodies of all requests that are
 /// buffered at a time. A faulty backend server may send bytes without end.
 constexpr std::size_t MaxUndeclaredBodyBytes = 1024UL * 1024;
@@ -39,28 +35,6 @@
 
 } // namespace
 
-Duration ForwardedRequest::stallTimeout() const
-{
-    const Duration measured = m_gateway.m_backends.eventGap(m_attempts.back().backend);
-    return std::max(MinStallTimeout,
-                    StallTimeoutGaps * std::max(m_admission.route->maxEventGap, measured));
-}
-
-void ForwardedRequest::restartStallTimer()
-{
-    const Route &route = *m_admission.route;
-    if (!route.isRepeatable() || m_possibleRuns + 1 >= route.maxAttempts)
-        return;
-    const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
-    m_stallTimer = m_gateway.m_environment.scheduler.after(
-            stallTimeout(), [weak, serial = m_attemptSerial] {
-                const auto self = weak.lock();
-                if (self && !self->m_ended && self->m_attemptInProgress
-                    && self->m_attemptSerial == serial)
-                    self->fail(AttemptOutcome::Silent, "no event within the stall timeout");
-            });
-}
-
 bool ForwardedRequest::identifiesRequest(const HttpHeaders &headers) const
 {
     // A late copy of another response may lack the id that would identify it.
@@ -71,7 +45,7 @@
 {
     m_responseHead = m_gateway.m_environment.protocol.readResponse(status, headers);
     if (m_responseHead.load)
-        m_gateway.m_backends.recordLoad(m_attempts.back().backend, *m_responseHead.load, now());
+        m_gateway.m_backends.recordLoad(currentAttempt().backend, *m_responseHead.load, now());
     // A stream can be resumed neither by an error response nor by other weights.
     const bool cannotContinue =
             m_streaming
@@ -95,8 +69,7 @@
     // An error may be sent before any work on the content of the request.
     if (m_bodyMode == BodyMode::Buffered && isSuccess(status))
         m_gateway.recordStart(m_content);
-    if (m_bodyMode == BodyMode::Events)
-        restartStallTimer();
+    restartSilenceTimer();
 }
 
 bool ForwardedRequest::isBodyTooLarge(std::size_t more) const
@@ -110,6 +83,7 @@
     if (m_bodyMode == BodyMode::Events) {
         onEvents(data);
     } else if (m_bodyMode == BodyMode::Buffered) {
+        restartSilenceTimer();
         if (isBodyTooLarge(data.size())) {
             fail(AttemptOutcome::Broken, "response body is too large");
             return;
@@ -132,8 +106,13 @@
         fail(AttemptOutcome::Broken, "event in the response stream is too large");
         return;
     }
-    if (events.empty())
-        return;
+    if (!events.empty())
+        passOn(std::move(events));
+}
+
+void ForwardedRequest::passOn(std::string events)
+{
+    dropStalledAttempt(AttemptOutcome::Silent);
     if (!m_streaming) {
         m_streaming = true;
         m_weightsVersion = m_responseHead.weightsVersion;
@@ -141,14 +120,16 @@
         m_reply->start(m_responseHead.status, m_responseHead.headers);
     }
     recordEventTiming();
-    restartStallTimer();
+    restartSilenceTimer();
     m_reply->write(std::move(events));
 }
 
 void ForwardedRequest::recordEventTiming()
 {
     const TimePoint arrived = now();
-    PastAttempt &attempt = m_attempts.back();
+    PastAttempt &attempt = currentAttempt();
+    if (std::exchange(attempt.isSilent, false))
+        m_gateway.m_backends.onSilenceEnded(attempt.backend, arrived);
     if (attempt.lastEventsAt)
         m_gateway.m_backends.recordEventGap(attempt.backend, arrived - *attempt.lastEventsAt,
                                             arrived);
@@ -201,7 +182,7 @@
     // A crash closes the connection before the response has begun.
     const bool mayBeCrash = !hasResponseStarted();
     if (mayBeCrash)
-        m_gateway.recordCrash(m_attempts.back().instance, m_content);
+        m_gateway.recordCrash(currentAttempt().instance, m_content);
     fail(AttemptOutcome::Broken, std::move(detail));
     if (mayBeCrash)
         m_gateway.cancelSuspended();
@@ -228,7 +209,7 @@
             failUnfinishedStream("response stream ended in the middle of an event");
             return;
         }
-        if (!m_attempts.back().firstEventsAt && (m_streaming || m_endsWithConnection)) {
+        if (!currentAttempt().firstEventsAt && (m_streaming || m_endsWithConnection)) {
             failUnfinishedStream("response stream ended without a new event");
             return;
         }
--- a/modules/gateway/src/gatewaymetrics.cpp
+++ b/modules/gateway/src/gatewaymetrics.cpp
@@ -10,6 +10,9 @@
         "complete", "failed", "rejected",  "other_process", "unreachable",
         "broken",   "silent", "abandoned", "withdrawn"};
 
+constexpr std::array<std::string_view, 3> SilenceActionNames{"retry", "wait_for_backend",
+                                                             "wait_for_budget"};
+
 } // namespace
 
 std::string_view toString(AttemptOutcome outcome)
@@ -63,6 +66,15 @@
             .add();
 }
 
+void GatewayMetrics::recordSilence(SilenceAction action)
+{
+    const std::string_view name = SilenceActionNames[static_cast<std::size_t>(action)];
+    m_registry
+            .counter("godwit_silences_total", "Silent backend servers by what followed.",
+                     {{"action", std::string(name)}})
+            .add();
+}
+
 void GatewayMetrics::recordRetry(std::string_view reason)
 {
     m_registry
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -328,8 +328,12 @@
             engine.data(i % 2 ? ":" : "x");
         }
         REQUIRE(it.backendCalls.size() == 2);
-        CHECK(engine.cancelled);
         CHECK(it.backendCalls[1]->call.headers.value("last") == "1");
+        CHECK(view->body == event(1));
+        it.backendCalls[1]->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "4"}});
+        it.backendCalls[1]->data(event(2));
+        CHECK(engine.cancelled);
+        CHECK(view->body == event(1) + event(2));
     }
     SECTION("nor do they before the first event")
     {
@@ -354,6 +358,210 @@
     }
 }
 
+// Guards against callers that lose the answer of a sound server: it fell silent for a second, and
+// the request was given up although nothing else could answer it.
+TEST_CASE("Gateway ends no attempt for silence before another server can take its place")
+{
+    Fixture it;
+    it.configure();
+    GatewayConfiguration patient = Fixture::configuration(2);
+    for (Route &route : patient.routes)
+        route.timeout = 20s;
+    it.gateway.setConfiguration(std::make_shared<const RouteTable>(std::move(patient)));
+    const HttpHeaders eventHead{{"seal", "s"}, {"events", "1"}, {"weights", "4"}};
+    const auto spendRetryBudget = [&it] {
+        while (it.gateway.retryBudget().tryAcquire("desk", it.scheduler.now())) {
+        }
+    };
+    const auto keepOneBackend = [&it](const std::string &kept) {
+        for (const char *id : {"b1", "b2", "b3"}) {
+            if (id != kept)
+                it.gateway.backends().remove(BackendId(id));
+        }
+    };
+
+    SECTION("a request that waits for its response")
+    {
+        const std::string target = GENERATE("/safe/x", "/stream/x");
+        const auto view = it.sendRequest(target, "k", 20s);
+        auto &engine = *it.backendCalls[0];
+        SECTION("waits on without a retry budget")
+        {
+            spendRetryBudget();
+        }
+        SECTION("waits on if no other server can accept it")
+        {
+            keepOneBackend(engine.backend());
+        }
+        CHECK(engine.call.idleTimeout >= 20s); // Otherwise the HTTP client ends the call.
+        it.scheduler.advance(1500ms);
+        CHECK(it.backendCalls.size() == 1);
+        CHECK_FALSE(engine.cancelled);
+        CHECK(view->status == 0);
+        if (target == "/safe/x") {
+            engine.respond(200, "late");
+            CHECK(view->body == "late");
+        } else {
+            engine.head(200, eventHead);
+            engine.data(event(1));
+            engine.complete();
+            CHECK(view->body == event(1));
+        }
+        CHECK(view->finished);
+        CHECK(it.gateway.inProgress() == 0);
+    }
+    SECTION("a request that waits is sent elsewhere as soon as another server can accept it")
+    {
+        const auto view = it.sendRequest("/safe/x", "k", 20s);
+        auto &engine = *it.backendCalls[0];
+        keepOneBackend(engine.backend());
+        it.scheduler.advance(1000ms);
+        REQUIRE(it.backendCalls.size() == 1);
+        it.gateway.backends().update({BackendId("b9"),
+                                      "desk",
+                                      {"10.0.0.9", 80},
+                                      ZoneId("z"),
+                                      6,
+                                      false,
+                                      1,
+                                      {},
+                                      std::nullopt},
+                                     it.scheduler.now());
+        it.scheduler.advance(500ms);
+        REQUIRE(it.backendCalls.size() == 2);
+        CHECK(engine.cancelled);
+        it.backendCalls[1]->respond(200, "other");
+        CHECK(view->body == "other");
+    }
+    SECTION("a stream that has begun")
+    {
+        const auto view = it.sendRequest("/stream/x", "k", 20s);
+        auto &engine = *it.backendCalls[0];
+        engine.head(200, eventHead);
+        engine.data(event(1) + "id: 2\nda");
+        SECTION("waits on without a retry budget")
+        {
+            spendRetryBudget();
+            it.scheduler.advance(1200ms);
+            CHECK(it.backendCalls.size() == 1);
+        }
+        SECTION("waits on if no other server can accept it")
+        {
+            keepOneBackend(engine.backend());
+            it.scheduler.advance(1200ms);
+            CHECK(it.backendCalls.size() == 1);
+        }
+        SECTION("goes on at its server if that one is the first to send an event")
+        {
+            it.scheduler.advance(1200ms);
+            REQUIRE(it.backendCalls.size() == 2);
+            engine.data("ta: a");
+            CHECK_FALSE(it.backendCalls[1]->cancelled);
+            engine.data("\n\n");
+            CHECK(it.backendCalls[1]->cancelled);
+            it.backendCalls[1]->fail(ResultCode::CallCancelled);
+            CHECK(view->body == event(1) + event(2));
+            engine.data(event(3));
+            engine.complete();
+            CHECK(view->body == event(1) + event(2) + event(3));
+            CHECK(view->finished);
+            CHECK(it.gateway.inProgress() == 0);
+            return;
+        }
+        SECTION("goes on at its server if the other one rejects it")
+        {
+            it.scheduler.advance(1200ms);
+            REQUIRE(it.backendCalls.size() == 2);
+            spendRetryBudget();
+            it.backendCalls[1]->reject(503);
+        }
+        SECTION("goes on at its server if the other one breaks off")
+        {
+            it.scheduler.advance(1200ms);
+            REQUIRE(it.backendCalls.size() == 2);
+            it.backendCalls[1]->head(200, eventHead);
+            it.backendCalls[1]->data("id: 2\nda");
+            it.backendCalls[1]->fail(ResultCode::PlatformReplyLost);
+        }
+        CHECK_FALSE(engine.cancelled);
+        CHECK_FALSE(view->aborted);
+        engine.data("ta: a\n\n");
+        engine.complete();
+        CHECK(view->body == event(1) + event(2));
+        CHECK(view->finished);
+        CHECK(it.gateway.inProgress() == 0);
+    }
+    SECTION("a stream with two attempts")
+    {
+        const auto view = it.sendRequest("/stream/x", "k", 20s);
+        auto &engine = *it.backendCalls[0];
+        engine.head(200, eventHead);
+        engine.data(event(1));
+        it.scheduler.advance(1200ms);
+        REQUIRE(it.backendCalls.size() == 2);
+        auto &second = *it.backendCalls[1];
+        SECTION("ends the first one when the second one sends an event")
+        {
+            second.head(200, eventHead);
+            CHECK_FALSE(engine.cancelled);
+            second.data(event(2));
+            CHECK(engine.cancelled);
+            engine.fail(ResultCode::CallCancelled);
+            second.complete();
+            CHECK(view->body == event(1) + event(2));
+            CHECK(view->finished);
+        }
+        SECTION("goes on at the second one if the first one breaks off")
+        {
+            engine.fail(ResultCode::PlatformReplyLost);
+            CHECK_FALSE(view->aborted);
+            CHECK_FALSE(second.cancelled);
+            second.head(200, eventHead);
+            second.data(event(2));
+            second.complete();
+            CHECK(view->body == event(1) + event(2));
+            CHECK(view->finished);
+        }
+        SECTION("is broken off if both end")
+        {
+            engine.fail(ResultCode::PlatformReplyLost);
+            second.fail(ResultCode::PlatformReplyLost);
+            CHECK(view->aborted);
+        }
+        SECTION("ends with the last event of the first one")
+        {
+            engine.data(event(2));
+            engine.complete();
+            CHECK(second.cancelled);
+            CHECK(view->body == event(1) + event(2));
+            CHECK(view->finished);
+        }
+        SECTION("ends with the close of the first one")
+        {
+            engine.complete();
+            CHECK(second.cancelled);
+            CHECK(view->body == event(1));
+            CHECK(view->finished);
+        }
+        SECTION("is cancelled at both servers when its client leaves")
+        {
+            view->closed();
+            CHECK(engine.cancelled);
+            CHECK(second.cancelled);
+        }
+        SECTION("is broken off at both servers at its deadline")
+        {
+            it.scheduler.advance(20s);
+            CHECK(engine.cancelled);
+            CHECK(second.cancelled);
+            CHECK(view->aborted);
+        }
+        CHECK(it.gateway.inProgress() == 0);
+        for (const char *id : {"b1", "b2", "b3"})
+            CHECK(it.gateway.backends().inProgress(BackendId(id)) == 0);
+    }
+}
+
 // A repeatable request that failed at the only backend server got 502 instead of its response.
 TEST_CASE("Gateway passes an error on if no other backend server can accept the request")
 {
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -250,6 +250,10 @@
     VersionFixture()
     {
         configure();
+        // The silence timeout, two objectives, is longer than the times in the tests.
+        GatewayConfiguration slow = configuration(2);
+        slow.routes.back().objective = 600ms;
+        gateway.setConfiguration(std::make_shared<const RouteTable>(std::move(slow)));
         gateway.backends().remove(BackendId("b2"));
         gateway.backends().remove(BackendId("b3"));
         serve(1, 1);
--- a/modules/ports/include/godwit/ports/callhandle.h
+++ b/modules/ports/include/godwit/ports/callhandle.h
@@ -21,6 +21,11 @@
     /// handle that does not know returns false.
     virtual bool cancelUnsent() { return false; }
 
+    /// The caller has had no answer for unusually long but goes on waiting. Idle connections to the
+    /// same server are closed if the call uses one that has been idle: a network device may have
+    /// dropped its state, and that of the others.
+    virtual void reportSilence() {}
+
     /// Stops the delivery of data until resume(). TCP flow control then stops the peer from
     /// sending. The idle timeout is suspended while the call is paused.
     virtual void pause() {}
--- a/modules/ports/src/clientconnection.cpp
+++ b/modules/ports/src/clientconnection.cpp
@@ -113,6 +113,12 @@
         call->fail(ResultCode::CallCancelled, "cancelled by the caller");
 }
 
+void ClientConnection::distrustIdleConnections()
+{
+    if (m_reused)
+        m_pool.closeIdle(m_endpoint);
+}
+
 void ClientConnection::resume()
 {
     if (!m_call || m_connecting || m_closed)
@@ -392,10 +398,7 @@
 
 void ClientConnection::onReceiveTimeout()
 {
-    // If a device on the network path has dropped its connection state, all idle connections to the
-    // peer are dead. Closes them, so that the next call opens a new connection.
-    if (m_reused)
-        m_pool.closeIdle(m_endpoint);
+    distrustIdleConnections();
     failCall(ResultCode::PlatformTimeout, "no data received within the idle or stall timeout");
 }
 
--- a/modules/ports/src/clientconnection.h
+++ b/modules/ports/src/clientconnection.h
@@ -107,6 +107,10 @@
     /// Ends the call with CallCancelled.
     void cancel();
 
+    /// Closes the idle connections to the same server if this one has been idle before: if a device
+    /// on the network path has dropped its connection state, all of them are dead.
+    void distrustIdleConnections();
+
     /// Continues a paused call.
     void resume();
 
--- a/modules/ports/src/httpclient.cpp
+++ b/modules/ports/src/httpclient.cpp
@@ -103,6 +103,16 @@
         return true;
     }
 
+    void reportSilence() override
+    {
+        asio::dispatch(m_io, [weak = m_call] {
+            const CallPointer call = weak.lock();
+            const auto connection = call ? call->connection.lock() : nullptr;
+            if (connection && !call->ended)
+                connection->distrustIdleConnections();
+        });
+    }
+
     void pause() override
     {
         asio::dispatch(m_io, [weak = m_call] {
