Answer all requests before an entry process stops

Callers of a process that was stopped as planned saw connections reset without an answer: a request that arrived up to 3.5 s after SIGTERM was forwarded with its full deadline, and what was not complete 0.7 s before the end of the grace period was dropped with the process, also requests that must not be repeated. Of a client with 6 s this concerns every request that came more than 1.3 s after the signal and took longer than the rest.

Cause: GracefulStop knew a deadline and the gateway did not. Ruled out: the flush of answers that are complete (the process waits for open connections) and the timeout of routes, which may be as long as those of clients.

From the signal on the deadline of every request, also of those in progress, is at most 0.3 s before the stop ends; the engine is told this deadline, the client gets 504 (or a broken stream) 0.12 s after it, and 0.18 s remain to write it. Requests that arrive 2.5 s after the signal or later, when the load balancer sends no more, and whose own deadline is later than the end are refused as not run (503, code 5180, Retry-After of 50 to 100 ms). Late requests that end in time by their own deadline are served, because a refusal costs their client a round trip and nothing can cut them. A stream that is not complete is broken off at the common deadline.

--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -98,11 +98,13 @@
     , m_crashReports(*m_crashStore, m_scheduler, newRandom(), m_settings.listen.callers.address,
                      {[this](const CrashReport &report) { mergeCrashReport(report); },
                       [this](const ContentKey &key) { m_gateway.recordHarmless(key); }})
-    , m_gracefulStop(m_scheduler, {[this] { m_clientServer->closeAfterReplies(); },
-                                   [this] { m_clientServer->stopAccepting(); },
-                                   [this] { return m_clientServer->openConnections(); },
-                                   [this] { return m_gateway.inProgress(); },
-                                   [this](std::size_t left) { onStopped(left); }})
+    , m_gracefulStop(m_scheduler,
+                     {[this](const ShutdownTimes &times) { m_gateway.beginShutdown(times); },
+                      [this] { m_clientServer->closeAfterReplies(); },
+                      [this] { m_clientServer->stopAccepting(); },
+                      [this] { return m_clientServer->openConnections(); },
+                      [this] { return m_gateway.inProgress(); },
+                      [this](std::size_t left) { onStopped(left); }})
 {}
 
 EntryProcess::~EntryProcess() = default;
--- a/modules/fleet/src/gracefulstop.cpp
+++ b/modules/fleet/src/gracefulstop.cpp
@@ -9,7 +9,9 @@
 
 void GracefulStop::start(Duration limit)
 {
-    m_deadline = m_scheduler.now() + limit;
+    const TimePoint now = m_scheduler.now();
+    m_deadline = now + limit;
+    m_handlers.limitRequests({now + LateDelay, m_deadline - AnswerMargin});
     m_handlers.closeAfterReplies();
     m_timer = m_scheduler.after(DeregistrationDelay, [this] {
         m_handlers.stopAccepting();
--- a/modules/fleet/tests/gracefulstoptest.cpp
+++ b/modules/fleet/tests/gracefulstoptest.cpp
@@ -18,9 +18,11 @@
     std::size_t requests = 0;
     bool isKeepingAlive = true;
     bool isAccepting = true;
+    std::optional<ShutdownTimes> times;
     std::optional<std::size_t> stoppedWith;
     GracefulStop stop{scheduler,
-                      {[this] { isKeepingAlive = false; }, [this] { isAccepting = false; },
+                      {[this](const ShutdownTimes &given) { times = given; },
+                       [this] { isKeepingAlive = false; }, [this] { isAccepting = false; },
                        [this] { return connections; }, [this] { return requests; },
                        [this](std::size_t left) { stoppedWith = left; }}};
 };
@@ -72,6 +74,15 @@
         it.scheduler.advance(GracefulStop::PollInterval);
         CHECK(it.stoppedWith == 0);
     }
+    // A request that was forwarded late was cut off without an answer at the end.
+    SECTION("answers are due before the end, with time to write them")
+    {
+        const TimePoint begin = it.scheduler.now();
+        it.stop.start(10s);
+        REQUIRE(it.times);
+        CHECK(it.times->answerBy == begin + 10s - GracefulStop::AnswerMargin);
+        CHECK(it.times->lateFrom < begin + GracefulStop::DeregistrationDelay);
+    }
     SECTION("the time limit ends it and the number of unanswered requests is reported")
     {
         it.requests = 3;
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include <godwit/gateway/gatewayoptions.h>
 #include <godwit/gateway/objectivetracker.h>
 #include <godwit/gateway/routetable.h>
+#include <godwit/gateway/shutdowntimes.h>
 #include <godwit/gateway/windowedretrybudget.h>
 #include <godwit/ports/callhandle.h>
 #include <godwit/ports/httpcall.h>
@@ -70,6 +71,11 @@
 
     void handle(HttpRequest request, std::shared_ptr<HttpReply> reply);
 
+    /// The process shuts down: limits the deadlines of the requests in progress and of later ones,
+    /// so that all are answered before it ends, and refuses late requests that may not be complete
+    /// by then.
+    void beginShutdown(const ShutdownTimes &times);
+
     /// Whether requests can be served: a configuration is known, and for each of its models an
     /// eligible backend server. Remains true once reached: a lack of backend servers is no reason
     /// to send clients to another entry process.
@@ -85,6 +91,10 @@
 
     /// Time since the configuration was last confirmed to be the newest.
     Duration configurationAge() const;
+    /// Time from the arrival of \a request to its deadline.
+    Duration timeout(const ClientRequest &request, const Route &route) const;
+    /// Whether \a request arrives late in the shutdown and may not be complete before its end.
+    bool isTooLate(const ClientRequest &request, const Route &route) const;
     std::optional<Error> checkAccess(const ClientRequest &request, const Route &route,
                                      CustomerId &customer,
                                      std::optional<std::uint32_t> &priority) const;
@@ -117,7 +127,8 @@
     std::map<std::string, ObjectiveTracker> m_objectiveTrackers; ///< By service.
     std::shared_ptr<const RouteTable> m_routeTable;
     std::optional<TimePoint> m_configurationConfirmedAt;
-    std::size_t m_bufferedBytes = 0; ///< Of response bodies that are not complete.
+    std::optional<ShutdownTimes> m_shutdown; ///< Set once the process shuts down.
+    std::size_t m_bufferedBytes = 0;         ///< Of response bodies that are not complete.
     bool m_wasReady = false;
     std::set<std::shared_ptr<ForwardedRequest>> m_requests;
 };
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -67,13 +67,13 @@
     , m_reply(std::move(reply))
     , m_arrivedAt(now())
 {
-    Duration clientTimeout =
+    const Duration clientTimeout =
             m_request.clientTimeout.value_or(m_gateway.m_options.defaultClientTimeout);
     m_earlierWait = m_gateway.estimateEarlierWait(m_admission.route->name, m_admission.customer,
                                                   clientTimeout);
-    if (m_admission.route->timeout > Duration::zero())
-        clientTimeout = std::min(clientTimeout, m_admission.route->timeout);
-    m_deadline = m_arrivedAt + clientTimeout;
+    m_deadline = m_arrivedAt + m_gateway.timeout(m_request, *m_admission.route);
+    if (m_gateway.m_shutdown)
+        m_deadline = std::min(m_deadline, m_gateway.m_shutdown->answerBy);
 }
 
 TimePoint ForwardedRequest::now() const
@@ -90,12 +90,26 @@
     });
     if (m_ended)
         return;
-    m_deadlineTimer = m_gateway.m_environment.scheduler.after(
-            m_deadline + DeadlineGrace - m_arrivedAt, [weak] {
+    startDeadlineTimer();
+    startAttempt();
+}
+
+void ForwardedRequest::startDeadlineTimer()
+{
+    const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+    m_deadlineTimer =
+            m_gateway.m_environment.scheduler.after(m_deadline + DeadlineGrace - now(), [weak] {
                 if (const auto self = weak.lock())
                     self->onDeadline();
             });
-    startAttempt();
+}
+
+void ForwardedRequest::limitDeadline(TimePoint limit)
+{
+    if (m_deadline <= limit)
+        return;
+    m_deadline = limit;
+    startDeadlineTimer();
 }
 
 Duration ForwardedRequest::serviceObjective() const
@@ -448,7 +462,10 @@
     if (m_call)
         m_call->cancel();
     endAttempt(m_streaming ? AttemptOutcome::Abandoned : AttemptOutcome::Silent);
-    const std::string detail = "no complete response before the deadline of the request";
+    const bool isShutdown = m_gateway.m_shutdown && m_deadline == m_gateway.m_shutdown->answerBy;
+    const std::string detail = isShutdown
+                                       ? "no complete response before the process stops"
+                                       : "no complete response before the deadline of the request";
     if (m_streaming)
         m_reply->abort();
     else
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -38,6 +38,9 @@
     /// byte of it has been sent.
     void moveIfUnsent(const BackendInstance &instance);
 
+    /// Moves the deadline to \a limit if it is later.
+    void limitDeadline(TimePoint limit);
+
     /// Cancels the current attempt soon after its weights become outdated if its response has not
     /// started by then. Called again when a newer version is announced.
     void limitStart();
@@ -118,6 +121,7 @@
     /// a retry if so.
     bool mayRetryAfterFailure();
     void onClientDisconnected();
+    void startDeadlineTimer();
     void onDeadline();
 
     /// Ends the current attempt.
@@ -144,7 +148,7 @@
     std::shared_ptr<HttpReply> m_reply;
     TimePoint m_arrivedAt;
     Duration m_earlierWait{0}; ///< Estimate of the time that the client spent on earlier attempts.
-    TimePoint m_deadline;      ///< The earlier of the deadlines of client and route.
+    TimePoint m_deadline;      ///< The earliest of those of client, route and shutdown.
     std::unique_ptr<Timer> m_deadlineTimer;
     std::unique_ptr<Timer> m_startTimer; ///< Of the current attempt.
     std::unique_ptr<Timer> m_stallTimer; ///< Of the current attempt.
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -14,6 +14,8 @@
 
 /// Retry-After while no configuration is known, or while it is too old to deny a request.
 constexpr Duration UnconfiguredRetryAfter = std::chrono::milliseconds(500);
+/// Retry-After in a process that shuts down; the others serve the request at once.
+constexpr Duration ShutdownRetryAfter = std::chrono::milliseconds(50);
 /// Number of requests after which the longest client timeout of a route has decayed to 37%. Without
 /// decay, clients that switch to a shorter timeout would be taken for clients that retry.
 constexpr int ClientTimeoutDecayRequests = 300;
@@ -66,6 +68,27 @@
         it->limitStart();
 }
 
+void Gateway::beginShutdown(const ShutdownTimes &times)
+{
+    m_shutdown = times;
+    for (const auto &it : m_requests)
+        it->limitDeadline(times.answerBy);
+}
+
+bool Gateway::isTooLate(const ClientRequest &request, const Route &route) const
+{
+    const TimePoint now = m_environment.scheduler.now();
+    return m_shutdown && now >= m_shutdown->lateFrom
+           && now + timeout(request, route) > m_shutdown->answerBy;
+}
+
+Duration Gateway::timeout(const ClientRequest &request, const Route &route) const
+{
+    const Duration clientTimeout = request.clientTimeout.value_or(m_options.defaultClientTimeout);
+    return route.timeout > Duration::zero() ? std::min(clientTimeout, route.timeout)
+                                            : clientTimeout;
+}
+
 bool Gateway::isReady()
 {
     if (!m_wasReady && m_routeTable && m_configurationConfirmedAt)
@@ -191,6 +214,12 @@
         refuse(*reply, request.id, denied ? 401 : 503, *error, withJitter(UnconfiguredRetryAfter));
         return;
     }
+    if (isTooLate(request, *route)) {
+        refuse(*reply, request.id, 503,
+               {ResultCode::ProcessLeaving, "the process may stop before the request is complete"},
+               withJitter(ShutdownRetryAfter));
+        return;
+    }
     m_retryBudget.recordRequest(admission.service, m_environment.scheduler.now());
     m_objectiveTrackers[admission.service].recordRequest(route->objective);
     const auto forwarded = std::make_shared<ForwardedRequest>(*this, std::move(admission),
