Answer the request that follows a reply which left the connection open

A client that reused its connection at once after a stream lost that request if the process had begun to close connections during the stream: the header of the stream had allowed another request, but the server ended its direction after the reply, read what arrived for up to a second and discarded it. The same after a reply whose header had left and whose body was still being written to a slow client.

Cause: closeAfterReply() and afterReply() decided by the state of the server alone, not by what the header had said. Ruled out: replies whose header is sent later say "Connection: close", and clients keep to it.

A reply now keeps what its header has said. If that allowed another request after the listening socket is closed, the connection stays open for 0.5 s, like one that has had no request yet, and the reply to that request closes it.

Seen to fail before, in "A server that stops answers the requests that have reached it": "response.ends_with("/a")" on a connection that had to stay open after a stream, and "responseTo(socket).ends_with("/a")" after a reply that was being written.

--- a/modules/ports/src/serverconnection.cpp
+++ b/modules/ports/src/serverconnection.cpp
@@ -28,8 +28,9 @@
 /// a socket with unread input resets the connection, and the caller could lose the reply.
 constexpr Duration LingerTimeout = std::chrono::seconds(1);
 
-/// Time for the first request of a connection that is open when the server stops.
-constexpr Duration FirstRequestTimeout = std::chrono::milliseconds(500);
+/// Time for the next request of a connection that is open when the server stops and on which a
+/// request may be in transit: the first one, or one after a reply that left the connection open.
+constexpr Duration LastRequestTimeout = std::chrono::milliseconds(500);
 
 std::string formatHeader(int status, const HttpHeaders &headers)
 {
@@ -228,14 +229,16 @@
 
 void ServerConnection::closeAfterReply()
 {
-    m_keepAlive = false;
+    // A reply of which the header has been sent leaves the connection open for one more request.
+    if (m_phase == Phase::Handling && !m_streaming)
+        m_keepAlive = false;
     if (m_phase != Phase::Idle)
         return;
     ErrorCode ec;
     if (m_socket.available(ec) > 0)
         return; // A request has arrived and is read next.
     if (m_serial == 0)
-        m_timer.set(FirstRequestTimeout); // The first request may be on its way.
+        m_timer.set(LastRequestTimeout); // The first request may be on its way.
     else
         close();
 }
@@ -279,7 +282,7 @@
     m_body.clear();
     m_parser->onBody = [this](std::string_view data) { m_body.append(data); };
     m_parser->onHeader = [this] { onHeader(); };
-    m_timer.set(m_shared->options.idleTimeout);
+    m_timer.set(m_shared->accepting ? m_shared->options.idleTimeout : LastRequestTimeout);
     if (m_buffer.size() > 0)
         parse();
     else
@@ -457,7 +460,7 @@
 
 void ServerConnection::afterReply()
 {
-    if (!m_keepAlive || !m_shared->accepting) {
+    if (!m_keepAlive) {
         ErrorCode ec;
         m_socket.shutdown(tcp::socket::shutdown_send, ec);
         m_phase = Phase::Lingering;
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <thread>
+
 using namespace godwit;
 using namespace std::chrono_literals;
 using tcp = boost::asio::ip::tcp;
@@ -248,29 +250,42 @@
 TEST_CASE("A server that stops answers the requests that have reached it")
 {
     boost::asio::io_context io;
+    constexpr std::size_t LargeBytes = 32UL * 1024 * 1024; // More than the socket buffers hold.
+    std::shared_ptr<HttpReply> stream;
+    bool isLargeSent = false;
+    HttpServerOptions options;
     auto outcome = capture([&] {
-        HttpServerOptions options;
-        return HttpServer::listen(io, options, [](const HttpRequest &request, const auto &reply) {
-            reply->send({200, {}, request.target});
+        return HttpServer::listen(io, options, [&](const HttpRequest &request, const auto &reply) {
+            if (request.target == "/stream") {
+                stream = reply;
+                reply->start(200, {});
+                reply->write("part");
+            } else if (request.target == "/large") {
+                isLargeSent = true;
+                reply->send({200, {}, std::string(LargeBytes, 'x') + "end"});
+            } else {
+                reply->send({200, {}, request.target});
+            }
         });
     });
     REQUIRE(succeeded(outcome));
     const auto server = std::move(std::get<0>(outcome));
     const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string streamRequest = "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n";
     std::vector<std::unique_ptr<tcp::socket>> sockets;
     const auto connect = [&]() -> tcp::socket & {
         sockets.push_back(std::make_unique<tcp::socket>(io));
         sockets.back()->connect({Loopback, server->boundPort()});
         return *sockets.back();
     };
-    const auto responseTo = [&](tcp::socket &socket) {
+    const auto responseTo = [&](tcp::socket &socket, const std::string &end = "/a") {
         std::string received;
         std::array<char, 4096> chunk{};
         bool isClosed = false;
         std::function<void()> read = [&] {
             socket.async_read_some(boost::asio::buffer(chunk), [&](auto ec, std::size_t n) {
                 received.append(chunk.data(), n);
-                isClosed = ec || received.ends_with("/a");
+                isClosed = ec || received.ends_with(end);
                 if (!isClosed)
                     read();
             });
@@ -306,6 +321,43 @@
         boost::asio::write(socket, boost::asio::buffer(request));
         CHECK(responseTo(socket).ends_with("/a"));
     }
+    // The reply to a stream promises at its start that the connection stays open. The next request
+    // was read and discarded.
+    SECTION("on a connection that had to stay open after a stream")
+    {
+        tcp::socket &socket = connect();
+        boost::asio::write(socket, boost::asio::buffer(streamRequest));
+        REQUIRE(responseTo(socket, "part\r\n").find("Connection: close") == std::string::npos);
+        server->stopAccepting();
+        stream->finish();
+        REQUIRE(responseTo(socket, "0\r\n\r\n").ends_with("0\r\n\r\n"));
+        boost::asio::write(socket, boost::asio::buffer(request));
+        const std::string response = responseTo(socket);
+        CHECK(response.ends_with("/a"));
+        CHECK(response.find("Connection: close") != std::string::npos);
+    }
+    SECTION("on a connection that had to stay open after a reply that was being written")
+    {
+        tcp::socket &socket = connect();
+        boost::asio::write(
+                socket, boost::asio::buffer(std::string("GET /large HTTP/1.1\r\nHost: h\r\n\r\n")));
+        runUntil(io, [&] { return isLargeSent; });
+        server->stopAccepting();
+        const std::string large = responseTo(socket, "end");
+        REQUIRE(large.size() > LargeBytes);
+        REQUIRE(large.find("Connection: close") == std::string::npos);
+        boost::asio::write(socket, boost::asio::buffer(request));
+        CHECK(responseTo(socket).ends_with("/a"));
+    }
+    SECTION("and closes such a connection if there is none")
+    {
+        tcp::socket &socket = connect();
+        boost::asio::write(socket, boost::asio::buffer(streamRequest));
+        REQUIRE(responseTo(socket, "part\r\n").ends_with("part\r\n"));
+        server->stopAccepting();
+        stream->finish();
+        runUntil(io, [&] { return server->openConnections() == 0; });
+    }
     SECTION("but closes idle connections")
     {
         tcp::socket &socket = connect();
