Read a request that arrives while its idle connection is closed

A client whose request reached the socket just before the server closed the connection as idle got a reset. At the end of the idle time the server did not look for unread bytes.

The close of an idle connection now leaves a request alone whose bytes are in the socket, and otherwise aborts the read instead of closing the socket: a read that has completed is delivered, only an aborted one closes the connection.

--- a/modules/ports/src/serverconnection.cpp
+++ b/modules/ports/src/serverconnection.cpp
@@ -234,13 +234,26 @@
         m_keepAlive = false;
     if (m_phase != Phase::Idle)
         return;
-    ErrorCode ec;
-    if (m_socket.available(ec) > 0)
-        return; // A request has arrived and is read next.
     if (m_serial == 0)
         m_timer.set(LastRequestTimeout); // The first request may be on its way.
     else
-        close();
+        closeIdle();
+}
+
+void ServerConnection::closeIdle()
+{
+    // A read that has received bytes passes them on after this. Only one that has not is aborted,
+    // which closes the connection.
+    if (hasUnreadBytes())
+        return;
+    ErrorCode ec;
+    m_socket.cancel(ec);
+}
+
+bool ServerConnection::hasUnreadBytes() const
+{
+    ErrorCode ec;
+    return m_socket.available(ec) > 0;
 }
 
 void ServerConnection::close()
@@ -310,6 +323,10 @@
     m_readPending = false;
     if (m_closed)
         return;
+    if (ec == asio::error::operation_aborted && m_phase == Phase::Idle && hasUnreadBytes()) {
+        read();
+        return;
+    }
     if (ec) {
         close();
         return;
@@ -483,6 +500,8 @@
 {
     if (m_phase == Phase::Receiving)
         rejectRequest(408);
+    else if (m_phase == Phase::Idle)
+        closeIdle();
     else
         close();
 }
--- a/modules/ports/src/serverconnection.h
+++ b/modules/ports/src/serverconnection.h
@@ -100,6 +100,9 @@
     void endReply();
     void afterReply();
     void linger();
+    /// Closes an idle connection unless a request has arrived.
+    void closeIdle();
+    bool hasUnreadBytes() const;
     void onDeadline();
 
     boost::asio::io_context &m_io;
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -367,3 +367,39 @@
         runUntil(io, [&] { return server->openConnections() == 0; });
     }
 }
+
+// Guards against a request that is lost because it arrives while the server closes its connection
+// as idle.
+TEST_CASE("A server answers a request that has arrived by the end of the idle time")
+{
+    boost::asio::io_context io;
+    HttpServerOptions options;
+    options.idleTimeout = 500ms;
+    auto outcome = capture([&] {
+        return HttpServer::listen(io, options, [](const HttpRequest &request, const auto &reply) {
+            reply->send({200, {}, request.target});
+        });
+    });
+    REQUIRE(succeeded(outcome));
+    const auto server = std::move(std::get<0>(outcome));
+    tcp::socket socket(io);
+    socket.connect({Loopback, server->boundPort()});
+    runUntil(io, [&] { return server->openConnections() == 1; });
+
+    // Both timers expire before the event loop goes on, and run in this order in one iteration.
+    boost::asio::steady_timer arrival(io, 1ms);
+    arrival.async_wait([&](auto) {
+        boost::asio::write(socket,
+                           boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
+    });
+    std::this_thread::sleep_for(options.idleTimeout + 100ms);
+    std::string received;
+    std::array<char, 4096> chunk{};
+    bool isDone = false;
+    socket.async_read_some(boost::asio::buffer(chunk), [&](auto, std::size_t n) {
+        received.assign(chunk.data(), n);
+        isDone = true;
+    });
+    runUntil(io, [&] { return isDone; });
+    CHECK(received.ends_with("/a"));
+}
