Keep a planned stop within a grace period of less than 3.7 s

With bounds.leave_s below 3.7 the stop accepted connections for 3 s and only then looked at its limit, so that the process was killed with its requests unanswered. The platform's 8 s are not concerned; the setting allows any value. The stop now stops accepting at its limit at the latest, and late requests are those from the common deadline of all requests on at the latest.

Seen to fail before, in GracefulStop, "also if it is shorter than the time until the load balancer sends nothing more": "CHECK_FALSE( it.isAccepting )" and "it.stoppedWith == 1".

--- a/modules/fleet/src/gracefulstop.cpp
+++ b/modules/fleet/src/gracefulstop.cpp
@@ -1,5 +1,7 @@
 #include "gracefulstop.h"
 
+#include <algorithm>
+
 namespace godwit {
 
 GracefulStop::GracefulStop(Scheduler &scheduler, GracefulStopHandlers handlers)
@@ -11,9 +13,10 @@
 {
     const TimePoint now = m_scheduler.now();
     m_deadline = now + limit;
-    m_handlers.limitRequests({now + LateDelay, m_deadline - AnswerMargin});
+    const TimePoint answerBy = m_deadline - AnswerMargin;
+    m_handlers.limitRequests({std::min(now + LateDelay, answerBy), answerBy});
     m_handlers.closeAfterReplies();
-    m_timer = m_scheduler.after(DeregistrationDelay, [this] {
+    m_timer = m_scheduler.after(std::min(DeregistrationDelay, limit), [this] {
         m_handlers.stopAccepting();
         poll();
     });
--- a/modules/fleet/tests/gracefulstoptest.cpp
+++ b/modules/fleet/tests/gracefulstoptest.cpp
@@ -83,6 +83,18 @@
         CHECK(it.times->answerBy == begin + 10s - GracefulStop::AnswerMargin);
         CHECK(it.times->lateFrom < begin + GracefulStop::DeregistrationDelay);
     }
+    // A process with a shorter grace period was killed with its requests unanswered.
+    SECTION("also if it is shorter than the time until the load balancer sends nothing more")
+    {
+        const TimePoint begin = it.scheduler.now();
+        it.requests = 1;
+        it.stop.start(2s);
+        CHECK(it.times->lateFrom <= it.times->answerBy);
+        CHECK(it.times->answerBy < begin + 2s);
+        it.scheduler.advance(2s);
+        CHECK_FALSE(it.isAccepting);
+        CHECK(it.stoppedWith == 1);
+    }
     SECTION("the time limit ends it and the number of unanswered requests is reported")
     {
         it.requests = 3;
