Reject requests that are still arriving when an entry process stops

A client whose body arrived slowly during a planned stop got a reset at its end and could not tell whether the request had run, which matters for one that must not be repeated.

Seen to fail before, with an empty HttpServer::rejectIncomplete() and without its timer: GracefulStop, "CHECK( it.isRejecting )"; "A server that stops answers the requests that have reached it", "also those that are still arriving shortly before it ends" (no event for 20 s).

--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -102,6 +102,7 @@
                      {[this](const ShutdownTimes &times) { m_gateway.beginShutdown(times); },
                       [this] { m_clientServer->closeAfterReplies(); },
                       [this] { m_clientServer->stopAccepting(); },
+                      [this] { m_clientServer->rejectIncomplete(); },
                       [this] { return m_clientServer->openConnections(); },
                       [this] { return m_gateway.inProgress(); },
                       [this](std::size_t left) { onStopped(left); }})
--- a/modules/fleet/src/gracefulstop.cpp
+++ b/modules/fleet/src/gracefulstop.cpp
@@ -16,6 +16,8 @@
     const TimePoint answerBy = m_deadline - AnswerMargin;
     m_handlers.limitRequests({std::min(now + LateDelay, answerBy), answerBy});
     m_handlers.closeAfterReplies();
+    m_rejectTimer = m_scheduler.after(std::max(Duration::zero(), answerBy - now),
+                                      [this] { m_handlers.rejectIncomplete(); });
     m_timer = m_scheduler.after(std::min(DeregistrationDelay, limit), [this] {
         m_handlers.stopAccepting();
         poll();
--- a/modules/fleet/src/gracefulstop.h
+++ b/modules/fleet/src/gracefulstop.h
@@ -15,6 +15,7 @@
     std::function<void(const ShutdownTimes &)> limitRequests; ///< Called when the stop begins.
     std::function<void()> closeAfterReplies;      ///< Closes each connection after its next reply.
     std::function<void()> stopAccepting;          ///< Refuses new connections.
+    std::function<void()> rejectIncomplete;       ///< Rejects requests that are still arriving.
     std::function<std::size_t()> openConnections; ///< Connections from clients.
     std::function<std::size_t()> requestsInProgress;
     std::function<void(std::size_t)> onStopped; ///< Receives the number of unanswered requests.
@@ -49,6 +50,7 @@
     GracefulStopHandlers m_handlers;
     TimePoint m_deadline;
     std::unique_ptr<Timer> m_timer;
+    std::unique_ptr<Timer> m_rejectTimer;
 };
 
 } // namespace godwit
--- a/modules/fleet/tests/gracefulstoptest.cpp
+++ b/modules/fleet/tests/gracefulstoptest.cpp
@@ -19,11 +19,13 @@
     bool isKeepingAlive = true;
     bool isAccepting = true;
     std::optional<ShutdownTimes> times;
+    bool isRejecting = false;
     std::optional<std::size_t> stoppedWith;
     GracefulStop stop{scheduler,
                       {[this](const ShutdownTimes &given) { times = given; },
                        [this] { isKeepingAlive = false; }, [this] { isAccepting = false; },
-                       [this] { return connections; }, [this] { return requests; },
+                       [this] { isRejecting = true; }, [this] { return connections; },
+                       [this] { return requests; },
                        [this](std::size_t left) { stoppedWith = left; }}};
 };
 
@@ -83,6 +85,17 @@
         CHECK(it.times->answerBy == begin + 10s - GracefulStop::AnswerMargin);
         CHECK(it.times->lateFrom < begin + GracefulStop::DeregistrationDelay);
     }
+    // A request whose body arrived slowly was cut off without an answer at the end.
+    SECTION("requests that are still arriving by then are rejected")
+    {
+        it.stop.start(10s);
+        it.connections = 1;
+        it.scheduler.advance(10s - GracefulStop::AnswerMargin - 1ms);
+        CHECK_FALSE(it.isRejecting);
+        it.scheduler.advance(1ms);
+        CHECK(it.isRejecting);
+        CHECK_FALSE(it.stoppedWith);
+    }
     // A process with a shorter grace period was killed with its requests unanswered.
     SECTION("also if it is shorter than the time until the load balancer sends nothing more")
     {
--- a/modules/ports/include/godwit/ports/httpserver.h
+++ b/modules/ports/include/godwit/ports/httpserver.h
@@ -52,6 +52,10 @@
     /// current reply.
     void stopAccepting();
 
+    /// Replies to requests of which a part has arrived with 408 and closes their connections. Used
+    /// shortly before the process ends.
+    void rejectIncomplete();
+
     /// Closes all connections immediately. The onClosed() callbacks of their replies run.
     void closeConnections();
 
--- a/modules/ports/src/httpserver.cpp
+++ b/modules/ports/src/httpserver.cpp
@@ -104,6 +104,14 @@
             connection->closeAfterReply();
     }
 
+    void rejectIncomplete()
+    {
+        // The end of a connection changes the set.
+        const auto connections = m_shared->connections;
+        for (const auto &connection : connections)
+            connection->rejectIncomplete();
+    }
+
     void closeAll(bool withCallbacks)
     {
         const auto connections = m_shared->connections;
@@ -204,6 +212,11 @@
     m_private->stop();
 }
 
+void HttpServer::rejectIncomplete()
+{
+    m_private->rejectIncomplete();
+}
+
 void HttpServer::closeConnections()
 {
     m_private->closeAll(true);
--- a/modules/ports/src/serverconnection.cpp
+++ b/modules/ports/src/serverconnection.cpp
@@ -240,6 +240,12 @@
         closeIdle();
 }
 
+void ServerConnection::rejectIncomplete()
+{
+    if (m_phase == Phase::Receiving && !m_closed)
+        rejectRequest(408);
+}
+
 void ServerConnection::closeIdle()
 {
     // A read that has received bytes passes them on after this. Only one that has not is aborted,
@@ -499,7 +505,7 @@
 void ServerConnection::onDeadline()
 {
     if (m_phase == Phase::Receiving)
-        rejectRequest(408);
+        rejectIncomplete();
     else if (m_phase == Phase::Idle)
         closeIdle();
     else
--- a/modules/ports/src/serverconnection.h
+++ b/modules/ports/src/serverconnection.h
@@ -61,6 +61,8 @@
     void setOnDrained(std::uint64_t serial, std::function<void()> callback);
     void setOnClosed(std::uint64_t serial, std::function<void()> callback);
     void closeAfterReply();
+    /// Rejects the current request if only a part of it has arrived.
+    void rejectIncomplete();
     void close();
 
     /// Closes without running callbacks.
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -254,6 +254,7 @@
     std::shared_ptr<HttpReply> stream;
     bool isLargeSent = false;
     HttpServerOptions options;
+    options.requestTimeout = 60s;
     auto outcome = capture([&] {
         return HttpServer::listen(io, options, [&](const HttpRequest &request, const auto &reply) {
             if (request.target == "/stream") {
@@ -358,6 +359,23 @@
         stream->finish();
         runUntil(io, [&] { return server->openConnections() == 0; });
     }
+    // A client whose body arrived slowly could not tell whether its request had run.
+    SECTION("also those that are still arriving shortly before it ends")
+    {
+        tcp::socket &socket = connect();
+        boost::asio::write(socket, boost::asio::buffer(std::string(
+                                           "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                                           "5\r\nExpect: 100-continue\r\n\r\n")));
+        REQUIRE(responseTo(socket, "\r\n\r\n").starts_with("HTTP/1.1 100 "));
+        boost::asio::write(socket, boost::asio::buffer(std::string("12")));
+        server->stopAccepting();
+        server->rejectIncomplete();
+        const std::string response = responseTo(socket, "\r\n\r\n");
+        CHECK(response.starts_with("HTTP/1.1 408 "));
+        CHECK(response.find("Connection: close") != std::string::npos);
+        boost::asio::write(socket, boost::asio::buffer(std::string("345")));
+        CHECK(responseTo(socket).empty());
+    }
     SECTION("but closes idle connections")
     {
         tcp::socket &socket = connect();
