--- a/modules/fleet/src/gracefulstop.cpp
+++ b/modules/fleet/src/gracefulstop.cpp
@@ -1,5 +1,7 @@
 #include "gracefulstop.h"
 
+#include <algorithm>
+
 namespace godwit {
 
 GracefulStop::GracefulStop(Scheduler &scheduler, GracefulStopHandlers handlers)
@@ -9,9 +11,14 @@
 
 void GracefulStop::start(Duration limit)
 {
-    m_deadline = m_scheduler.now() + limit;
+    const TimePoint now = m_scheduler.now();
+    m_deadline = now + limit;
+    const TimePoint answerBy = m_deadline - AnswerMargin;
+    m_handlers.limitRequests({std::min(now + LateDelay, answerBy), answerBy});
     m_handlers.closeAfterReplies();
-    m_timer = m_scheduler.after(DeregistrationDelay, [this] {
+    m_rejectTimer = m_scheduler.after(std::max(Duration::zero(), answerBy - now),
+                                      [this] { m_handlers.rejectIncomplete(); });
+    m_timer = m_scheduler.after(std::min(DeregistrationDelay, limit), [this] {
         m_handlers.stopAccepting();
         poll();
     });
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <thread>
+
 using namespace godwit;
 using namespace std::chrono_literals;
 using tcp = boost::asio::ip::tcp;
@@ -248,29 +250,43 @@
 TEST_CASE("A server that stops answers the requests that have reached it")
 {
     boost::asio::io_context io;
+    constexpr std::size_t LargeBytes = 32UL * 1024 * 1024; // More than the socket buffers hold.
+    std::shared_ptr<HttpReply> stream;
+    bool isLargeSent = false;
+    HttpServerOptions options;
+    options.requestTimeout = 60s;
     auto outcome = capture([&] {
-        HttpServerOptions options;
-        return HttpServer::listen(io, options, [](const HttpRequest &request, const auto &reply) {
-            reply->send({200, {}, request.target});
+        return HttpServer::listen(io, options, [&](const HttpRequest &request, const auto &reply) {
+            if (request.target == "/stream") {
+                stream = reply;
+                reply->start(200, {});
+                reply->write("part");
+            } else if (request.target == "/large") {
+                isLargeSent = true;
+                reply->send({200, {}, std::string(LargeBytes, 'x') + "end"});
+            } else {
+                reply->send({200, {}, request.target});
+            }
         });
     });
     REQUIRE(succeeded(outcome));
     const auto server = std::move(std::get<0>(outcome));
     const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string streamRequest = "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n";
     std::vector<std::unique_ptr<tcp::socket>> sockets;
     const auto connect = [&]() -> tcp::socket & {
         sockets.push_back(std::make_unique<tcp::socket>(io));
         sockets.back()->connect({Loopback, server->boundPort()});
         return *sockets.back();
     };
-    const auto responseTo = [&](tcp::socket &socket) {
+    const auto responseTo = [&](tcp::socket &socket, const std::string &end = "/a") {
         std::string received;
         std::array<char, 4096> chunk{};
         bool isClosed = false;
         std::function<void()> read = [&] {
             socket.async_read_some(boost::asio::buffer(chunk), [&](auto ec, std::size_t n) {
                 received.append(chunk.data(), n);
-                isClosed = ec || received.ends_with("/a");
+                isClosed = ec || received.ends_with(end);
                 if (!isClosed)
                     read();
             });
@@ -306,6 +322,60 @@
         boost::asio::write(socket, boost::asio::buffer(request));
         CHECK(responseTo(socket).ends_with("/a"));
     }
+    // The reply to a stream promises at its start that the connection stays open. The next request
+    // was read and discarded.
+    SECTION("on a connection that had to stay open after a stream")
+    {
+        tcp::socket &socket = connect();
+        boost::asio::write(socket, boost::asio::buffer(streamRequest));
+        REQUIRE(responseTo(socket, "part\r\n").find("Connection: close") == std::string::npos);
+        server->stopAccepting();
+        stream->finish();
+        REQUIRE(responseTo(socket, "0\r\n\r\n").ends_with("0\r\n\r\n"));
+        boost::asio::write(socket, boost::asio::buffer(request));
+        const std::string response = responseTo(socket);
+        CHECK(response.ends_with("/a"));
+        CHECK(response.find("Connection: close") != std::string::npos);
+    }
+    SECTION("on a connection that had to stay open after a reply that was being written")
+    {
+        tcp::socket &socket = connect();
+        boost::asio::write(
+                socket, boost::asio::buffer(std::string("GET /large HTTP/1.1\r\nHost: h\r\n\r\n")));
+        runUntil(io, [&] { return isLargeSent; });
+        server->stopAccepting();
+        const std::string large = responseTo(socket, "end");
+        REQUIRE(large.size() > LargeBytes);
+        REQUIRE(large.find("Connection: close") == std::string::npos);
+        boost::asio::write(socket, boost::asio::buffer(request));
+        CHECK(responseTo(socket).ends_with("/a"));
+    }
+    SECTION("and closes such a connection if there is none")
+    {
+        tcp::socket &socket = connect();
+        boost::asio::write(socket, boost::asio::buffer(streamRequest));
+        REQUIRE(responseTo(socket, "part\r\n").ends_with("part\r\n"));
+        server->stopAccepting();
+        stream->finish();
+        runUntil(io, [&] { return server->openConnections() == 0; });
+    }
+    // A client whose body arrived slowly could not tell whether its request had run.
+    SECTION("also those that are still arriving shortly before it ends")
+    {
+        tcp::socket &socket = connect();
+        boost::asio::write(socket, boost::asio::buffer(std::string(
+                                           "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                                           "5\r\nExpect: 100-continue\r\n\r\n")));
+        REQUIRE(responseTo(socket, "\r\n\r\n").starts_with("HTTP/1.1 100 "));
+        boost::asio::write(socket, boost::asio::buffer(std::string("12")));
+        server->stopAccepting();
+        server->rejectIncomplete();
+        const std::string response = responseTo(socket, "\r\n\r\n");
+        CHECK(response.starts_with("HTTP/1.1 408 "));
+        CHECK(response.find("Connection: close") != std::string::npos);
+        boost::asio::write(socket, boost::asio::buffer(std::string("345")));
+        CHECK(responseTo(socket).empty());
+    }
     SECTION("but closes idle connections")
     {
         tcp::socket &socket = connect();
@@ -315,3 +385,39 @@
         runUntil(io, [&] { return server->openConnections() == 0; });
     }
 }
+
+// Guards against a request that is lost because it arrives while the server closes its connection
+// as idle.
+TEST_CASE("A server answers a request that has arrived by the end of the idle time")
+{
+    boost::asio::io_context io;
+    HttpServerOptions options;
+    options.idleTimeout = 500ms;
+    auto outcome = capture([&] {
+        return HttpServer::listen(io, options, [](const HttpRequest &request, const auto &reply) {
+            reply->send({200, {}, request.target});
+        });
+    });
+    REQUIRE(succeeded(outcome));
+    const auto server = std::move(std::get<0>(outcome));
+    tcp::socket socket(io);
+    socket.connect({Loopback, server->boundPort()});
+    runUntil(io, [&] { return server->openConnections() == 1; });
+
+    // Both timers expire before the event loop goes on, and run in this order in one iteration.
+    boost::asio::steady_timer arrival(io, 1ms);
+    arrival.async_wait([&](auto) {
+        boost::asio::write(socket,
+                           boost::asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
+    });
+    std::this_thread::sleep_for(options.idleTimeout + 100ms);
+    std::string received;
+    std::array<char, 4096> chunk{};
+    bool isDone = false;
+    socket.async_read_some(boost::asio::buffer(chunk), [&](auto, std::size_t n) {
+        received.assign(chunk.data(), n);
+        isDone = true;
+    });
+    runUntil(io, [&] { return isDone; });
+    CHECK(received.ends_with("/a"));
+}
