--- a/modules/fleet/include/godwit/fleet/fleetplatform.h
+++ b/modules/fleet/include/godwit/fleet/fleetplatform.h
@@ -63,6 +63,7 @@
 
     /// Prefix of the keys under which backend servers register.
     virtual std::string_view backendPrefix() const = 0;
+    /// Returns an empty id if \a key does not begin with the prefix.
     virtual BackendId backendIdFromKey(std::string_view key) const = 0;
     virtual Result<BackendRecord> decodeBackend(const KeyValueEntry &entry) const = 0;
 
