Keep following the store after an exception in the handling of one change

What callers would see: an exception in the handling of one entry, in an entry or a host process, ends the list or the watch that reported it for good. The process keeps running and is ready, but follows no further changes of that prefix.

Cause: FleetProcessBase::run() catches exceptions, but the callback that threw is not continued. A mirror starts its watch after its list, and PlatformStore makes the next watch call after the handlers of the last one, so that an exception of a handler ends both loops. The rest of the entries of the same response is lost as well.

PrefixMirror now calls each handler for itself and logs an exception (callback_failed, with the key). One that is thrown for an entry ends the handling of that entry, and one thrown in a confirmation or a notice that the store is reachable ends that notice only.

By reading only, without a test: of the other loops, the poll of the engine sets its timer before the work; the maintenance of the host process sets it after the work, which was found to throw only for lack of memory, and is not changed here.

Before, prefixmirrortest failed with CHECK_NOTHROW( complete(...) ) due to unexpected exception "record too long" and with REQUIRE( store.watches.size() == 1 ), 0 == 1. Now it passes, with the rest of the tests of modules/mirror and modules/fleet.

--- a/modules/mirror/include/godwit/mirror/prefixmirror.h
+++ b/modules/mirror/include/godwit/mirror/prefixmirror.h
@@ -32,7 +32,8 @@
     friend bool operator==(const FailedCall &, const FailedCall &) = default;
 };
 
-/// Callbacks of a PrefixMirror, called on the thread of its KeyValuePort.
+/// Callbacks of a PrefixMirror, called on the thread of its KeyValuePort. An exception ends the
+/// callback that threw it, and is logged; the mirror goes on with the next one.
 struct MirrorHandlers
 {
     /// The key was written at \a time; empty if the key existed when the mirror started.
--- a/modules/mirror/src/prefixmirror.cpp
+++ b/modules/mirror/src/prefixmirror.cpp
@@ -1,11 +1,31 @@
 #include <godwit/mirror/prefixmirror.h>
 
+#include <godwit/observe/log.h>
+
 #include <algorithm>
+#include <exception>
 #include <set>
 #include <utility>
 
 namespace godwit {
 
+namespace {
+
+/// Calls \a handler for \a keys. An exception that left the mirror would end its list or watch for
+/// good, with all other keys.
+template <typename Handler, typename... Arguments>
+void callHandler(const std::string &keys, const Handler &handler, Arguments &&...arguments)
+{
+    try {
+        handler(std::forward<Arguments>(arguments)...);
+    } catch (const std::exception &error) {
+        logStateChange("callback_failed", {{"keys", keys}, {"problem", error.what()}},
+                       LogLevel::Error);
+    }
+}
+
+} // namespace
+
 PrefixMirror::PrefixMirror(KeyValuePort &store, Scheduler &scheduler, Random random,
                            std::string prefix, MirrorHandlers handlers)
     : m_store(store)
@@ -78,7 +98,7 @@
     }
     m_confirmedAt = std::max(m_confirmedAt.value_or(requestTime), requestTime);
     recordCompleteUntil(requestTime);
-    m_handlers.onConfirmed(*m_confirmedAt);
+    callHandler(m_prefix, m_handlers.onConfirmed, *m_confirmedAt);
 }
 
 void PrefixMirror::watch()
@@ -129,7 +149,7 @@
     m_revision = std::max(m_revision, current);
     m_confirmedAt = std::max(m_confirmedAt.value_or(requestTime), requestTime);
     recordCompleteUntil(requestTime);
-    m_handlers.onConfirmed(*m_confirmedAt);
+    callHandler(m_prefix, m_handlers.onConfirmed, *m_confirmedAt);
 }
 
 void PrefixMirror::onWatchEnd(const Outcome<Done> &outcome)
@@ -167,7 +187,7 @@
     if (entry.modified <= known)
         return;
     known = entry.modified;
-    m_handlers.onPut(entry, time);
+    callHandler(entry.key, m_handlers.onPut, entry, time);
 }
 
 void PrefixMirror::remove(const std::string &key, StoreRevision revision)
@@ -176,7 +196,7 @@
     if (it == m_keys.end() || it->second > revision)
         return;
     m_keys.erase(it);
-    m_handlers.onRemoved(key);
+    callHandler(key, m_handlers.onRemoved, key);
 }
 
 void PrefixMirror::onCallFailed(TimePoint startedAt, const Error &error,
@@ -184,7 +204,7 @@
 {
     m_lastFailedCall = FailedCall{startedAt, m_scheduler.now()};
     if (std::exchange(m_reachable, false))
-        m_handlers.onReachable(false, toString(error));
+        callHandler(m_prefix, m_handlers.onReachable, false, toString(error));
     // Jitter: processes that lost the service at the same time must not all retry at the same time.
     const auto delay = std::chrono::duration_cast<Duration>(m_backoff * (0.5 + m_random.uniform()));
     m_backoff = std::min(2 * m_backoff, MaxBackoff);
@@ -195,7 +215,7 @@
 {
     m_backoff = MinBackoff;
     if (!std::exchange(m_reachable, true))
-        m_handlers.onReachable(true, {});
+        callHandler(m_prefix, m_handlers.onReachable, true, std::string());
 }
 
 } // namespace godwit
--- a/modules/mirror/tests/prefixmirrortest.cpp
+++ b/modules/mirror/tests/prefixmirrortest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -227,3 +228,45 @@
         }
     }
 }
+
+// Guards against a process that stops following the keys because the handling of one entry throws:
+// an exception that leaves the callbacks of a watch ends it for good.
+TEST_CASE("PrefixMirror goes on after an exception of a handler")
+{
+    VirtualScheduler scheduler;
+    FakeStore store;
+    std::vector<std::string> log;
+    int confirmations = 0;
+    PrefixMirror mirror(store, scheduler, Random(1), "p/",
+                        {[&](const KeyValueEntry &it, const std::optional<WriteTime> &) {
+                             if (it.value == "throws")
+                                 throw std::length_error("record too long");
+                             log.push_back("put " + it.key);
+                         },
+                         [&](const std::string &key) {
+                             if (key == "p/a")
+                                 throw std::out_of_range("key");
+                             log.push_back("removed " + key);
+                         },
+                         [&](TimePoint) {
+                             ++confirmations;
+                             throw std::runtime_error("not now");
+                         },
+                         [](bool, const std::string &) {}});
+    mirror.start();
+
+    const auto complete = store.lists.back();
+    CHECK_NOTHROW(complete(
+            KeyValueList{StoreRevision{10}, {entry("p/a", "throws", 7), entry("p/b", "2", 9)}}));
+    CHECK(log == std::vector<std::string>{"put p/b"});
+    REQUIRE(store.watches.size() == 1);
+
+    const WatchHandlers watch = store.watches[0].second;
+    CHECK_NOTHROW(watch.onEvents({{entry("p/c", "throws", 11), false},
+                                  {entry("p/d", "1", 12), false},
+                                  {entry("p/a", "", 13), true},
+                                  {entry("p/d", "", 14), true}}));
+    CHECK_NOTHROW(watch.onConfirmed(StoreRevision{14}, scheduler.now()));
+    CHECK(log == std::vector<std::string>{"put p/b", "put p/d", "removed p/d"});
+    CHECK(confirmations == 2);
+}
