Remove a backend server at once when an odd record replaces its own

What callers would see: in the seconds after an outage of the store, a backend server whose record is overwritten with one that cannot be read gets requests for up to 2.5 s more, as if its record had expired.

Cause: BackendFeed handled such a record like a removed key, which has time to return after an outage. That time is for the records that expired in the outage; an odd one was written by someone, and names no backend server to use.

Before, backendfeedtest failed with CHECK( it.log == std::vector<std::string>{"removed a"} ), { } == { "removed a" }, in "a malformed record removes its backend server at once also after an outage" and in "a malformed record removes a backend server whose record had expired". Now it passes, with the rest of the tests of modules/fleet.

--- a/modules/fleet/include/godwit/fleet/backendfeed.h
+++ b/modules/fleet/include/godwit/fleet/backendfeed.h
@@ -19,7 +19,8 @@
 /// outage. It is removed earlier if it may be that of a server that leaves and must not be used any
 /// more: within the drain limit if it was removed after the feed had caught up, and within the
 /// reconnection period from the start of the last failed call. A single failed call does not count
-/// as an outage, for the same reason.
+/// as an outage, for the same reason. A record that is replaced by one that cannot be read is
+/// removed at once.
 class BackendFeed
 {
 public:
@@ -45,6 +46,7 @@
 private:
     void handlePut(const KeyValueEntry &entry);
     void handleRemoved(const std::string &key);
+    void removeNow(const BackendId &id);
     void handleReachability(bool isReachable, const std::string &problem);
     /// Time until a record that is missing now may be removed.
     Duration remainingGrace() const;
--- a/modules/fleet/src/backendfeed.cpp
+++ b/modules/fleet/src/backendfeed.cpp
@@ -40,7 +40,8 @@
     if (const auto *error = std::get_if<Error>(&decoded)) {
         logStateChange("backend_record_refused",
                        {{"key", entry.key}, {"problem", toString(*error)}}, LogLevel::Warning);
-        handleRemoved(entry.key);
+        // It is no record that expired, so that there is no grace period for its return.
+        removeNow(m_platform.backendIdFromKey(entry.key));
         return;
     }
     const BackendRecord &record = std::get<0>(decoded);
@@ -58,20 +59,24 @@
     const auto it = m_records.find(id);
     if (it == m_records.end())
         return;
-    const auto remove = [this, id] {
-        m_records.erase(id);
-        m_handlers.onRemoved(id);
-        // Last, because this may destroy the function itself.
-        m_pendingRemovals.erase(id);
-    };
     Duration remaining = remainingGrace();
     // A record that is removed while the watch is up to date may be that of a server that leaves.
     if (m_isUpToDate)
         remaining = std::min(remaining, m_maxRemovalDelay);
     if (!it->second.draining && remaining > Duration::zero())
-        m_pendingRemovals[id] = m_scheduler.after(remaining, remove);
+        // The removal destroys the function with its captures.
+        m_pendingRemovals[id] =
+                m_scheduler.after(remaining, [this, id] { removeNow(BackendId(id)); });
     else
-        remove();
+        removeNow(id);
+}
+
+void BackendFeed::removeNow(const BackendId &id)
+{
+    if (m_records.erase(id) == 0)
+        return;
+    m_handlers.onRemoved(id);
+    m_pendingRemovals.erase(id);
 }
 
 void BackendFeed::handleReachability(bool isReachable, const std::string &problem)
--- a/modules/fleet/tests/backendfeedtest.cpp
+++ b/modules/fleet/tests/backendfeedtest.cpp
@@ -149,6 +149,47 @@
                 {{{"servers/a", "garbage", StoreRevision{14}, LeaseId{}}, false}});
         CHECK(it.log == std::vector<std::string>{"removed a"});
     }
+    // Guards against a backend server being used by a record that is no longer there.
+    SECTION("a record of which the decoder throws removes its backend server and no other")
+    {
+        it.store.handlers.onEvents({{{"servers/a", "throws", StoreRevision{14}, LeaseId{}}, false},
+                                    {{"servers/c", "ready", StoreRevision{15}, LeaseId{}}, false}});
+        CHECK(it.log == std::vector<std::string>{"removed a", "record c"});
+    }
+    SECTION("a malformed record of an unknown backend server changes nothing")
+    {
+        it.store.handlers.onEvents({{{"servers/x", "garbage", StoreRevision{14}, LeaseId{}}, false},
+                                    {{"servers/", "garbage", StoreRevision{15}, LeaseId{}}, false},
+                                    {{"servers/c", "ready", StoreRevision{16}, LeaseId{}}, false}});
+        CHECK(it.log == std::vector<std::string>{"record c"});
+    }
+    // The grace period is for records that expired in the outage. Guards against requests to a
+    // backend server whose record has been overwritten meanwhile.
+    SECTION("a malformed record removes its backend server at once also after an outage")
+    {
+        it.outage(3s);
+        it.store.handlers.onEvents(
+                {{{"servers/a", "garbage", StoreRevision{14}, LeaseId{}}, false}});
+        CHECK(it.log == std::vector<std::string>{"removed a"});
+
+        SECTION("until it has a usable one again")
+        {
+            it.store.handlers.onEvents(
+                    {{{"servers/a", "ready", StoreRevision{15}, LeaseId{}}, false}});
+            it.scheduler.advance(10s);
+            CHECK(it.log == std::vector<std::string>{"removed a", "record a"});
+        }
+    }
+    SECTION("a malformed record removes a backend server whose record had expired")
+    {
+        it.outage(3s);
+        it.remove("servers/a", 12);
+        it.store.handlers.onEvents(
+                {{{"servers/a", "garbage", StoreRevision{14}, LeaseId{}}, false}});
+        CHECK(it.log == std::vector<std::string>{"removed a"});
+        it.scheduler.advance(10s);
+        CHECK(it.log.size() == 1);
+    }
 }
 
 // Guards against servers that need two seconds to register again being dropped although they may
--- a/modules/fleet/tests/fakeplatform.h
+++ b/modules/fleet/tests/fakeplatform.h
@@ -4,6 +4,8 @@
 
 #include <godwit/fleet/fleetplatform.h>
 
+#include <stdexcept>
+
 namespace godwit {
 
 /// Store with one watch. The test completes its calls.
@@ -47,7 +49,8 @@
 };
 
 /// Platform whose backend records consist of the word "ready" or "draining", and whose version
-/// records consist of the version number.
+/// records consist of the version number. The backend record "throws" makes the decoder throw, and
+/// so does a version record that is no number.
 class FakePlatform : public FleetPlatform
 {
 public:
@@ -77,6 +80,8 @@
     }
     Result<BackendRecord> decodeBackend(const KeyValueEntry &entry) const override
     {
+        if (entry.value == "throws")
+            throw std::length_error("record too long");
         if (entry.value != "ready" && entry.value != "draining")
             return fail(ResultCode::MessageMalformed, "unknown state");
         BackendRecord record;
