Test that odd crash reports are refused one by one

The test gave all malformed reports the same revision, so that the mirror passed on only the first of them, the empty one. Now each has a revision of its own, and there are further ones: null, fields of another type, numbers that are negative or too large, and deep nesting. It also checks that nothing of them is taken over. All are refused on the code as it is; no fault was found.

--- a/modules/fleet/tests/crashreportexchangetest.cpp
+++ b/modules/fleet/tests/crashreportexchangetest.cpp
@@ -259,11 +259,29 @@
     // One malformed message must not end the process or the watch.
     SECTION("a record that cannot be read is ignored")
     {
-        for (const std::string text : {"", "{", "[]", "{\"crashes\":3}", "\xff"}) {
+        const std::vector<std::string> texts{
+                "",
+                "{",
+                "[]",
+                "null",
+                "\xff",
+                R"({"crashes":3})",
+                R"({"crashes":[null]})",
+                R"({"harmless":[3]})",
+                R"({"crashes":[{"instance":3}]})",
+                R"({"crashes":[{"instance":{"backend":"b","born_ms":-1}}]})",
+                R"({"crashes":[{"instance":{"backend":"b","born_ms":1e400}}]})",
+                R"({"crashes":[{"instance":{"backend":"b","born_ms":99999999999999999999}}]})",
+                R"({"crashes":[{"instance":{"backend":"b"},"suspects":"k"}]})",
+                std::string(200'000, '[') + std::string(200'000, ']')};
+        std::uint64_t revision = 20;
+        for (const std::string &text : texts) {
             RecordingStore::Write malformed = write;
             malformed.value = text;
-            reader.receive(malformed, 20);
+            reader.receive(malformed, ++revision);
         }
+        CHECK(reader.crashes.empty());
+        CHECK(reader.harmless.empty());
         reader.receive(write, 40);
         CHECK(reader.crashes.size() == 2);
     }
