Test that OperatorFeed goes on after a record that cannot be read

A configuration or a wanted version for which the decoder fails or throws is refused, the one before it stays in force, and the watch goes on. capture() turns an exception of the decoder into an error, so that this held before; the test passes on the code as it is.

--- a/modules/fleet/tests/operatorfeedtest.cpp
+++ b/modules/fleet/tests/operatorfeedtest.cpp
@@ -110,3 +110,22 @@
         CHECK(it.versions.back().second->earliestEnd() == sent + it.bounds.reconnectionGracePeriod);
     }
 }
+
+// Guards against one record of the operator that cannot be read ending the watch, and with it all
+// later versions and configurations.
+TEST_CASE("OperatorFeed goes on after a record that cannot be read")
+{
+    Fixture it;
+    const auto odd = [](const std::string &key, const std::string &value, std::uint64_t revision) {
+        return WatchEvent{{key, value, StoreRevision{revision}, LeaseId{}}, false};
+    };
+    CHECK_NOTHROW(it.store.handlers.onEvents(
+            {odd("op/version/m", "no number", 11), odd("op/version/m", "", 12),
+             odd("op/version/m", std::string(400, '9'), 13), odd("op/config", "no number", 14),
+             odd("op/version/m", "5", 15)}));
+    CHECK(it.versions.back().first == 5);
+    CHECK_NOTHROW(it.store.handlers.onConfirmed(StoreRevision{15}, it.scheduler.now()));
+    it.setVersion(6, 16);
+    CHECK(it.versions.back().first == 6);
+    CHECK(it.versions.size() == 3);
+}
