End a watch of the store when the store has come back from a copy

The platform's store may come back from a copy that is some seconds old. What was written since is gone then, leases too, and revisions and lease ids are assigned again. Each response states an era, which rises by one each time.

Callers saw: a watch went on from a revision of the old era. If the restored store had as many writes since as the copy lacked, it answered 200 with events of the new era, which compare as older than what is known; otherwise it answered 410 for ever. A write under a lease of the old era could attach its key to the lease of another process.

Cause: no call told which history its revision or lease belongs to.

PlatformStore reads the era. A list states its position (era and revision), and a watch begins at one: it ends with the new code StoreRestored (2019) before it uses anything of a response of another era, whatever its status. Lists whose pages differ and responses of an earlier era than another client of the process has seen fail with the same code. So does a write that was sent in another era than the one that answered: its caller has to look again. Services that state no era have era 0, and nothing changes for them; a response without an era counts as one of the newest.

Ruled out: telling a restored store by its revisions alone. They may be lower than, equal to or higher than the remembered ones.

The stand-in of the store states eras and can be restored from a copy. It answers 410 to a watch beyond its head.

Seen to fail before (fleetstoretest): REQUIRE(watch.end) for a watch that was answered 200; "WatchCompacted == StoreRestored" and "PlatformRefused == StoreRestored" for 410 and 503; "Ok == StoreRestored" for a lease granted in the new era, "LeaseExpired == StoreRestored" for a write, "Ok == StoreRestored" for a late list, a late read, and a list of pages of two eras. The test of waiting watch calls now begins at the era of the stand-in.

--- a/modules/fleet/include/godwit/fleet/fleetplatform.h
+++ b/modules/fleet/include/godwit/fleet/fleetplatform.h
@@ -35,6 +35,8 @@
     std::function<Duration()> longPollTimeout;
     Duration longPollGrace{0}; ///< Added to it; the connection counts as silent afterwards.
     Duration batchDelay{0};    ///< Between a watch call with events and the next one.
+    /// The newest era that the service has stated, shared by all clients of one process.
+    SharedStoreEra newestEra = makeSharedStoreEra();
 };
 
 /// A record written by the operator; monostate stands for a key that is not used.
--- a/modules/fleet/src/fleetprocessbase.cpp
+++ b/modules/fleet/src/fleetprocessbase.cpp
@@ -54,7 +54,7 @@
 {
     return m_platform.createStore(m_storeClient, m_scheduler,
                                   {toHttpEndpoint(m_settings.store), std::move(longPollTimeout),
-                                   LongPollGrace, batchDelay});
+                                   LongPollGrace, batchDelay, m_storeEra});
 }
 
 Result<void> FleetProcessBase::open()
--- a/modules/fleet/src/fleetprocessbase.h
+++ b/modules/fleet/src/fleetprocessbase.h
@@ -76,6 +76,8 @@
     void reload();
 
     std::string m_settingsFile;
+    /// The newest era that the store has stated to any of its clients.
+    SharedStoreEra m_storeEra = makeSharedStoreEra();
     Random m_random;
     boost::asio::signal_set m_signals;
     std::unique_ptr<HttpServer> m_metricsServer;
--- a/modules/fleet/tests/fakeplatform.h
+++ b/modules/fleet/tests/fakeplatform.h
@@ -17,12 +17,24 @@
     Completion<std::optional<KeyValueEntry>> getDone;
     int getCalls = 0;
 
+    StoreEra currentEra;
+
     void completeList(std::uint64_t revision, std::vector<KeyValueEntry> entries)
     {
         const auto done = listDone;
-        done(KeyValueList{StoreRevision{revision}, std::move(entries)});
+        done(KeyValueList{{currentEra, StoreRevision{revision}}, std::move(entries)});
     }
 
+    /// The service comes back from a copy with \a entries.
+    void restore(std::uint64_t revision, std::vector<KeyValueEntry> entries)
+    {
+        ++currentEra.value;
+        handlers.onEnd(Error{ResultCode::StoreRestored, "another era"});
+        completeList(revision, std::move(entries));
+    }
+
+    StoreEra era() const override { return currentEra; }
+
     void get(std::string, Completion<std::optional<KeyValueEntry>> done) override
     {
         ++getCalls;
@@ -36,7 +48,7 @@
     void grantLease(Duration, Completion<LeaseId>) override {}
     void keepLeaseAlive(LeaseId, Completion<Duration>) override {}
     void revokeLease(LeaseId, Completion<Done>) override {}
-    std::shared_ptr<CallHandle> watch(std::string, StoreRevision, WatchHandlers given) override
+    std::shared_ptr<CallHandle> watch(std::string, StorePosition, WatchHandlers given) override
     {
         ++watchCalls;
         onWatch();
--- a/modules/mirror/src/prefixmirror.cpp
+++ b/modules/mirror/src/prefixmirror.cpp
@@ -58,7 +58,7 @@
     onCallSucceeded();
     const auto &found = std::get<0>(outcome);
     applyList(requestTime, found);
-    m_revision = std::max(m_revision, found.revision);
+    m_revision = std::max(m_revision, found.position.revision);
     watch();
 }
 
@@ -74,7 +74,7 @@
     }
     for (const auto &[key, revision] : std::map(m_keys)) {
         if (!present.contains(key))
-            remove(key, found.revision);
+            remove(key, found.position.revision);
     }
     m_confirmedAt = std::max(m_confirmedAt.value_or(requestTime), requestTime);
     recordCompleteUntil(requestTime);
@@ -107,7 +107,8 @@
             onWatchEnd(outcome);
     };
     m_watchCallStart = m_scheduler.now();
-    m_watch = m_store.watch(m_prefix, StoreRevision{m_revision.value + 1}, std::move(handlers));
+    m_watch = m_store.watch(m_prefix, {m_store.era(), StoreRevision{m_revision.value + 1}},
+                            std::move(handlers));
 }
 
 void PrefixMirror::onWatchEvents(const std::vector<WatchEvent> &events)
--- a/modules/mirror/tests/prefixmirrortest.cpp
+++ b/modules/mirror/tests/prefixmirrortest.cpp
@@ -23,7 +23,7 @@
 {
 public:
     std::vector<Completion<KeyValueList>> lists;
-    std::vector<std::pair<StoreRevision, WatchHandlers>> watches;
+    std::vector<std::pair<StorePosition, WatchHandlers>> watches;
 
     void get(std::string, Completion<std::optional<KeyValueEntry>>) override {}
     void list(std::string, Completion<KeyValueList> done) override { lists.push_back(done); }
@@ -34,7 +34,7 @@
     void grantLease(Duration, Completion<LeaseId>) override {}
     void keepLeaseAlive(LeaseId, Completion<Duration>) override {}
     void revokeLease(LeaseId, Completion<Done>) override {}
-    std::shared_ptr<CallHandle> watch(std::string, StoreRevision from,
+    std::shared_ptr<CallHandle> watch(std::string, StorePosition from,
                                       WatchHandlers handlers) override
     {
         watches.emplace_back(from, handlers);
@@ -69,10 +69,10 @@
                              log.push_back(reachable ? "reached" : "lost");
                          }}};
 
-    void listed(std::uint64_t revision, std::vector<KeyValueEntry> entries)
+    void listed(std::uint64_t revision, std::vector<KeyValueEntry> entries, StoreEra era = {})
     {
         const auto done = store.lists.back();
-        done(KeyValueList{StoreRevision{revision}, std::move(entries)});
+        done(KeyValueList{{era, StoreRevision{revision}}, std::move(entries)});
     }
 };
 
@@ -88,7 +88,7 @@
     SECTION("watches from the revision after the list, so that no write is missed")
     {
         REQUIRE(it.store.watches.size() == 1);
-        CHECK(it.store.watches[0].first == StoreRevision{11});
+        CHECK(it.store.watches[0].first == StorePosition{{}, {11}});
         CHECK(it.confirmedAt == it.scheduler.now());
         CHECK_FALSE(it.times[0]);
 
@@ -201,7 +201,7 @@
         CHECK(it.log == std::vector<std::string>{"put p/c=4", "lost"});
         it.scheduler.advance(100ms);
         REQUIRE(it.store.watches.size() == 2);
-        CHECK(it.store.watches[1].first == StoreRevision{16});
+        CHECK(it.store.watches[1].first == StorePosition{{}, {16}});
         it.store.watches[1].second.onEnd(Error{ResultCode::PlatformTimeout, "silent"});
         it.scheduler.advance(2s);
         REQUIRE(it.store.watches.size() == 3);
@@ -214,7 +214,7 @@
         it.store.watches[0].second.onEnd(Error{ResultCode::WatchCompacted, "410"});
         it.listed(30, {entry("p/b", "5", 28)});
         CHECK(it.log == std::vector<std::string>{"put p/b=5", "removed p/a"});
-        CHECK(it.store.watches.back().first == StoreRevision{31});
+        CHECK(it.store.watches.back().first == StorePosition{{}, {31}});
     }
     SECTION("calls to an unreachable store back off to at most 1.5 s")
     {
--- a/modules/ports/include/godwit/ports/etcdkeyvalue.h
+++ b/modules/ports/include/godwit/ports/etcdkeyvalue.h
@@ -6,7 +6,8 @@
 
 namespace godwit {
 
-/// Key-value service that speaks the JSON gateway protocol of the etcd v3 API. Thread-safe.
+/// Key-value service that speaks the JSON gateway protocol of the etcd v3 API, which states no era.
+/// Thread-safe.
 class EtcdKeyValue : public KeyValuePort
 {
 public:
@@ -23,7 +24,7 @@
     void grantLease(Duration span, Completion<LeaseId> done) override;
     void keepLeaseAlive(LeaseId lease, Completion<Duration> done) override;
     void revokeLease(LeaseId lease, Completion<Done> done) override;
-    std::shared_ptr<CallHandle> watch(std::string prefix, StoreRevision from,
+    std::shared_ptr<CallHandle> watch(std::string prefix, StorePosition from,
                                       WatchHandlers handlers) override;
 
 private:
--- a/modules/ports/include/godwit/ports/keyvaluelist.h
+++ b/modules/ports/include/godwit/ports/keyvaluelist.h
@@ -1,16 +1,17 @@
 #pragma once
 
 #include <godwit/ports/keyvalueentry.h>
+#include <godwit/ports/storeposition.h>
 
 #include <compare>
 #include <vector>
 
 namespace godwit {
 
-/// All keys with a common prefix at one store revision, in ascending order.
+/// All keys with a common prefix at one position of the store, in ascending order.
 struct KeyValueList
 {
-    StoreRevision revision; ///< A watch from the next revision on reports all later writes.
+    StorePosition position; ///< A watch from the next revision on reports all later writes.
     std::vector<KeyValueEntry> entries;
 
     friend auto operator<=>(const KeyValueList &, const KeyValueList &) = default;
--- a/modules/ports/include/godwit/ports/keyvalueport.h
+++ b/modules/ports/include/godwit/ports/keyvalueport.h
@@ -26,6 +26,9 @@
 /// | PlatformRejected | invalid, for example a value that is too large; no effect |
 /// | PlatformTimeout, PlatformReplyLost, PlatformFailed, PlatformBadReply | a write may have taken
 ///   effect or may still do so until the service has dropped the call; read the key to find out |
+/// | StoreRestored | the response belongs to another era than the call: a write may have taken
+///   effect before or after the service came back from a copy, or may be lost with the time that
+///   the copy lacks; read the key to find out |
 ///
 /// A timeout says nothing about the state of the service. A write that timed out can still take
 /// effect after a later read; only a write whose comparison would now fail certainly cannot.
@@ -66,12 +69,18 @@
     /// Ends the lease and deletes its keys. Fails with LeaseExpired if it has already ended.
     virtual void revokeLease(LeaseId lease, Completion<Done> done) = 0;
 
-    /// Reports the writes to keys that start with \a prefix, from revision \a from on (0: from
-    /// now). Ends with WatchCompacted if \a from has been compacted; the caller must then read the
-    /// keys and watch from their revision. After any other end, later events may be missing; the
-    /// caller must watch again from the revision after the last event.
-    virtual std::shared_ptr<CallHandle> watch(std::string prefix, StoreRevision from,
+    /// Reports the writes to keys that start with \a prefix, from position \a from on (revision 0:
+    /// from now). Ends with WatchCompacted if the revision has been compacted, and with
+    /// StoreRestored, before it reports anything of another era, if the service is in another era
+    /// than \a from; the caller must then read the keys and watch from their position. After any
+    /// other end, later events may be missing; the caller must watch again from the revision after
+    /// the last event.
+    virtual std::shared_ptr<CallHandle> watch(std::string prefix, StorePosition from,
                                               WatchHandlers handlers) = 0;
+
+    /// The newest era that a response to this process has stated. Leases and revisions that were
+    /// obtained in an earlier one are void and must not be used in a write.
+    virtual StoreEra era() const { return {}; }
 };
 
 } // namespace godwit
--- a/modules/ports/src/etcdkeyvalue.cpp
+++ b/modules/ports/src/etcdkeyvalue.cpp
@@ -92,7 +92,7 @@
 Result<KeyValueList> parseList(const json::object &reply)
 {
     KeyValueList list;
-    list.revision = headerRevision(reply);
+    list.position.revision = headerRevision(reply);
     const auto *kvs = arrayMember(reply, "kvs");
     if (!kvs)
         return list;
@@ -377,12 +377,12 @@
                       [](const json::object &) -> Result<Done> { return Done(); });
 }
 
-std::shared_ptr<CallHandle> EtcdKeyValue::watch(std::string prefix, StoreRevision from,
+std::shared_ptr<CallHandle> EtcdKeyValue::watch(std::string prefix, StorePosition from,
                                                 WatchHandlers watchHandlers)
 {
     json::object create = prefixRange(prefix);
-    if (from.value != 0)
-        create["start_revision"] = toDecimal(from.value);
+    if (from.revision.value != 0)
+        create["start_revision"] = toDecimal(from.revision.value);
     create["progress_notify"] = true;
     HttpCall call = makeServiceCall(m_options, "POST", "/v3/watch");
     call.headers.add("Content-Type", "application/json");
--- a/standins/include/godwit/standin/fleetstorestandin.h
+++ b/standins/include/godwit/standin/fleetstorestandin.h
@@ -33,11 +33,22 @@
     /// an earlier revision are answered with status 410.
     void compact();
 
-    std::uint64_t revision() const { return m_revision; }
+    /// Takes the copy to which restore() returns.
+    void copy();
+
+    /// Returns to the state at the last copy() and begins a new era, as a store that comes back
+    /// from a copy: writes, revisions and leases since then are gone, and revisions and lease ids
+    /// are assigned again. Pending watches are closed.
+    void restore();
+
+    std::uint64_t revision() const { return m_state.revision; }
+    std::uint64_t era() const { return m_era; }
+    bool contains(const std::string &key) const { return m_state.items.contains(key); }
 
     std::size_t pageSize = 500; ///< Maximum number of items per page.
     int rejectNextCalls = 0;    ///< Number of following calls to answer with status 503.
     int dropNextReplies = 0;    ///< Number of following transactions to apply without a reply.
+    bool statesEra = true;      ///< Responses state the era.
     int callCount = 0;          ///< Calls received so far.
 
 private:
@@ -53,6 +64,16 @@
         std::uint64_t revision = 0;
         bool removed = false;
     };
+    struct State
+    {
+        std::map<std::string, Item> items;
+        std::vector<Event> history;
+        /// Lease id to time to live in milliseconds.
+        std::map<std::uint64_t, std::uint64_t> leases;
+        std::uint64_t revision = 1;
+        std::uint64_t compactedRevision = 0; ///< The history up to this revision has been dropped.
+        std::uint64_t lastLease = 0;
+    };
     struct Watch
     {
         std::string prefix;
@@ -62,6 +83,8 @@
     };
 
     void handle(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
+    /// Sends \a response with the era.
+    void send(HttpReply &reply, HttpResponse response) const;
     void handleKey(const HttpRequest &request, HttpReply &reply);
     void handleRange(const HttpRequest &request, HttpReply &reply);
     void handleWatch(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
@@ -70,16 +93,14 @@
     std::string eventsJson(const std::string &prefix, std::uint64_t after, bool &any) const;
     std::string itemJson(const std::string &key, const Item &item) const;
     void notifyWatches();
+    void closeWatches();
 
     boost::asio::io_context &m_io;
     std::unique_ptr<HttpServer> m_server;
-    std::map<std::string, Item> m_items;
-    std::vector<Event> m_history;
+    State m_state;
+    State m_copy;
+    std::uint64_t m_era = 1;
     std::list<Watch> m_watches;
-    std::map<std::uint64_t, std::uint64_t> m_leases; ///< Lease id to time to live in milliseconds.
-    std::uint64_t m_revision = 1;
-    std::uint64_t m_compactedRevision = 0; ///< The history up to this revision has been dropped.
-    std::uint64_t m_lastLease = 0;
 };
 
 } // namespace godwit
--- a/standins/src/fleetstorestandin.cpp
+++ b/standins/src/fleetstorestandin.cpp
@@ -49,34 +49,58 @@
 
 void FleetStoreStandin::put(const std::string &key, const std::string &value)
 {
-    m_items[key] = {value, ++m_revision, 0};
-    m_history.push_back({key, m_revision, false});
+    m_state.items[key] = {value, ++m_state.revision, 0};
+    m_state.history.push_back({key, m_state.revision, false});
     notifyWatches();
 }
 
 void FleetStoreStandin::remove(const std::string &key)
 {
-    if (m_items.erase(key) == 0)
+    if (m_state.items.erase(key) == 0)
         return;
-    m_history.push_back({key, ++m_revision, true});
+    m_state.history.push_back({key, ++m_state.revision, true});
     notifyWatches();
 }
 
 void FleetStoreStandin::compact()
 {
-    m_compactedRevision = m_revision;
-    m_history.clear();
+    m_state.compactedRevision = m_state.revision;
+    m_state.history.clear();
+    closeWatches();
+}
+
+void FleetStoreStandin::copy()
+{
+    m_copy = m_state;
+}
+
+void FleetStoreStandin::restore()
+{
+    m_state = m_copy;
+    ++m_era;
+    closeWatches();
+}
+
+void FleetStoreStandin::closeWatches()
+{
     for (const Watch &it : m_watches)
         it.reply->abort();
     m_watches.clear();
 }
 
+void FleetStoreStandin::send(HttpReply &reply, HttpResponse response) const
+{
+    if (statesEra)
+        response.headers.add("Store-Era", std::to_string(m_era));
+    reply.send(std::move(response));
+}
+
 void FleetStoreStandin::handle(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply)
 {
     ++callCount;
     if (rejectNextCalls > 0) {
         --rejectNextCalls;
-        reply->send({503, {}, {}});
+        send(*reply, {503, {}, {}});
         return;
     }
     const std::string_view path = request.path();
@@ -103,11 +127,11 @@
 
 void FleetStoreStandin::handleKey(const HttpRequest &request, HttpReply &reply)
 {
-    const auto it = m_items.find(request.query("key").value_or(""));
-    if (it == m_items.end())
-        reply.send({404, {}, {}});
+    const auto it = m_state.items.find(request.query("key").value_or(""));
+    if (it == m_state.items.end())
+        send(reply, {404, {}, {}});
     else
-        reply.send(HttpResponse::json(200, itemJson(it->first, it->second)));
+        send(reply, HttpResponse::json(200, itemJson(it->first, it->second)));
 }
 
 void FleetStoreStandin::handleRange(const HttpRequest &request, HttpReply &reply)
@@ -117,7 +141,7 @@
     std::string items;
     std::size_t n = 0;
     bool more = false;
-    for (const auto &[key, item] : m_items) {
+    for (const auto &[key, item] : m_state.items) {
         if (!key.starts_with(prefix) || key <= after)
             continue;
         if (n == pageSize) {
@@ -126,20 +150,21 @@
         }
         items += (n++ > 0 ? "," : "") + itemJson(key, item);
     }
-    reply.send(HttpResponse::json(200, R"({"items":[)" + items + R"(],"has_more":)"
-                                               + (more ? "true" : "false") + R"(,"store_revision":)"
-                                               + std::to_string(m_revision) + '}'));
+    send(reply,
+         HttpResponse::json(200, R"({"items":[)" + items + R"(],"has_more":)"
+                                         + (more ? "true" : "false") + R"(,"store_revision":)"
+                                         + std::to_string(m_state.revision) + '}'));
 }
 
 std::string FleetStoreStandin::eventsJson(const std::string &prefix, std::uint64_t after,
                                           bool &any) const
 {
     std::string events;
-    for (const Event &it : m_history) {
+    for (const Event &it : m_state.history) {
         if (it.revision <= after || !it.key.starts_with(prefix))
             continue;
-        const auto item = m_items.find(it.key);
-        if (!it.removed && (item == m_items.end() || item->second.revision != it.revision))
+        const auto item = m_state.items.find(it.key);
+        if (!it.removed && (item == m_state.items.end() || item->second.revision != it.revision))
             continue; // Superseded by a later event in the history.
         if (!events.empty())
             events += ',';
@@ -148,7 +173,8 @@
                              : itemJson(it.key, item->second);
     }
     any = !events.empty();
-    return R"({"events":[)" + events + R"(],"store_revision":)" + std::to_string(m_revision) + '}';
+    return R"({"events":[)" + events + R"(],"store_revision":)" + std::to_string(m_state.revision)
+           + '}';
 }
 
 void FleetStoreStandin::handleWatch(const HttpRequest &request,
@@ -156,14 +182,14 @@
 {
     const std::string prefix = request.query("prefix").value_or("");
     const std::uint64_t after = queryNumber(request, "after");
-    if (after < m_compactedRevision) {
-        reply->send({410, {}, {}});
+    if (after < m_state.compactedRevision || after > m_state.revision) {
+        send(*reply, {410, {}, {}});
         return;
     }
     bool any = false;
     const std::string text = eventsJson(prefix, after, any);
     if (any) {
-        reply->send(HttpResponse::json(200, text));
+        send(*reply, HttpResponse::json(200, text));
         return;
     }
     const auto it = m_watches.insert(m_watches.end(), Watch{prefix, after, reply, nullptr});
@@ -173,7 +199,7 @@
         if (ec)
             return;
         bool unused = false;
-        it->reply->send(HttpResponse::json(200, eventsJson(it->prefix, it->after, unused)));
+        send(*it->reply, HttpResponse::json(200, eventsJson(it->prefix, it->after, unused)));
         m_watches.erase(it);
     });
 }
@@ -187,7 +213,7 @@
             ++it;
             continue;
         }
-        it->reply->send(HttpResponse::json(200, text));
+        send(*it->reply, HttpResponse::json(200, text));
         it = m_watches.erase(it);
     }
 }
@@ -197,22 +223,22 @@
 {
     const json::value body = json::parse(request.body);
     for (const json::value &row : body.at("expected").as_array()) {
-        const auto it = m_items.find(std::string(row.at("key").as_string()));
-        const std::uint64_t currentRevision = it == m_items.end() ? 0 : it->second.revision;
+        const auto it = m_state.items.find(std::string(row.at("key").as_string()));
+        const std::uint64_t currentRevision = it == m_state.items.end() ? 0 : it->second.revision;
         if (currentRevision != row.at("rev").to_number<std::uint64_t>()) {
-            reply->send(HttpResponse::json(412, R"({"items":[]})"));
+            send(*reply, HttpResponse::json(412, R"({"items":[]})"));
             return;
         }
     }
     for (const json::value &row : body.at("puts").as_array()) {
         const auto lease = row.at("lease").to_number<std::uint64_t>();
-        if (lease != 0 && !m_leases.contains(lease)) {
-            reply->send({404, {}, {}});
+        if (lease != 0 && !m_state.leases.contains(lease)) {
+            send(*reply, {404, {}, {}});
             return;
         }
         const std::string key(row.at("key").as_string());
         put(key, base64Decode(std::string(row.at("value").as_string())).value_or(""));
-        m_items[key].lease = lease;
+        m_state.items[key].lease = lease;
     }
     for (const json::value &row : body.at("remove").as_array())
         remove(std::string(row.as_string()));
@@ -221,7 +247,7 @@
         reply->abort();
         return;
     }
-    reply->send(HttpResponse::json(200, R"({"rev":)" + std::to_string(m_revision) + '}'));
+    send(*reply, HttpResponse::json(200, R"({"rev":)" + std::to_string(m_state.revision) + '}'));
 }
 
 void FleetStoreStandin::handleLease(const HttpRequest &request, HttpReply &reply)
@@ -229,29 +255,29 @@
     const std::string_view path = request.path();
     if (path == "/godwitrun/kv-lease") {
         const auto ttl = json::parse(request.body).at("ttl_ms").to_number<std::uint64_t>();
-        m_leases[++m_lastLease] = ttl;
-        reply.send(HttpResponse::json(200, R"({"lease":)" + std::to_string(m_lastLease)
-                                                   + R"(,"ttl_ms":)" + std::to_string(ttl) + '}'));
+        m_state.leases[++m_state.lastLease] = ttl;
+        send(reply, HttpResponse::json(200, R"({"lease":)" + std::to_string(m_state.lastLease)
+                                                    + R"(,"ttl_ms":)" + std::to_string(ttl) + '}'));
         return;
     }
     const std::uint64_t lease = number(std::string(lastPathSegment(path)));
-    const auto found = m_leases.find(lease);
-    if (found == m_leases.end()) {
-        reply.send({404, {}, {}});
+    const auto found = m_state.leases.find(lease);
+    if (found == m_state.leases.end()) {
+        send(reply, {404, {}, {}});
         return;
     }
     const std::uint64_t ttl = found->second;
     if (path.starts_with("/godwitrun/kv-lease-end/")) {
-        m_leases.erase(found);
+        m_state.leases.erase(found);
         std::vector<std::string> leasedKeys;
-        for (const auto &[key, item] : m_items) {
+        for (const auto &[key, item] : m_state.items) {
             if (item.lease == lease)
                 leasedKeys.push_back(key);
         }
         for (const std::string &key : leasedKeys)
             remove(key);
     }
-    reply.send(HttpResponse::json(200, R"({"ttl_ms":)" + std::to_string(ttl) + '}'));
+    send(reply, HttpResponse::json(200, R"({"ttl_ms":)" + std::to_string(ttl) + '}'));
 }
 
 } // namespace godwit
--- a/standins/tests/fleetstoretest.cpp
+++ b/standins/tests/fleetstoretest.cpp
@@ -134,7 +134,8 @@
         CHECK(requestTime >= pollStart);
     };
     handlers.onEnd = [](const Outcome<Done> &) {};
-    const auto watch = it.store.watch("p/", StoreRevision{1}, handlers);
+    const auto watch =
+            it.store.watch("p/", {StoreEra{it.standin.era()}, StoreRevision{1}}, handlers);
     runUntil(it.io, [&] { return log.size() == 2; });
     CHECK(log == std::vector<std::string>{"quiet", "confirmed"});
     it.standin.put("p/a", "1");
@@ -175,3 +176,167 @@
         return seen == std::map<std::string, std::string>{{"p/c", "3"}, {"p/d", "4"}};
     });
 }
+
+namespace {
+
+/// Watches the prefix "p/" from the position of its list, and records what is reported.
+struct RecordedWatch
+{
+    Fixture &it;
+    std::vector<std::string> reported;
+    std::optional<Outcome<Done>> end;
+    StorePosition from;
+    std::shared_ptr<CallHandle> handle;
+
+    explicit RecordedWatch(Fixture &fixture)
+        : it(fixture)
+    {
+        const auto list = it.wait<KeyValueList>([&](auto done) { it.store.list("p/", done); });
+        from = std::get<0>(list).position;
+    }
+
+    void start()
+    {
+        WatchHandlers handlers;
+        handlers.onEvents = [this](const std::vector<WatchEvent> &events) {
+            for (const WatchEvent &event : events)
+                reported.push_back(event.entry.value);
+        };
+        handlers.onConfirmed = [this](StoreRevision, TimePoint) {
+            reported.emplace_back("confirmed");
+        };
+        handlers.onEnd = [this](Outcome<Done> outcome) { end = std::move(outcome); };
+        handle = it.store.watch("p/", {from.era, {from.revision.value + 1}}, handlers);
+    }
+    void finish()
+    {
+        runUntil(it.io, [&] { return end || !reported.empty(); });
+        handle->cancel();
+    }
+};
+
+} // namespace
+
+// Revisions are assigned again after the store has come back from a copy. Guards against a watch
+// that takes those of the new era for later ones of the old era: what was written again with a
+// lower revision would never be reported.
+TEST_CASE("PlatformStore ends a watch when the store has come back from a copy")
+{
+    Fixture it;
+    it.standin.put("p/a", "1");
+    it.standin.copy();
+    it.standin.put("p/a", "2");
+    RecordedWatch watch(it);
+
+    SECTION("and has had as many writes since as the copy lacks")
+    {
+        it.standin.restore();
+        it.standin.put("p/b", "3");
+        it.standin.put("p/c", "4");
+        REQUIRE(it.standin.revision() > watch.from.revision.value);
+        watch.start();
+        watch.finish();
+    }
+    SECTION("and has fewer revisions")
+    {
+        it.standin.restore();
+        watch.start();
+        watch.finish();
+    }
+    SECTION("and refuses the call")
+    {
+        it.standin.restore();
+        it.standin.rejectNextCalls = 1;
+        watch.start();
+        watch.finish();
+    }
+    REQUIRE(watch.end);
+    CHECK(watch.reported.empty());
+    CHECK(codeOf(*watch.end) == ResultCode::StoreRestored);
+}
+
+// Guards against a store without eras, whose watches must not end.
+TEST_CASE("PlatformStore watches a store that states no era")
+{
+    Fixture it;
+    it.standin.statesEra = false;
+    it.standin.put("p/a", "1");
+    RecordedWatch watch(it);
+    it.standin.put("p/a", "2");
+    watch.start();
+    watch.finish();
+    CHECK_FALSE(watch.end);
+    CHECK(watch.reported == std::vector<std::string>{"2", "confirmed"});
+    CHECK(it.store.era() == StoreEra{});
+}
+
+// Guards against leases and revisions of an earlier era in the hands of their holder: the ids are
+// assigned again, and a key could end with the lease of another process.
+TEST_CASE("PlatformStore reports a write that the restored store has answered")
+{
+    Fixture it;
+    REQUIRE(codeOf(it.get("my/a")) == ResultCode::Ok);
+    it.standin.copy();
+    const auto lease = it.wait<LeaseId>([&](auto done) { it.store.grantLease(3s, done); });
+    REQUIRE(succeeded(lease));
+    it.standin.restore();
+
+    SECTION("as uncertain")
+    {
+        const auto other = it.wait<LeaseId>([&](auto done) { it.store.grantLease(3s, done); });
+        CHECK(codeOf(other) == ResultCode::StoreRestored);
+        CHECK(it.store.era() == StoreEra{it.standin.era()});
+        // The next ones begin in the new era.
+        CHECK(codeOf(it.swap("my/a", 0, "one")) == ResultCode::Ok);
+    }
+    SECTION("also if it was refused")
+    {
+        CHECK(codeOf(it.swap("my/a", 0, "one", std::get<0>(lease))) == ResultCode::StoreRestored);
+    }
+    SECTION("and not a read, which needs nothing of the old era")
+    {
+        CHECK(codeOf(it.get("my/a")) == ResultCode::Ok);
+        CHECK(it.store.era() == StoreEra{it.standin.era()});
+    }
+}
+
+// The connections of a process have different delays. Guards against a response from before the
+// copy was restored that arrives after one from the restored store, and is taken for newer.
+TEST_CASE("PlatformStore uses no response of an earlier era than one that another client has seen")
+{
+    Fixture it;
+    it.standin.copy();
+    it.standin.restore();
+    const auto newest = makeSharedStoreEra();
+    const auto open = [&](const HttpEndpoint &endpoint) {
+        return platform::PlatformStore(
+                it.client, it.scheduler,
+                {endpoint, [] { return Duration(50ms); }, Duration{0}, 600ms, 500ms, newest});
+    };
+    platform::PlatformStore first = open(it.standin.endpoint());
+    FleetStoreStandin late(it.io);
+    platform::PlatformStore second = open(late.endpoint());
+    const auto current = it.wait<KeyValueList>([&](auto done) { first.list("p/", done); });
+    CHECK(std::get<0>(current).position.era == StoreEra{2});
+    CHECK(codeOf(it.wait<KeyValueList>([&](auto done) { second.list("p/", done); }))
+          == ResultCode::StoreRestored);
+    CHECK(codeOf(it.wait<std::optional<KeyValueEntry>>([&](auto done) { second.get("p/a", done); }))
+          == ResultCode::StoreRestored);
+}
+
+// Guards against a list of which some pages lack what others have.
+TEST_CASE("PlatformStore fails a list whose pages are of different eras")
+{
+    Fixture it;
+    it.standin.pageSize = 1;
+    it.standin.put("p/a", "1");
+    it.standin.put("p/b", "1");
+    it.standin.copy();
+    std::optional<Outcome<KeyValueList>> result;
+    const int before = it.standin.callCount;
+    it.store.list("p/", [&](Outcome<KeyValueList> outcome) { result = std::move(outcome); });
+    runUntil(it.io, [&] { return it.standin.callCount > before; });
+    it.standin.restore();
+    runUntil(it.io, [&] { return result.has_value(); });
+    CHECK(codeOf(*result) == ResultCode::StoreRestored);
+}
--- a/standins/tests/keyvaluetest.cpp
+++ b/standins/tests/keyvaluetest.cpp
@@ -107,7 +107,7 @@
                 valueOf(f.await<KeyValueList>([&](auto done) { f.port->list(prefix, done); }));
         REQUIRE(list.entries.size() == 2);
         CHECK(list.entries[0].key == prefix + "a");
-        CHECK(list.revision == last);
+        CHECK(list.position == StorePosition{{}, last});
         const auto all = valueOf(f.await<KeyValueList>([&](auto done) { f.port->list("", done); }));
         CHECK(all.entries.size() == 4);
     }
@@ -172,7 +172,7 @@
     SECTION("a lease that is not renewed expires")
     {
         WatchRecorder watched;
-        f.port->watch("/short", Absent, watched.handlers());
+        f.port->watch("/short", {}, watched.handlers());
         runUntil(f.io, [&] { return watched.started.has_value(); });
         const auto written = f.swap("/short", Absent, "x", f.lease(1s));
         // On a very busy machine the lease may expire before the write.
@@ -192,7 +192,7 @@
     SECTION("reports writes below the prefix, from now on or from a revision")
     {
         const bool past = GENERATE(false, true);
-        f.port->watch("/w/", past ? first : Absent, watched.handlers());
+        f.port->watch("/w/", {{}, past ? first : Absent}, watched.handlers());
         runUntil(f.io, [&] { return watched.started.has_value(); });
         CHECK(*watched.started == first);
         valueOf(f.swap("/other", Absent, "x"));
@@ -210,14 +210,14 @@
     SECTION("a watch from a compacted revision fails")
     {
         f.setFault({"compact", true, 1, -1, 0, ""});
-        f.port->watch("/w/", first, watched.handlers());
+        f.port->watch("/w/", {{}, first}, watched.handlers());
         runUntil(f.io, [&] { return watched.end.has_value(); });
         CHECK(codeOf(*watched.end) == ResultCode::WatchCompacted);
         CHECK(watched.events.empty());
     }
     SECTION("an outage ends the watch")
     {
-        f.port->watch("/w/", Absent, watched.handlers());
+        f.port->watch("/w/", {}, watched.handlers());
         runUntil(f.io, [&] { return watched.started.has_value(); });
         f.setFault({"outage", true, 1, -1, 0, ""});
         runUntil(f.io, [&] { return watched.end.has_value(); });
@@ -229,14 +229,14 @@
         config.progressInterval = std::chrono::hours(1);
         Fixture silent(config);
         EtcdKeyValue port(silent.client, silent.options, 200ms);
-        port.watch("/w/", Absent, watched.handlers());
+        port.watch("/w/", {}, watched.handlers());
         runUntil(silent.io, [&] { return watched.end.has_value(); });
         CHECK(codeOf(*watched.end) == ResultCode::PlatformTimeout);
     }
     // Guards against cancelled watches that stay registered at the service.
     SECTION("a cancelled watch is removed from the service")
     {
-        const auto call = f.port->watch("/w/", Absent, watched.handlers());
+        const auto call = f.port->watch("/w/", {}, watched.handlers());
         runUntil(f.io, [&] { return watched.started.has_value(); });
         CHECK(f.standin.pendingWatches() == 1);
         call->cancel();
