Follow a store that has come back from a copy

Cause, three faults of PrefixMirror: - Entries whose revision is not above the known one were dropped. In the restored store, revisions begin again at that of the copy. - The known revision only grew, so that each list was followed by a watch from a revision that the store does not have, which it answers with 410. A list reset the backoff, and a 410 listed again at once. - The list of the copy counted as a confirmation of all that was ever accepted.

Ruled out, by reading: a delay in the loop alone, since entries with lower revisions would still be dropped.

Another era, or a lower revision in a store that states none, is a restoration now: the revisions of the old era are forgotten, differences are reported, values that are the same are not, and the watch goes on from the position of the list. A watch that ends again without success after a list backs off with jitter.

Seen to fail before (prefixmirrortest, with the old decisions in the new interface): "{ } == { put p/b=2, put p/c=4 }"; watches.back().first == StorePosition{after, {91}}; lists.size() < 30 in ten seconds; confirmedAt == confirmedBefore. After: all 112 assertions hold, and the mirror follows the simulated store through two restorations with one call for each confirmation (fleetstoretest).

--- a/modules/mirror/tests/prefixmirrortest.cpp
+++ b/modules/mirror/tests/prefixmirrortest.cpp
@@ -55,19 +55,20 @@
     std::vector<std::string> log;
     std::vector<std::optional<WriteTime>> times;
     std::optional<TimePoint> confirmedAt;
-    PrefixMirror mirror{store,
-                        scheduler,
-                        Random(1),
-                        "p/",
-                        {[this](const KeyValueEntry &it, const std::optional<WriteTime> &time) {
-                             log.push_back("put " + it.key + '=' + it.value);
-                             times.push_back(time);
-                         },
-                         [this](const std::string &key) { log.push_back("removed " + key); },
-                         [this](TimePoint asked) { confirmedAt = asked; },
-                         [this](bool reachable, const std::string &) {
-                             log.push_back(reachable ? "reached" : "lost");
-                         }}};
+    PrefixMirror mirror{store, scheduler, Random(1), "p/", handlers()};
+
+    MirrorHandlers handlers()
+    {
+        return {[this](const KeyValueEntry &it, const std::optional<WriteTime> &time) {
+                    log.push_back("put " + it.key + '=' + it.value);
+                    times.push_back(time);
+                },
+                [this](const std::string &key) { log.push_back("removed " + key); },
+                [this](TimePoint asked) { confirmedAt = asked; },
+                [this](bool reachable, const std::string &) {
+                    log.push_back(reachable ? "reached" : "lost");
+                }};
+    }
 
     void listed(std::uint64_t revision, std::vector<KeyValueEntry> entries, StoreEra era = {})
     {
@@ -216,6 +217,33 @@
         CHECK(it.log == std::vector<std::string>{"put p/b=5", "removed p/a"});
         CHECK(it.store.watches.back().first == StorePosition{{}, {31}});
     }
+    // Guards against a loop of lists and watches without a delay, which takes the rate limit of all
+    // processes, if each list is followed by the same end of its watch.
+    SECTION("a watch that ends again and again after a list backs off")
+    {
+        const auto code = GENERATE(ResultCode::WatchCompacted, ResultCode::StoreRestored);
+        const auto endWatch = [&] {
+            it.store.watches.back().second.onEnd(Error{code, "again"});
+            it.scheduler.advance(1ms);
+        };
+        endWatch();
+        CHECK(it.store.lists.size() == 2); // The first time at once.
+        const TimePoint start = it.scheduler.now();
+        while (it.scheduler.now() < start + 10s) {
+            const std::size_t lists = it.store.lists.size();
+            it.listed(12, {});
+            endWatch();
+            while (it.store.lists.size() == lists)
+                it.scheduler.advance(5ms);
+        }
+        CHECK(it.store.lists.size() < 30);
+
+        const std::size_t lists = it.store.lists.size();
+        it.listed(12, {});
+        it.store.watches.back().second.onConfirmed(StoreRevision{12}, it.scheduler.now());
+        endWatch();
+        CHECK(it.store.lists.size() == lists + 1);
+    }
     SECTION("calls to an unreachable store back off to at most 1.5 s")
     {
         it.store.watches[0].second.onEnd(Error{ResultCode::PlatformUnreachable, "refused"});
@@ -227,3 +255,138 @@
         }
     }
 }
+
+// The store comes back from a copy that is some seconds old. Revisions begin again at that of the
+// copy, and what was written since is written again with any of them.
+TEST_CASE("PrefixMirror follows a store that has come back from a copy")
+{
+    Fixture it;
+    std::vector<StoreRestoration> restorations;
+    MirrorHandlers handlers = it.handlers();
+    handlers.onRestored = [&](const StoreRestoration &restoration) {
+        it.log.emplace_back("restored");
+        restorations.push_back(restoration);
+    };
+    PrefixMirror mirror(it.store, it.scheduler, Random(1), "p/", handlers);
+    const StoreEra before{1};
+    const StoreEra after{2};
+    mirror.start();
+    it.listed(100, {entry("p/a", "1", 7), entry("p/b", "2", 95), entry("p/c", "3", 98)}, before);
+    it.scheduler.advance(5s);
+    const TimePoint confirmedBefore = it.scheduler.now();
+    it.store.watches.back().second.onConfirmed(StoreRevision{100}, confirmedBefore);
+    it.log.clear();
+    const auto restore = [&](std::uint64_t revision, const std::vector<KeyValueEntry> &entries) {
+        it.store.watches.back().second.onEnd(Error{ResultCode::StoreRestored, "era 2"});
+        it.listed(revision, entries, after);
+    };
+    const std::vector<KeyValueEntry> copy{entry("p/a", "1", 7), entry("p/b", "0", 60)};
+
+    // Guards against confirmed changes that never come into force, because their revisions in the
+    // new era are not above those of the old one.
+    SECTION("what is written again with a lower revision is reported")
+    {
+        restore(90, copy);
+        it.log.clear();
+        it.store.watches.back().second.onEvents({{entry("p/b", "2", 91), false}});
+        it.store.watches.back().second.onEvents({{entry("p/c", "4", 92), false}});
+        CHECK(it.log == std::vector<std::string>{"put p/b=2", "put p/c=4"});
+    }
+    // Guards against a loop: a watch from a revision that the store does not have ends at once.
+    SECTION("the watch goes on from the position of the new list")
+    {
+        CHECK(it.store.watches.back().first == StorePosition{before, {101}});
+        restore(90, copy);
+        CHECK(it.store.watches.back().first == StorePosition{after, {91}});
+    }
+    SECTION("the differences are reported, and what is the same is not")
+    {
+        restore(90, copy);
+        CHECK(it.log == std::vector<std::string>{"restored", "put p/b=0", "removed p/c"});
+        REQUIRE(restorations.size() == 1);
+        CHECK(restorations[0] == StoreRestoration{{before, {100}}, {after, {90}}, 1, 1, 0, 0, 1});
+        CHECK(mirror.lastFailedCall().has_value());
+    }
+    SECTION("a value that was written again before the list is reported like any other")
+    {
+        restore(93, {entry("p/a", "1", 7), entry("p/b", "5", 91), entry("p/d", "6", 93)});
+        CHECK(it.log
+              == std::vector<std::string>{"restored", "put p/b=5", "put p/d=6", "removed p/c"});
+    }
+    SECTION("a store that states no era is recognized by a lower revision")
+    {
+        it.store.watches.back().second.onEnd(Error{ResultCode::WatchCompacted, "410"});
+        it.listed(90, copy, before);
+        CHECK(restorations.size() == 1);
+        CHECK(it.store.watches.back().first == StorePosition{before, {91}});
+    }
+    SECTION("a later list in the same era is not another restoration")
+    {
+        restore(90, copy);
+        it.store.watches.back().second.onEnd(Error{ResultCode::WatchCompacted, "410"});
+        it.listed(95, copy, after);
+        CHECK(restorations.size() == 1);
+    }
+    // A host process refreshes its mirror when a peer knows a newer version. Guards against keys of
+    // two eras beside each other.
+    SECTION("a refresh that finds another era lists again")
+    {
+        mirror.refresh();
+        it.listed(90, copy, after);
+        CHECK(restorations.empty());
+        it.listed(90, copy, after);
+        CHECK(restorations.size() == 1);
+        CHECK(it.store.watches.back().first == StorePosition{after, {91}});
+    }
+    // Guards against the copy being taken for all that was accepted: requests would be denied that
+    // a lost change allows, and keys honoured that it has taken away.
+    SECTION("nothing is confirmed until what was lost has been written again")
+    {
+        it.scheduler.advance(500ms);
+        restore(90, copy);
+        const TimePoint restoredAt = it.scheduler.now();
+        CHECK(it.confirmedAt == confirmedBefore);
+        it.scheduler.advance(PrefixMirror::RewritePeriod - 1ms);
+        it.store.watches.back().second.onConfirmed(StoreRevision{90}, it.scheduler.now());
+        CHECK(it.confirmedAt == confirmedBefore);
+
+        SECTION("by a call that was sent later")
+        {
+            it.scheduler.advance(1ms);
+            it.store.watches.back().second.onConfirmed(StoreRevision{90}, it.scheduler.now());
+            CHECK(it.confirmedAt == restoredAt + PrefixMirror::RewritePeriod);
+        }
+        SECTION("by a call that has waited until then")
+        {
+            const TimePoint asked = it.scheduler.now();
+            it.scheduler.advance(1s);
+            it.store.watches.back().second.onQuietUntil(it.scheduler.now());
+            it.store.watches.back().second.onConfirmed(StoreRevision{90}, asked);
+            CHECK(it.confirmedAt == asked);
+        }
+    }
+}
+
+// Guards against a process that starts right after the store has come back, and denies what a lost
+// change allows.
+TEST_CASE("The first confirmation of a store that may have come back from a copy is backdated")
+{
+    Fixture it;
+    PrefixMirror mirror(it.store, it.scheduler, Random(1), "p/", it.handlers());
+    mirror.start();
+    const TimePoint asked = it.scheduler.now();
+
+    SECTION("if it states an era")
+    {
+        it.listed(10, {}, StoreEra{3});
+        CHECK(it.confirmedAt == asked - PrefixMirror::RewritePeriod);
+        it.scheduler.advance(PrefixMirror::RewritePeriod);
+        it.store.watches.back().second.onConfirmed(StoreRevision{10}, it.scheduler.now());
+        CHECK(it.confirmedAt == it.scheduler.now());
+    }
+    SECTION("and not otherwise")
+    {
+        it.listed(10, {});
+        CHECK(it.confirmedAt == asked);
+    }
+}
--- a/standins/tests/fleetstoretest.cpp
+++ b/standins/tests/fleetstoretest.cpp
@@ -340,3 +340,38 @@
     runUntil(it.io, [&] { return result.has_value(); });
     CHECK(codeOf(*result) == ResultCode::StoreRestored);
 }
+
+// Guards against a process that polls a restored store without a delay and never sees its changes.
+TEST_CASE("PrefixMirror follows the simulated store through a restoration")
+{
+    Fixture it;
+    std::map<std::string, std::string> seen;
+    int confirmations = 0;
+    int restorations = 0;
+    MirrorHandlers handlers{[&](const KeyValueEntry &entry, const std::optional<WriteTime> &) {
+                                seen[entry.key] = entry.value;
+                            },
+                            [&](const std::string &key) { seen.erase(key); },
+                            [&](TimePoint) { ++confirmations; }, [](bool, const std::string &) {}};
+    handlers.onRestored = [&](const StoreRestoration &) { ++restorations; };
+    PrefixMirror mirror(it.store, it.scheduler, Random(1), "p/", handlers);
+    it.standin.put("p/a", "1");
+    it.standin.copy();
+    it.standin.put("p/a", "2");
+    it.standin.put("p/b", "2");
+    mirror.start();
+    runUntil(it.io, [&] { return seen.size() == 2; });
+
+    for (int i = 1; i <= 2; ++i) {
+        it.standin.restore();
+        runUntil(it.io, [&] { return seen == std::map<std::string, std::string>{{"p/a", "1"}}; });
+        CHECK(restorations == i);
+        it.standin.put("p/a", "2");
+        it.standin.put("p/b", "2");
+        runUntil(it.io, [&] { return seen.size() == 2 && seen["p/a"] == "2"; });
+    }
+    const int before = it.standin.callCount;
+    const int from = confirmations;
+    runUntil(it.io, [&] { return confirmations >= from + 5; });
+    CHECK(it.standin.callCount <= before + 6);
+}
