Report no record of the operator that is older than the known one

Callers would see the limits of an older configuration (header and body sizes, idle time) in force after the store came back from a copy: EntryProcess sets them on its HTTP server before the gateway looks at the version. Log lines said that an older version of weights is wanted.

Cause: OperatorFeed passed on each record, in whatever order the store shows them. A store that comes back from a copy shows older ones, and the operator writes again what was lost.

Ruled out by reading: Gateway::setConfiguration, BackendPool::announceVersion and requireVersion, VersionRollout::setWantedVersion and LoadSchedule already ignore versions that are not above the known one, so that routes, windows and schedules did not go back.

OperatorFeed keeps the newest version of the configuration and of each model, and reports only higher ones; a lower one is logged as operator_record_outdated.

Seen to fail before (operatorfeedtest): configurations.size() == 2 (3 from the copy, 4 when written again), versions.size() == 3 (4 and 5).

--- a/modules/fleet/include/godwit/fleet/operatorfeed.h
+++ b/modules/fleet/include/godwit/fleet/operatorfeed.h
@@ -5,13 +5,18 @@
 #include <godwit/mirror/prefixmirror.h>
 #include <godwit/settings/fleetsettings.h>
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string_view>
 
 namespace godwit {
 
 /// Watches the records that the operator writes into the platform's store under one prefix.
+///
+/// Versions only increase. A store that comes back from a copy may hold older ones for some time,
+/// and the operator then writes those again that it has lost; neither is reported.
 class OperatorFeed
 {
 public:
@@ -35,6 +40,9 @@
 
 private:
     void handlePut(const KeyValueEntry &entry, const std::optional<WriteTime> &time);
+    /// Returns whether \a version is above \a newest, which it then replaces.
+    bool isNewer(std::uint64_t version, std::optional<std::uint64_t> &newest,
+                 const KeyValueEntry &entry) const;
     std::optional<VersionWindow> versionWindow(const std::optional<WriteTime> &time) const;
     /// Time until which versions older than one that was announced at \a announcedAt may serve, if
     /// the last outage of the store ended at \a outageEnd of the last failed call.
@@ -46,6 +54,8 @@
     Scheduler &m_scheduler;
     FleetBounds m_bounds;
     Handlers m_handlers;
+    std::optional<std::uint64_t> m_configurationVersion;
+    std::map<ModelId, std::optional<std::uint64_t>> m_wantedVersions;
     PrefixMirror m_mirror;
 };
 
--- a/modules/fleet/src/operatorfeed.cpp
+++ b/modules/fleet/src/operatorfeed.cpp
@@ -63,6 +63,21 @@
     logStateChange("version_wanted", fields);
 }
 
+bool OperatorFeed::isNewer(std::uint64_t version, std::optional<std::uint64_t> &newest,
+                           const KeyValueEntry &entry) const
+{
+    if (version > newest) {
+        newest = version;
+        return true;
+    }
+    if (version < newest)
+        logStateChange("operator_record_outdated", {{"key", entry.key},
+                                                    {"version", version},
+                                                    {"known_version", *newest},
+                                                    {"revision", entry.modified.value}});
+    return false;
+}
+
 void OperatorFeed::handlePut(const KeyValueEntry &entry, const std::optional<WriteTime> &time)
 {
     auto decoded = capture([&] { return m_platform.decodeOperatorRecord(entry); });
@@ -73,8 +88,11 @@
     }
     OperatorRecord &record = std::get<0>(decoded);
     if (auto *configuration = std::get_if<GatewayConfiguration>(&record)) {
-        m_handlers.onConfiguration(std::move(*configuration));
+        if (isNewer(configuration->version, m_configurationVersion, entry))
+            m_handlers.onConfiguration(std::move(*configuration));
     } else if (const auto *wanted = std::get_if<WantedVersion>(&record)) {
+        if (!isNewer(wanted->version, m_wantedVersions[wanted->model], entry))
+            return;
         const auto window = versionWindow(time);
         logWantedVersion(*wanted, entry.modified, window);
         m_handlers.onVersion(*wanted, window);
--- a/modules/fleet/tests/operatorfeedtest.cpp
+++ b/modules/fleet/tests/operatorfeedtest.cpp
@@ -13,6 +13,7 @@
 {
     FleetBounds bounds;
     std::vector<std::pair<std::uint64_t, std::optional<VersionWindow>>> versions;
+    std::vector<std::uint64_t> configurations;
     OperatorFeed feed{
             platform,
             platform.operatorPrefix(),
@@ -20,7 +21,9 @@
             scheduler,
             bounds,
             Random(1),
-            {[](const GatewayConfiguration &) {},
+            {[this](const GatewayConfiguration &configuration) {
+                 configurations.push_back(configuration.version);
+             },
              [this](const WantedVersion &wanted, const std::optional<VersionWindow> &window) {
                  versions.emplace_back(wanted.version, window);
              },
@@ -110,3 +113,41 @@
         CHECK(it.versions.back().second->earliestEnd() == sent + it.bounds.reconnectionGracePeriod);
     }
 }
+
+// Guards against an older configuration, or an older version of weights, that comes into force
+// again because the store came back from a copy.
+TEST_CASE("OperatorFeed reports nothing older than what it has reported")
+{
+    Fixture it;
+    const auto configuration = [](std::uint64_t version, std::uint64_t revision) {
+        return KeyValueEntry{"op/config", std::to_string(version), StoreRevision{revision}, {}};
+    };
+    it.store.handlers.onEvents({{configuration(4, 11), false}});
+    it.setVersion(2, 12);
+    it.setVersion(3, 13);
+    it.store.handlers.onEvents({{configuration(5, 14), false}});
+    REQUIRE(it.configurations == std::vector<std::uint64_t>{4, 5});
+    REQUIRE(it.versions.size() == 3);
+    it.store.restore(12, {configuration(4, 11), Fixture::entry(2, 12)});
+
+    SECTION("from the copy")
+    {
+        CHECK(it.configurations.size() == 2);
+        CHECK(it.versions.size() == 3);
+    }
+    // The limits on callers and the schedule of loads begin with what is reported.
+    SECTION("and nothing that is known already when it is written again")
+    {
+        it.setVersion(3, 13);
+        it.store.handlers.onEvents({{configuration(5, 14), false}});
+        CHECK(it.configurations.size() == 2);
+        CHECK(it.versions.size() == 3);
+    }
+    SECTION("what is newer is reported whatever its revision")
+    {
+        it.setVersion(4, 13);
+        it.store.handlers.onEvents({{configuration(6, 14), false}});
+        CHECK(it.configurations.back() == 6);
+        CHECK(it.versions.back().first == 4);
+    }
+}
