Ignore a configuration in ConfigurationLookup that is older than the last one

A host process would fetch weights from the origin of an older configuration if it read the configuration again while the store held a copy that is some seconds old, and would stay there until a transfer failed.

Cause: the lookup reported whatever it read. It remembers the newest version now. The next lookup, at the next failure of the origin, reads again.

Seen to fail before (configurationlookuptest): "{ 4, 3 } == { 4 }".

--- a/modules/fleet/include/godwit/fleet/configurationlookup.h
+++ b/modules/fleet/include/godwit/fleet/configurationlookup.h
@@ -5,6 +5,7 @@
 #include <godwit/ports/keyvalueport.h>
 #include <godwit/ports/scheduler.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -24,7 +25,8 @@
                         Random random, Handler handler);
 
     /// Reads the configuration, and retries until there is one. Does nothing while a read is in
-    /// progress or if the last one completed recently.
+    /// progress or if the last one completed recently. A configuration that is older than the last
+    /// one is not reported: the store may have come back from a copy.
     void lookUp();
 
 private:
@@ -39,6 +41,7 @@
     Handler m_handler;
     bool m_isReading = false;
     std::optional<TimePoint> m_lastReadAt; ///< Time of the last successful read.
+    std::uint64_t m_newestVersion = 0;     ///< Of the configurations that were reported.
     std::unique_ptr<Timer> m_retryTimer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/modules/fleet/src/configurationlookup.cpp
+++ b/modules/fleet/src/configurationlookup.cpp
@@ -68,8 +68,12 @@
     }
     m_isReading = false;
     m_lastReadAt = m_scheduler.now();
-    logStateChange("configuration_read",
-                   {{"version", configuration->version}, {"revision", (*entry)->modified.value}});
+    logStateChange("configuration_read", {{"version", configuration->version},
+                                          {"known_version", m_newestVersion},
+                                          {"revision", (*entry)->modified.value}});
+    if (configuration->version < m_newestVersion)
+        return;
+    m_newestVersion = configuration->version;
     m_handler(*configuration);
 }
 
--- a/modules/fleet/tests/configurationlookuptest.cpp
+++ b/modules/fleet/tests/configurationlookuptest.cpp
@@ -39,6 +39,19 @@
         it.scheduler.advance(1h);
         CHECK(it.store.getCalls == 3);
     }
+    // Guards against the origin of an older configuration after the store came back from a copy.
+    SECTION("ignores a configuration that is older than the last one")
+    {
+        respond("4");
+        it.scheduler.advance(6s);
+        lookup.lookUp();
+        respond("3");
+        CHECK(versions == std::vector<std::uint64_t>{4});
+        it.scheduler.advance(6s);
+        lookup.lookUp();
+        respond("5");
+        CHECK(versions == std::vector<std::uint64_t>{4, 5});
+    }
     SECTION("reads once for several requests in quick succession")
     {
         lookup.lookUp();
