Use no lease and no revision of an earlier era in CrashReportExchange

After the store came back from a copy, a process would write its crash reports under a lease id that the store had granted to another process meanwhile; the reports would end with that process's lease. Or the reports were gone until the next crash.

Cause: lease and revision were kept across the restoration. The store assigns both again.

The exchange compares the era of its lease and revision with the newest one that any client of the process has seen, before each write and after each response, and forgets them if it differs. After a restoration it writes its key again if there is something in it. What others have reported stays with the handlers. If the copy holds an older record of the own key, the first write fails and is repeated at the revision that is found, as after a lost response.

Seen to fail before (crashreportexchangetest): writes.size() == 1 (2: written under the lease of the earlier era) and leases.size() == 2 (1) for a write that the restored store answered. The sections "the key is written again under a new lease" and "what others have reported stays known" passed before as well: the removal of the key in the new list already led to a write. They guard that this stays so.

--- a/modules/fleet/include/godwit/fleet/crashreportexchange.h
+++ b/modules/fleet/include/godwit/fleet/crashreportexchange.h
@@ -27,7 +27,9 @@
 /// Exchanges crash reports between entry processes through the key-value service. Each process
 /// writes one key, under a lease, with what it has learned in the last ten minutes, and watches the
 /// keys of all. Without the service each process learns by itself; what could not be written is
-/// written later. Callbacks run on the thread of the KeyValuePort.
+/// written later, also after the store has come back from a copy that lacks it: leases and
+/// revisions from before are not used then, because the store assigns them again. Callbacks run on
+/// the thread of the KeyValuePort.
 class CrashReportExchange
 {
 public:
@@ -74,6 +76,11 @@
     void handlePut(const KeyValueEntry &entry);
     /// Writes the own key again if it has ended before what was written in it.
     void handleRemoved(const std::string &key);
+    /// Writes the own key again: the copy may lack it, or hold it under a lease that has ended.
+    void handleRestored();
+    /// Forgets the lease and the revision of the own key if they are of an earlier era of the
+    /// store.
+    void voidEarlierEra();
     /// Takes over what an earlier process of this name has written, which the next write would
     /// replace.
     void adoptEarlierKnowledge(StoreRevision revision, const CrashKnowledge &knowledge);
@@ -107,6 +114,7 @@
     Handlers m_handlers;
     std::deque<TimedReport> m_reports; ///< Oldest first.
     std::deque<TimedKey> m_harmless;   ///< Oldest first.
+    StoreEra m_era;                    ///< In which the lease and the revision are valid.
     std::optional<LeaseId> m_lease;
     TimePoint m_leaseGrantedAt;
     StoreRevision m_revision;   ///< Of the last write of the own key; 0 if it does not exist.
--- a/modules/fleet/src/crashreportexchange.cpp
+++ b/modules/fleet/src/crashreportexchange.cpp
@@ -59,7 +59,8 @@
                     logStateChange(reachable ? "store_regained" : "store_lost",
                                    {{"keys", std::string(Prefix)}, {"problem", problem}},
                                    reachable ? LogLevel::Info : LogLevel::Warning);
-                }})
+                },
+                [this](const StoreRestoration &) { handleRestored(); }})
 {}
 
 void CrashReportExchange::handlePut(const KeyValueEntry &entry)
@@ -96,10 +97,27 @@
     scheduleWrite(BatchDelay);
 }
 
+void CrashReportExchange::handleRestored()
+{
+    voidEarlierEra();
+    dropExpired();
+    if (!m_reports.empty() || !m_harmless.empty())
+        scheduleWrite(BatchDelay);
+}
+
+void CrashReportExchange::voidEarlierEra()
+{
+    if (std::exchange(m_era, m_store.era()) == m_store.era())
+        return;
+    m_lease.reset();
+    m_revision = {};
+}
+
 void CrashReportExchange::adoptEarlierKnowledge(StoreRevision revision,
                                                 const CrashKnowledge &knowledge)
 {
     m_knowsOwnKey = true;
+    voidEarlierEra();
     m_revision = revision;
     // What this process has learned since its start is newer.
     const auto ownReports = std::exchange(m_reports, {});
@@ -173,6 +191,7 @@
 {
     m_isWriting = true;
     m_isChanged = false;
+    voidEarlierEra();
     dropExpired();
     // A report lives for at least half of the lifetime.
     if (m_lease && m_scheduler.now() < m_leaseGrantedAt + ReportLifetime / 2)
@@ -190,6 +209,7 @@
                                onWritten(*error);
                                return;
                            }
+                           voidEarlierEra();
                            // The key has ended with the earlier lease.
                            if (m_lease && requestedAt >= m_leaseGrantedAt + ReportLifetime)
                                m_revision = {};
@@ -220,6 +240,7 @@
     }
     if (error->code == ResultCode::LeaseExpired)
         m_lease.reset();
+    voidEarlierEra();
     logStateChange("crash_report_not_written", {{"key", m_key}, {"problem", toString(*error)}},
                    LogLevel::Warning);
     // An earlier write, or that of an earlier process of this name, may have taken effect.
@@ -237,6 +258,7 @@
 void CrashReportExchange::onRevisionRead(const Outcome<std::optional<KeyValueEntry>> &outcome)
 {
     m_isWriting = false;
+    voidEarlierEra();
     if (const auto *found = std::get_if<std::optional<KeyValueEntry>>(&outcome)) {
         m_revision = *found ? (*found)->modified : StoreRevision{};
         if (*found)
--- a/modules/fleet/tests/crashreportexchangetest.cpp
+++ b/modules/fleet/tests/crashreportexchangetest.cpp
@@ -247,6 +247,54 @@
         CHECK(writer.store.writes[1].expected == StoreRevision{0});
         CHECK(writer.store.writes[1].value == write.value);
     }
+    // Lease ids and revisions are assigned again by a store that came back from a copy. Guards
+    // against reports that end with the lease of another process, or are lost.
+    SECTION("after the store came back from a copy, the key is written again under a new lease")
+    {
+        write.done(StoreRevision{11});
+        writer.receive(write, 11);
+        writer.store.restore(10, {});
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        REQUIRE(writer.store.leases.size() == 2);
+        writer.store.leases[1](LeaseId{5});
+        REQUIRE(writer.store.writes.size() == 2);
+        CHECK(writer.store.writes[1].expected == StoreRevision{0});
+        CHECK(writer.store.writes[1].value == write.value);
+    }
+    SECTION("a lease of an earlier era is not used, although this mirror does not know of it yet")
+    {
+        write.done(StoreRevision{11});
+        writer.receive(write, 11);
+        ++writer.store.currentEra.value;
+        writer.exchange.publish(report("b9"));
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        CHECK(writer.store.writes.size() == 1);
+        REQUIRE(writer.store.leases.size() == 2);
+        writer.store.leases[1](LeaseId{5});
+        REQUIRE(writer.store.writes.size() == 2);
+        CHECK(writer.store.writes[1].expected == StoreRevision{0});
+    }
+    SECTION("a write that the restored store has answered is repeated with a new lease")
+    {
+        ++writer.store.currentEra.value;
+        write.done(Error{ResultCode::StoreRestored, "era 2"});
+        REQUIRE(writer.store.getCalls == 1);
+        writer.store.getDone(std::optional(
+                KeyValueEntry{"crashes/one", write.value, StoreRevision{8}, LeaseId{5}}));
+        scheduler.advance(CrashReportExchange::RetryDelay);
+        REQUIRE(writer.store.leases.size() == 2);
+        writer.store.leases[1](LeaseId{6});
+        REQUIRE(writer.store.writes.size() == 2);
+        CHECK(writer.store.writes[1].expected == StoreRevision{8});
+    }
+    SECTION("what others have reported stays known when the copy lacks it")
+    {
+        reader.receive(write, 11);
+        reader.store.restore(10, {});
+        CHECK(reader.crashes.size() == 2);
+        scheduler.advance(1s);
+        CHECK(reader.store.leases.empty());
+    }
     SECTION("a key that has ended with all that was in it is not")
     {
         write.done(StoreRevision{11});
