Keep what is known of backend servers when the store comes back from a copy

Callers would see requests sent to engines that had announced their end or had left, since the copy shows them as ready, all engines that registered in the time that the copy lacks dropped at once, and engines taken for ones with older weights until they write their records again.

Cause: BackendFeed took the list of the copy for the newest state. Only an outage gave missing records time to return, and a restoration need not contain a failed call.

A restoration now counts as an outage: missing records have the same time to return. Processes whose removal was seen are remembered for five minutes and not used on account of the copy; their record must be written again, or stay for 30 s (an engine writes again only if its record changes, and a dead one's record is removed). An older record of a known process waits for the newer one until the end of that time. Draining is never taken back by the same process, in any list or event.

Ruled out: comparing revisions to tell older records from newer ones. Records that were already written again have revisions of the new era, which do not compare.

Seen to fail before (backendfeedtest): records.at(a).draining; CHECK_FALSE(records.contains(a)) for a removed process; records.contains(a) for a missing one; "4 == 5" slots for an older record; "100 == 200" for an older process.

--- a/modules/fleet/src/backendfeed.cpp
+++ b/modules/fleet/src/backendfeed.cpp
@@ -12,6 +12,11 @@
 /// Left of a limit for the request that was sent last to arrive.
 constexpr Duration RemovalMargin = std::chrono::milliseconds(500);
 
+BackendInstance instanceOf(const BackendRecord &record)
+{
+    return {record.id, record.startTimeMs};
+}
+
 } // namespace
 
 BackendFeed::BackendFeed(const FleetPlatform &platform, KeyValuePort &store, Scheduler &scheduler,
@@ -26,12 +31,14 @@
                 [this](const std::string &key) { handleRemoved(key); },
                 [this](TimePoint) {
                     m_isUpToDate = true;
+                    m_isReadingCopy = false;
                     if (m_handlers.onUpToDate)
                         m_handlers.onUpToDate();
                 },
                 [this](bool isReachable, const std::string &problem) {
                     handleReachability(isReachable, problem);
-                }})
+                },
+                [this](const StoreRestoration &) { handleRestored(); }})
 {}
 
 void BackendFeed::handlePut(const KeyValueEntry &entry)
@@ -44,21 +51,73 @@
         return;
     }
     const BackendRecord &record = std::get<0>(decoded);
+    if (m_isReadingCopy) {
+        handleCopiedPut(record, entry);
+        return;
+    }
+    m_pendingRecords.erase(record.id);
+    m_pendingRemovals.erase(record.id);
+    m_removedAt.erase(instanceOf(record));
+    apply(record, entry.modified);
+}
+
+void BackendFeed::handleCopiedPut(const BackendRecord &record, const KeyValueEntry &entry)
+{
+    if (m_removedAt.contains(instanceOf(record))) {
+        logStateChange("backend_record_outdated",
+                       {{"backend", record.id.value()}, {"revision", entry.modified.value}});
+        applyLater(record, entry.modified, CopiedRecordTimeout);
+        return;
+    }
+    const auto known = m_records.find(record.id);
+    const bool isKnown = known != m_records.end();
+    if (isKnown && record.startTimeMs < known->second.startTimeMs) {
+        handleRemoved(entry.key);
+        return;
+    }
     m_pendingRemovals.erase(record.id);
-    BackendRecord &known = m_records[record.id];
+    const bool isSameProcess = isKnown && record.startTimeMs == known->second.startTimeMs;
+    if (isSameProcess && !record.draining)
+        applyLater(record, entry.modified, remainingGrace());
+    else
+        apply(record, entry.modified);
+}
+
+void BackendFeed::applyLater(const BackendRecord &record, StoreRevision revision, Duration delay)
+{
+    m_pendingRecords[record.id] = m_scheduler.after(delay, [this, record, revision] {
+        const auto timer = std::move(m_pendingRecords[record.id]);
+        m_pendingRecords.erase(record.id);
+        m_removedAt.erase(instanceOf(record));
+        apply(record, revision);
+    });
+}
+
+void BackendFeed::apply(BackendRecord record, StoreRevision revision)
+{
+    const auto [it, isNew] = m_records.try_emplace(record.id);
+    BackendRecord &known = it->second;
+    // A server that has announced its end never takes it back.
+    if (!isNew && known.draining && known.startTimeMs == record.startTimeMs)
+        record.draining = true;
     if (known == record)
         return;
     known = record;
-    m_handlers.onRecord(record, entry.modified);
+    m_handlers.onRecord(record, revision);
 }
 
 void BackendFeed::handleRemoved(const std::string &key)
 {
     const BackendId id = m_platform.backendIdFromKey(key);
+    m_pendingRecords.erase(id);
     const auto it = m_records.find(id);
     if (it == m_records.end())
         return;
+    // A record that the copy lacks is not known to have been removed.
+    if (!m_isReadingCopy)
+        recordRemoval(it->second);
     const auto remove = [this, id] {
+        recordRemoval(m_records[id]);
         m_records.erase(id);
         m_handlers.onRemoved(id);
         // Last, because this may destroy the function itself.
@@ -74,6 +133,29 @@
         remove();
 }
 
+void BackendFeed::recordRemoval(const BackendRecord &record)
+{
+    const TimePoint now = m_scheduler.now();
+    std::erase_if(m_removedAt, [now](const auto &it) { return it.second + RemovalMemory <= now; });
+    m_removedAt[instanceOf(record)] = now;
+}
+
+void BackendFeed::handleRestored()
+{
+    m_isReadingCopy = true;
+    m_isUpToDate = false;
+    m_graceEnd = graceEnd();
+}
+
+TimePoint BackendFeed::graceEnd() const
+{
+    // A leaving server must not be used for longer than the reconnection period after the end
+    // of the outage, and only the start of the last failed call is certain not to be later than
+    // that end. A running server whose record returns later is used again from then on.
+    return std::min(m_scheduler.now() + ReregistrationGrace,
+                    m_mirror.lastFailedCall()->startedAt + m_maxGrace);
+}
+
 void BackendFeed::handleReachability(bool isReachable, const std::string &problem)
 {
     const TimePoint now = m_scheduler.now();
@@ -82,11 +164,7 @@
         m_isUpToDate = false;
     } else if (const auto since = std::exchange(m_unreachableSince, std::nullopt);
                since && now - *since >= MinOutageDuration) {
-        // A leaving server must not be used for longer than the reconnection period after the end
-        // of the outage, and only the start of the last failed call is certain not to be later than
-        // that end. A running server whose record returns later is used again from then on.
-        m_graceEnd = std::min(now + ReregistrationGrace,
-                              m_mirror.lastFailedCall()->startedAt + m_maxGrace);
+        m_graceEnd = graceEnd();
     }
     logStateChange(isReachable ? "store_regained" : "store_lost",
                    {{"keys", std::string(m_platform.backendPrefix())}, {"problem", problem}},
--- a/modules/fleet/tests/backendfeedtest.cpp
+++ b/modules/fleet/tests/backendfeedtest.cpp
@@ -13,6 +13,7 @@
 {
     FleetBounds bounds;
     std::vector<std::string> log;
+    std::map<BackendId, BackendRecord> records;
     BackendFeed feed{platform,
                      store,
                      scheduler,
@@ -20,8 +21,12 @@
                      Random(1),
                      {[this](const BackendRecord &record, StoreRevision) {
                           log.push_back("record " + record.id.value());
+                          records[record.id] = record;
                       },
-                      [this](const BackendId &id) { log.push_back("removed " + id.value()); }}};
+                      [this](const BackendId &id) {
+                          log.push_back("removed " + id.value());
+                          records.erase(id);
+                      }}};
 
     explicit Fixture(const FleetBounds &given = {})
         : bounds(given)
@@ -166,3 +171,139 @@
     it.scheduler.advance(100ms);
     CHECK(it.log == std::vector<std::string>{"removed a"});
 }
+
+// The store comes back from a copy that lacks the last seconds. Engines write their records again.
+TEST_CASE("BackendFeed knows better than a store that has come back from a copy")
+{
+    Fixture it;
+    const BackendId a("a");
+    const auto entry = [](const std::string &key, const std::string &value,
+                          std::uint64_t revision) {
+        return KeyValueEntry{key, value, StoreRevision{revision}, LeaseId{}};
+    };
+    const auto write = [&](const std::string &key, const std::string &value,
+                           std::uint64_t revision) {
+        it.store.handlers.onEvents({{entry(key, value, revision), false}});
+    };
+    write("servers/a", "ready 100 4", 11);
+    it.log.clear();
+
+    // Guards against requests to a server that has said that it leaves.
+    SECTION("a server that drains does not become ready again")
+    {
+        write("servers/a", "draining 100 4", 12);
+        it.store.restore(
+                11, {entry("servers/a", "ready 100 4", 11), entry("servers/b", "draining", 4)});
+        it.scheduler.advance(10s);
+        CHECK(it.records.at(a).draining);
+        write("servers/a", "ready 100 5", 12);
+        CHECK(it.records.at(a).draining);
+
+        SECTION("unless it has started again")
+        {
+            write("servers/a", "ready 200 4", 13);
+            CHECK_FALSE(it.records.at(a).draining);
+        }
+    }
+    // Guards against requests to a server that has left, or whose address has another server.
+    SECTION("a server that was removed is not used")
+    {
+        it.remove("servers/a", 12);
+        it.store.restore(
+                11, {entry("servers/a", "ready 100 4", 11), entry("servers/b", "draining", 4)});
+        it.scheduler.advance(10s);
+        CHECK_FALSE(it.records.contains(a));
+
+        SECTION("until its record is written again")
+        {
+            write("servers/a", "ready 100 4", 12);
+            CHECK(it.records.contains(a));
+        }
+        // A server that is alive writes its record again only if the record changes.
+        SECTION("until it has stayed in the store for longer than that of a server that is gone")
+        {
+            it.scheduler.advance(BackendFeed::CopiedRecordTimeout - 10s);
+            CHECK(it.records.contains(a));
+        }
+        SECTION("or it is removed once more")
+        {
+            it.remove("servers/a", 12);
+            it.scheduler.advance(BackendFeed::CopiedRecordTimeout);
+            CHECK_FALSE(it.records.contains(a));
+        }
+        SECTION("also if another list shows it at the same revision")
+        {
+            it.store.handlers.onEnd(Error{ResultCode::WatchCompacted, "410"});
+            it.store.completeList(14, {entry("servers/a", "ready 100 4", 11)});
+            CHECK_FALSE(it.records.contains(a));
+        }
+        SECTION("until a record that was written meanwhile is found by a list")
+        {
+            it.store.handlers.onEnd(Error{ResultCode::WatchCompacted, "410"});
+            it.store.completeList(14, {entry("servers/a", "ready 100 4", 13)});
+            CHECK(it.records.contains(a));
+        }
+    }
+    SECTION("a server that was removed and has started again is used at once")
+    {
+        it.remove("servers/a", 12);
+        it.store.restore(13, {entry("servers/a", "ready 300 4", 13)});
+        CHECK(it.records.contains(a));
+    }
+    // Guards against the loss of all servers that registered in the time that the copy lacks.
+    SECTION("a record that is missing has time to return")
+    {
+        it.store.restore(10, {entry("servers/b", "draining", 4)});
+        CHECK(it.records.contains(a));
+        it.store.handlers.onConfirmed(StoreRevision{10}, it.scheduler.now());
+
+        SECTION("and does")
+        {
+            it.scheduler.advance(1s);
+            write("servers/a", "ready 100 4", 11);
+            it.scheduler.advance(10s);
+            CHECK(it.log.empty());
+        }
+        SECTION("and does in another copy")
+        {
+            it.store.restore(
+                    12, {entry("servers/a", "ready 100 4", 11), entry("servers/b", "draining", 4)});
+            it.scheduler.advance(10s);
+            CHECK(it.log.empty());
+        }
+        SECTION("and does not")
+        {
+            it.scheduler.advance(BackendFeed::ReregistrationGrace);
+            CHECK(it.log == std::vector<std::string>{"removed a"});
+        }
+    }
+    // Guards against engines that count as having older weights than they have, all at once.
+    SECTION("an older record of the same process takes effect only if it is not written again")
+    {
+        write("servers/a", "ready 100 5", 12);
+        it.store.restore(
+                11, {entry("servers/a", "ready 100 4", 11), entry("servers/b", "draining", 4)});
+        CHECK(it.records.at(a).slots == 5);
+
+        SECTION("it is")
+        {
+            write("servers/a", "ready 100 6", 12);
+            it.scheduler.advance(10s);
+            CHECK(it.records.at(a).slots == 6);
+        }
+        SECTION("it is not")
+        {
+            it.scheduler.advance(BackendFeed::ReregistrationGrace);
+            CHECK(it.records.at(a).slots == 4);
+        }
+    }
+    SECTION("an older process of a server does not take the place of the one that is known")
+    {
+        write("servers/a", "ready 200 4", 12);
+        it.store.restore(
+                11, {entry("servers/a", "ready 100 4", 11), entry("servers/b", "draining", 4)});
+        CHECK(it.records.at(a).startTimeMs == 200);
+        it.scheduler.advance(BackendFeed::ReregistrationGrace);
+        CHECK_FALSE(it.records.contains(a));
+    }
+}
--- a/modules/fleet/tests/fakeplatform.h
+++ b/modules/fleet/tests/fakeplatform.h
@@ -4,6 +4,8 @@
 
 #include <godwit/fleet/fleetplatform.h>
 
+#include <sstream>
+
 namespace godwit {
 
 /// Store with one watch. The test completes its calls.
@@ -58,8 +60,8 @@
     }
 };
 
-/// Platform whose backend records consist of the word "ready" or "draining", and whose version
-/// records consist of the version number.
+/// Platform whose backend records consist of the word "ready" or "draining", optionally followed by
+/// the start time and the number of slots, and whose version records consist of the version number.
 class FakePlatform : public FleetPlatform
 {
 public:
@@ -89,11 +91,14 @@
     }
     Result<BackendRecord> decodeBackend(const KeyValueEntry &entry) const override
     {
-        if (entry.value != "ready" && entry.value != "draining")
-            return fail(ResultCode::MessageMalformed, "unknown state");
+        std::istringstream words(entry.value);
+        std::string state;
         BackendRecord record;
+        words >> state >> record.startTimeMs >> record.slots;
+        if (state != "ready" && state != "draining")
+            return fail(ResultCode::MessageMalformed, "unknown state");
         record.id = backendIdFromKey(entry.key);
-        record.draining = entry.value == "draining";
+        record.draining = state == "draining";
         return record;
     }
     const CallerProtocol &callerProtocol() const override { std::abort(); }
