--- a/modules/fleet/tests/fakeplatform.h
+++ b/modules/fleet/tests/fakeplatform.h
@@ -4,6 +4,7 @@
 
 #include <godwit/fleet/fleetplatform.h>
 
+#include <sstream>
 #include <stdexcept>
 
 namespace godwit {
@@ -19,12 +20,24 @@
     Completion<std::optional<KeyValueEntry>> getDone;
     int getCalls = 0;
 
+    StoreEra currentEra;
+
     void completeList(std::uint64_t revision, std::vector<KeyValueEntry> entries)
     {
         const auto done = listDone;
-        done(KeyValueList{StoreRevision{revision}, std::move(entries)});
+        done(KeyValueList{{currentEra, StoreRevision{revision}}, std::move(entries)});
+    }
+
+    /// The service comes back from a copy with \a entries.
+    void restore(std::uint64_t revision, std::vector<KeyValueEntry> entries)
+    {
+        ++currentEra.value;
+        handlers.onEnd(Error{ResultCode::StoreRestored, "another era"});
+        completeList(revision, std::move(entries));
     }
 
+    StoreEra era() const override { return currentEra; }
+
     void get(std::string, Completion<std::optional<KeyValueEntry>> done) override
     {
         ++getCalls;
@@ -38,7 +51,7 @@
     void grantLease(Duration, Completion<LeaseId>) override {}
     void keepLeaseAlive(LeaseId, Completion<Duration>) override {}
     void revokeLease(LeaseId, Completion<Done>) override {}
-    std::shared_ptr<CallHandle> watch(std::string, StoreRevision, WatchHandlers given) override
+    std::shared_ptr<CallHandle> watch(std::string, StorePosition, WatchHandlers given) override
     {
         ++watchCalls;
         onWatch();
@@ -48,9 +61,10 @@
     }
 };
 
-/// Platform whose backend records consist of the word "ready" or "draining", and whose version
-/// records consist of the version number. The backend record "throws" makes the decoder throw, and
-/// so does a version record that is no number.
+/// Platform whose backend records consist of the word "ready" or "draining", optionally followed by
+/// the start time and the number of slots, and whose version records consist of the version number.
+/// The backend record "throws" makes the decoder throw, and so does a version record that is no
+/// number.
 class FakePlatform : public FleetPlatform
 {
 public:
@@ -82,11 +96,14 @@
     {
         if (entry.value == "throws")
             throw std::length_error("record too long");
-        if (entry.value != "ready" && entry.value != "draining")
-            return fail(ResultCode::MessageMalformed, "unknown state");
+        std::istringstream words(entry.value);
+        std::string state;
         BackendRecord record;
+        words >> state >> record.startTimeMs >> record.slots;
+        if (state != "ready" && state != "draining")
+            return fail(ResultCode::MessageMalformed, "unknown state");
         record.id = backendIdFromKey(entry.key);
-        record.draining = entry.value == "draining";
+        record.draining = state == "draining";
         return record;
     }
     const CallerProtocol &callerProtocol() const override { std::abort(); }
