Take no first attempt for a retry because its client waits less long

What callers see: while all engines are full, half of the first attempts are treated as retries of clients that have waited: they are placed behind the others, at the entry process and in the queues of the engines, and refused with 5162 more often.

Cause: estimateEarlierWait() took each difference between the timeout of a request and the longest one of its route and customer for time already spent. Clients of one route have timeouts from 5.1 to 6.0 s from the start. A client that was refused has waited for its Retry-After, which is at least 0.15 of its time or 1 s; a smaller difference is one between clients and now counts as zero.

Ruled out by the log of every request: suspended content (5170 only for requests with the crashing part), backoff after crashes, load estimates that stay full (14 to 16 of 16 slots were in use at most engines while requests were refused).

Evidence: the new section failed before on two of its four timeouts, CHECK(priority(last) == priority(0)), 7 == 5. The second new test passes before and after; it keeps the limit from exceeding what refused clients were told. The request log states the estimate, earlier_wait_ms.

--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -101,7 +101,8 @@
     /// Sends the requests of which \a instance has not been sent a byte to other backend servers.
     void moveUnsent(const BackendInstance &instance);
     /// Estimates the time that a client spent on earlier attempts at the same request from how far
-    /// \a clientTimeout has shrunk below the usual one.
+    /// \a clientTimeout has shrunk below the usual one. Less than the shortest Retry-After counts
+    /// as zero, because clients differ by that much in how long they wait.
     Duration estimateEarlierWait(const std::string &route, const CustomerId &customer,
                                  Duration clientTimeout);
 
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -4,6 +4,7 @@
 #include "errorresponse.h"
 #include "passedover.h"
 #include "requestlog.h"
+#include "retryafter.h"
 
 #include <algorithm>
 
@@ -26,10 +27,6 @@
 constexpr std::size_t MaxRejectedAttempts = 2;
 /// Retry-After if the time until a backend server has a free slot is unknown.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(1500);
-/// A client that retries sooner finds the same queues, and most clients retry only once.
-constexpr Duration MinRetryAfter = std::chrono::milliseconds(1000);
-/// Fraction of the remaining time; clients ignore a longer Retry-After.
-constexpr double MaxRetryAfterShare = 0.3;
 /// Time after the start deadline of a backend server with outdated weights at which a request that
 /// has not started there is cancelled. The grace period ends VersionWindow::StartMargin after the
 /// start deadline.
@@ -416,10 +413,9 @@
 
 Duration ForwardedRequest::maxRetryAfter()
 {
-    const Duration longest = std::chrono::duration_cast<Duration>(
-            MaxRetryAfterShare * std::max(Duration::zero(), m_deadline - now()));
-    // At least half of it, so that requests with the same deadline are not retried together.
-    return m_gateway.withJitter(longest / 2);
+    // The jitter keeps requests with the same deadline from being retried together.
+    return m_gateway.withJitter(std::chrono::duration_cast<Duration>(
+            BaseRetryAfterShare * std::max(Duration::zero(), m_deadline - now())));
 }
 
 void ForwardedRequest::refuse(ResultCode code, const std::string &detail, Duration retryAfter)
@@ -497,6 +493,7 @@
                 {"status", status},
                 {"code", static_cast<int>(code)},
                 {"detail", detail},
+                {"earlier_wait_ms", toMilliseconds(m_earlierWait)},
                 {"ms", toMilliseconds(elapsed)}},
                now());
     m_deadlineTimer.reset();
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include "errorresponse.h"
 #include "forwardedrequest.h"
 #include "requestlog.h"
+#include "retryafter.h"
 
 #include <godwit/observe/log.h>
 
@@ -90,10 +91,10 @@
 {
     Duration &longest = m_longestClientTimeouts[{route, customer}];
     longest = std::max(clientTimeout, longest - longest / ClientTimeoutDecayRequests);
-    // A client that retries still has most of its timeout left. A shorter remainder means a client
-    // that simply has a shorter timeout.
+    // A client that retries has waited for its Retry-After and still has most of its timeout left.
+    // Any other remainder means a client that simply has a shorter timeout.
     const Duration spent = longest - clientTimeout;
-    return spent <= longest / 2 ? spent : Duration::zero();
+    return spent >= shortestRetryAfter(longest) && spent <= longest / 2 ? spent : Duration::zero();
 }
 
 void Gateway::recordCrash(const BackendInstance &instance, const RequestContent &content)
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <sstream>
 #include <string>
@@ -415,6 +416,16 @@
         it.sendRequest("/stream/x", "k", 2s);
         CHECK(priority(4) == priority(0));
     }
+    // Guards against first attempts that lose their place because their clients wait less long than
+    // others do: a client that was refused has waited for at least its Retry-After.
+    SECTION("nor first attempts whose timeouts differ by less than the shortest Retry-After")
+    {
+        for (const Duration timeout : {1995ms, 1900ms, 1800ms, 1720ms}) {
+            it.sendRequest("/stream/x", "l", 2s);
+            it.sendRequest("/stream/x", "l", timeout);
+            CHECK(priority(it.backendCalls.size() - 1) == priority(0));
+        }
+    }
     SECTION("nor when all clients have switched to a shorter timeout")
     {
         for (int i = 0; i < 1000; ++i) {
@@ -426,6 +437,35 @@
     }
 }
 
+// Guards against refused clients that return as soon as they were told and take the slots of
+// requests that can still be on time.
+TEST_CASE("Gateway recognises clients that return after their Retry-After")
+{
+    Fixture it;
+    it.configure();
+    std::vector<Duration> waits;
+    for (int i = 0; waits.size() < 20 && i < 200; ++i) {
+        const auto client = it.sendRequest("/stream/x", "k", 2s);
+        if (client->status == 503)
+            waits.push_back(std::chrono::milliseconds(std::lround(
+                    1000 * std::stod(std::string(client->headers.value("Retry-After"))))));
+    }
+    REQUIRE(waits.size() == 20);
+    for (const auto &call : std::vector(it.backendCalls))
+        call->respond(200, "done");
+    for (const Duration wait : waits) {
+        it.sendRequest("/stream/x", "k", 2s);
+        const auto first = it.backendCalls.back();
+        it.sendRequest("/stream/x", "k", 2s - wait);
+        const auto returned = it.backendCalls.back();
+        CAPTURE(wait / 1ms);
+        CHECK(std::stoi(std::string(returned->call.headers.value("priority")))
+              > std::stoi(std::string(first->call.headers.value("priority"))));
+        first->respond(200, "done");
+        returned->respond(200, "done");
+    }
+}
+
 // A route with a long objective fills the queues, so that one with a short objective is always
 // late.
 TEST_CASE("Gateway limits the queues of all routes of a service equally")
