--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -4,6 +4,7 @@
 #include "errorresponse.h"
 #include "passedover.h"
 #include "requestlog.h"
+#include "retryafter.h"
 
 #include <algorithm>
 
@@ -22,10 +23,6 @@
 constexpr std::size_t MaxRejectedAttempts = 2;
 /// Retry-After if the time until a backend server has a free slot is unknown.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(1500);
-/// A client that retries sooner finds the same queues, and most clients retry only once.
-constexpr Duration MinRetryAfter = std::chrono::milliseconds(1000);
-/// Fraction of the remaining time; clients ignore a longer Retry-After.
-constexpr double MaxRetryAfterShare = 0.3;
 /// Time after the start deadline of a backend server with outdated weights at which a request that
 /// has not started there is cancelled. The grace period ends VersionWindow::StartMargin after the
 /// start deadline.
@@ -128,6 +125,9 @@
 
 Duration ForwardedRequest::maxLateDelay() const
 {
+    // A slot serves a request in time or a late one, and queues hold as many in time as can start.
+    if (m_earlierWait > Duration::zero())
+        return Duration::zero();
     return std::min((m_deadline - now()) / 2, serviceObjective() - StartMargin);
 }
 
@@ -446,10 +446,9 @@
 
 Duration ForwardedRequest::maxRetryAfter()
 {
-    const Duration longest = std::chrono::duration_cast<Duration>(
-            MaxRetryAfterShare * std::max(Duration::zero(), m_deadline - now()));
-    // At least half of it, so that requests with the same deadline are not retried together.
-    return m_gateway.withJitter(longest / 2);
+    // The jitter keeps requests with the same deadline from being retried together.
+    return m_gateway.withJitter(std::chrono::duration_cast<Duration>(
+            BaseRetryAfterShare * std::max(Duration::zero(), m_deadline - now())));
 }
 
 void ForwardedRequest::refuse(ResultCode code, const std::string &detail, Duration retryAfter)
@@ -533,6 +532,7 @@
                 {"status", status},
                 {"code", static_cast<int>(code)},
                 {"detail", detail},
+                {"earlier_wait_ms", toMilliseconds(m_earlierWait)},
                 {"ms", toMilliseconds(elapsed)}},
                now());
     m_deadlineTimer.reset();
