Keep silent attempts apart, and report a silence once

An event could be made of parts of two runs: a server that had sent a part of its first event and fell silent was replaced without discarding that part ("view->body == event(1)").

On routes with three attempts, a silent attempt to resume a stream was set aside in place of the first one: the call of the first one was never cancelled, and bytes of the second one were passed on without a look at its head ("it.backendCalls[1]->cancelled", "inProgress(...) == 0"). Only an attempt that has sent an event is set aside now.

Every timeout of every waiting request counted as a failure of the server, and only events ended that, so that a server which was silent for a second got no requests for up to four ("used.contains("b1")"). A silence counts once for each attempt, and a response without events ends it too; a backoff after rejections goes on.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -144,7 +144,8 @@
     /// An attempt has had no answer for unusually long and goes on. Counts as a failure until
     /// onSilenceEnded().
     void onSilence(const BackendId &id, TimePoint now);
-    /// The backend server has gone on with an attempt after onSilence().
+    /// The backend server has gone on with an attempt after onSilence(). A backoff after rejections
+    /// goes on.
     void onSilenceEnded(const BackendId &id, TimePoint now);
     /// The attempt ended. \a held is the time since its response started, or since it was sent if
     /// no response has started.
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -545,7 +545,8 @@
     if (!backend)
         return;
     backend->consecutiveFailures = 0;
-    backend->backoffUntil = std::min(backend->backoffUntil, now);
+    if (backend->consecutiveRejections == 0)
+        backend->backoffUntil = std::min(backend->backoffUntil, now);
 }
 
 void BackendPool::recordFailure(Backend &backend, TimePoint now)
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -137,6 +137,9 @@
     Duration silenceTimeout() const;
     /// Sends the request to another backend server if one can accept it, and waits on otherwise.
     void onSilence();
+    void reportSilence();
+    /// The backend server has gone on after a silence, if there was one.
+    void recordSilenceEnd();
     /// Keeps the current attempt beside the next one until one of them sends an event.
     void setAsideStalledAttempt();
     /// Makes the stalled attempt the current one again, in place of the one that was to resume it.
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -69,6 +69,8 @@
     // An error may be sent before any work on the content of the request.
     if (m_bodyMode == BodyMode::Buffered && isSuccess(status))
         m_gateway.recordStart(m_content);
+    if (m_bodyMode == BodyMode::Buffered)
+        recordSilenceEnd();
     restartSilenceTimer();
 }
 
@@ -128,8 +130,7 @@
 {
     const TimePoint arrived = now();
     PastAttempt &attempt = currentAttempt();
-    if (std::exchange(attempt.isSilent, false))
-        m_gateway.m_backends.onSilenceEnded(attempt.backend, arrived);
+    recordSilenceEnd();
     if (attempt.lastEventsAt)
         m_gateway.m_backends.recordEventGap(attempt.backend, arrived - *attempt.lastEventsAt,
                                             arrived);
--- a/modules/gateway/src/forwardedsilence.cpp
+++ b/modules/gateway/src/forwardedsilence.cpp
@@ -45,12 +45,7 @@
 
 void ForwardedRequest::onSilence()
 {
-    PastAttempt &silent = currentAttempt();
-    ++silent.silences;
-    silent.isSilent = true;
-    m_gateway.m_backends.onSilence(silent.backend, now());
-    if (m_call)
-        m_call->reportSilence();
+    reportSilence();
     const RequestUrgency urgency = m_urgency;
     const bool isAllowed =
             mayRetry(true) && !m_gateway.m_crashSuspects.isSuspended(m_content, now());
@@ -67,18 +62,40 @@
     const RequestUrgency nextUrgency = std::exchange(m_urgency, urgency);
     m_gateway.m_environment.metrics.recordSilence(SilenceAction::Retry);
     m_gateway.m_environment.metrics.recordRetry(toString(AttemptOutcome::Silent));
-    if (m_streaming) {
+    // An attempt that is to resume the stream and has sent no event gives way to the next one.
+    if (currentAttempt().firstEventsAt) {
         setAsideStalledAttempt();
     } else {
         if (m_call)
             m_call->cancel();
         endAttempt(AttemptOutcome::Silent);
+        m_eventSplitter.discardPartialEvent();
     }
     ++m_possibleRuns;
+    m_isTrial = false;
     m_urgency = nextUrgency;
     startAttemptAt(next);
 }
 
+void ForwardedRequest::reportSilence()
+{
+    PastAttempt &silent = currentAttempt();
+    ++silent.silences;
+    // Once for each silence: every report counts as a failure of the backend server.
+    if (std::exchange(silent.isSilent, true))
+        return;
+    m_gateway.m_backends.onSilence(silent.backend, now());
+    if (m_call)
+        m_call->reportSilence();
+}
+
+void ForwardedRequest::recordSilenceEnd()
+{
+    PastAttempt &attempt = currentAttempt();
+    if (std::exchange(attempt.isSilent, false))
+        m_gateway.m_backends.onSilenceEnded(attempt.backend, now());
+}
+
 void ForwardedRequest::setAsideStalledAttempt()
 {
     m_attemptInProgress = false;
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace godwit;
 using namespace godwit::test;
 using namespace std::chrono_literals;
@@ -491,6 +493,74 @@
         CHECK(view->finished);
         CHECK(it.gateway.inProgress() == 0);
     }
+    // Guards against an event that is made of parts of two runs.
+    SECTION("a partial first event of a silent server is not joined with that of the next one")
+    {
+        const auto view = it.sendRequest("/stream/x", "k", 20s);
+        it.backendCalls[0]->head(200, eventHead);
+        it.backendCalls[0]->data("id: 1\nda");
+        it.scheduler.advance(1200ms);
+        REQUIRE(it.backendCalls.size() == 2);
+        it.backendCalls[1]->head(200, eventHead);
+        it.backendCalls[1]->data(event(1));
+        it.backendCalls[1]->complete();
+        CHECK(view->body == event(1));
+    }
+    // Guards against a call that nobody cancels, and against bytes that are passed on without a
+    // look at the head of their response.
+    SECTION("a silent attempt to resume a stream gives way to the next one")
+    {
+        GatewayConfiguration configuration = Fixture::configuration(3);
+        configuration.routes.back().maxAttempts = 3;
+        configuration.routes.back().timeout = 20s;
+        it.gateway.setConfiguration(std::make_shared<const RouteTable>(std::move(configuration)));
+        const auto view = it.sendRequest("/stream/x", "k", 20s);
+        auto &engine = *it.backendCalls[0];
+        engine.head(200, eventHead);
+        engine.data(event(1));
+        it.scheduler.advance(2500ms);
+        REQUIRE(it.backendCalls.size() == 3);
+        CHECK(it.backendCalls[1]->cancelled);
+        CHECK_FALSE(engine.cancelled);
+        it.backendCalls[1]->head(200, {{"events", "1"}});
+        it.backendCalls[1]->data(event(7));
+        CHECK(view->body == event(1));
+        it.backendCalls[2]->head(200, eventHead);
+        it.backendCalls[2]->data(event(2));
+        it.backendCalls[2]->complete();
+        CHECK(engine.cancelled);
+        CHECK(view->body == event(1) + event(2));
+        CHECK(view->finished);
+        for (const char *id : {"b1", "b2", "b3"})
+            CHECK(it.gateway.backends().inProgress(BackendId(id)) == 0);
+    }
+    // Guards against a sound server that gets no requests for seconds after a silence of one.
+    SECTION("many requests at a silent server do not keep it out of use afterwards")
+    {
+        keepOneBackend("b1");
+        for (int i = 0; i < 6; ++i)
+            it.sendRequest("/safe/x", "k", 20s);
+        REQUIRE(it.backendCalls.size() == 6);
+        it.scheduler.advance(1500ms);
+        for (const auto &call : std::vector(it.backendCalls))
+            call->respond(200, "late");
+        it.gateway.backends().update({BackendId("b2"),
+                                      "desk",
+                                      {"10.0.0.2", 80},
+                                      ZoneId("other"),
+                                      6,
+                                      false,
+                                      1,
+                                      {},
+                                      std::nullopt},
+                                     it.scheduler.now());
+        std::set<std::string> used;
+        for (int i = 0; i < 8; ++i) {
+            it.sendRequest("/safe/x", "k", 20s);
+            used.insert(it.backendCalls.back()->backend());
+        }
+        CHECK(used.contains("b1"));
+    }
     SECTION("a stream with two attempts")
     {
         const auto view = it.sendRequest("/stream/x", "k", 20s);
