Restore the store from a copy in the fault soak

The soak has the store come back from a copy that is 0.1 to 2.5 s old; the operator and the backend servers write again after 1.5 s what it lacks.

--- a/bench/src/soak.cpp
+++ b/bench/src/soak.cpp
@@ -106,6 +106,8 @@
     void setAllStoreFaults(const LinkFault &fault);
     void refuseCalls(std::size_t i) { m_fleet.refuseStoreCalls(static_cast<int>(i % 30)); }
     void compactStore(std::size_t) { m_fleet.compactStore(); }
+    void copyStore(std::size_t) { m_fleet.copyStore(); }
+    void restoreStore(std::size_t) { m_fleet.restoreStore(); }
     void engineFault(std::size_t i, const LinkFault &fault)
     {
         m_fleet.setEngineFault(i % m_fleet.engineCount(), fault);
@@ -166,6 +168,7 @@
             {"hold all traffic to the store", &Soak::holdAllStores, &Soak::clearAllStoreFaults},
             {"refuse calls to the store", &Soak::refuseCalls, nullptr},
             {"compact the history of the store", &Soak::compactStore, nullptr},
+            {"copy the store, and restore it", &Soak::copyStore, &Soak::restoreStore},
             {"hold all traffic to a backend server", &Soak::holdEngine, &Soak::clearEngineFault},
             {"hold replies of a backend server", &Soak::holdEngineReplies, &Soak::clearEngineFault},
             {"slow a backend server", &Soak::slowEngine, &Soak::clearEngineFault},
--- a/bench/src/soakfleet.cpp
+++ b/bench/src/soakfleet.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 namespace godwit {
@@ -29,6 +30,8 @@
 constexpr Duration EngineDowntime = std::chrono::milliseconds(1500);
 /// Time for which a draining backend server keeps serving after it has announced its end.
 constexpr Duration DrainTime = std::chrono::milliseconds(2500);
+/// Time after which a restored store has what its copy lacks.
+constexpr Duration RewriteDelay = std::chrono::milliseconds(1500);
 /// Time for which the record of a crashed backend server stays in the store.
 constexpr Duration RecordExpiry = std::chrono::milliseconds(1000);
 constexpr std::size_t MaxAddedRoutes = 3;
@@ -177,6 +180,29 @@
         m_store.put(engine.process->recordKey(), engine.process->recordJson(engine.isDraining));
 }
 
+void SoakFleet::restoreStore()
+{
+    m_store.restore();
+    schedule(m_rewriteTimer, RewriteDelay, [this] { rewriteStore(); });
+}
+
+void SoakFleet::rewriteStore()
+{
+    publishConfiguration();
+    m_store.put(standin::VersionKey, standin::versionJson(m_version));
+    std::set<std::string> running;
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        if (!m_engines[i].process)
+            continue;
+        running.insert(m_engines[i].process->recordKey());
+        publishRecord(i);
+    }
+    for (const std::string &key : m_store.keys(standin::ServerPrefix)) {
+        if (!running.contains(key))
+            m_store.remove(key);
+    }
+}
+
 void SoakFleet::removeEngine(std::size_t index, bool isRecordKept)
 {
     Engine &engine = m_engines[index];
--- a/bench/src/soakfleet.h
+++ b/bench/src/soakfleet.h
@@ -58,6 +58,9 @@
     void resetStore(std::size_t process);
     void refuseStoreCalls(int calls) { m_store.rejectNextCalls += calls; }
     void compactStore() { m_store.compact(); }
+    void copyStore() { m_store.copy(); }
+    /// The store comes back from the last copy. What it lacks is written again after RewriteDelay.
+    void restoreStore();
     void setEngineFault(std::size_t engine, const LinkFault &fault);
     void resetEngine(std::size_t engine);
     void crashEngine(std::size_t engine); ///< Replaced by a new process later.
@@ -125,6 +128,7 @@
     void restartEngine(std::size_t index);
     void publishConfiguration();
     void publishRecord(std::size_t engine);
+    void rewriteStore();
     void schedule(std::unique_ptr<boost::asio::steady_timer> &timer, Duration delay,
                   std::function<void()> step);
 
@@ -133,6 +137,7 @@
     SoakRecord &m_record;
     ProcessGroup m_processes;
     FleetStoreStandin m_store;
+    std::unique_ptr<boost::asio::steady_timer> m_rewriteTimer;
     std::unique_ptr<HttpServer> m_origin;
     TcpProxy m_originProxy;
     std::vector<Member> m_members;
--- a/standins/include/godwit/standin/fleetstorestandin.h
+++ b/standins/include/godwit/standin/fleetstorestandin.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace godwit {
@@ -43,7 +44,7 @@
 
     std::uint64_t revision() const { return m_state.revision; }
     std::uint64_t era() const { return m_era; }
-    bool contains(const std::string &key) const { return m_state.items.contains(key); }
+    std::vector<std::string> keys(std::string_view prefix) const;
 
     std::size_t pageSize = 500; ///< Maximum number of items per page.
     int rejectNextCalls = 0;    ///< Number of following calls to answer with status 503.
--- a/standins/include/godwit/standin/fleetwire.h
+++ b/standins/include/godwit/standin/fleetwire.h
@@ -68,6 +68,7 @@
 constexpr std::string_view ModelService = "models";
 constexpr std::string_view BookingService = "bookings";
 constexpr const char *ConfigurationKey = "op/config";
+constexpr const char *ServerPrefix = "servers/";
 constexpr const char *VersionKey = "op/version/soak-model";
 
 constexpr std::uint32_t FleetPieceCount = 24;
--- a/standins/src/fleetstorestandin.cpp
+++ b/standins/src/fleetstorestandin.cpp
@@ -81,6 +81,16 @@
     closeWatches();
 }
 
+std::vector<std::string> FleetStoreStandin::keys(std::string_view prefix) const
+{
+    std::vector<std::string> found;
+    for (const auto &[key, item] : m_state.items) {
+        if (key.starts_with(prefix))
+            found.push_back(key);
+    }
+    return found;
+}
+
 void FleetStoreStandin::closeWatches()
 {
     for (const Watch &it : m_watches)
