Confirm the configuration as soon as lost writes have been written again

Cause: confirmations are held back while lost writes may be missing, and the next one came with the next response of a long poll, up to two seconds later; with the first one dated back, the sum of both polls exceeds the age at which keys are refused.

The mirror of the operator's records in entry processes lists them once more at the end of that period, and also in its middle after a start. That is one call after a return and two after a start.

Seen to fail without the refreshes, in "PrefixMirror asks for a confirmation as soon as lost writes have been written again": "age() <= ...", "lists.size() == 3", "REQUIRE( it.store.lists.size() == lists + 1 )".

--- a/modules/fleet/include/godwit/fleet/operatorfeed.h
+++ b/modules/fleet/include/godwit/fleet/operatorfeed.h
@@ -35,6 +35,9 @@
 
     void start() { m_mirror.start(); }
 
+    /// See PrefixMirror. Call before start().
+    void refreshUntilRewritten() { m_mirror.refreshUntilRewritten(); }
+
     /// Reads the records again because there may be newer ones than the watch has reported.
     void refresh() { m_mirror.refresh(); }
 
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -126,6 +126,8 @@
                           response.status = !isShuttingDown() && m_gateway.isReady() ? 200 : 503;
                           return response;
                       }));
+    // Requests with keys are refused if the last confirmation is too old.
+    m_operatorFeed.refreshUntilRewritten();
     m_operatorFeed.start();
     m_backendFeed.start();
     m_crashReports.start();
--- a/modules/mirror/include/godwit/mirror/prefixmirror.h
+++ b/modules/mirror/include/godwit/mirror/prefixmirror.h
@@ -74,6 +74,9 @@
     /// Writes that a restored service has lost are written again within this time after its return.
     static constexpr Duration RewritePeriod = std::chrono::milliseconds(2500);
 
+    /// Interval of refreshes in that period, see refreshUntilRewritten().
+    static constexpr Duration RefreshInterval = RewritePeriod / 2;
+
     PrefixMirror(KeyValuePort &store, Scheduler &scheduler, Random random, std::string prefix,
                  MirrorHandlers handlers);
     ~PrefixMirror();
@@ -87,12 +90,18 @@
     /// progress.
     void refresh();
 
+    /// Refreshes from now on in and at the end of each period in which lost writes may still be
+    /// missing, for users that need recent confirmations: in it they are late by its length, and
+    /// the next response of the watch may come long after it.
+    void refreshUntilRewritten() { m_refreshesUntilRewritten = true; }
+
     /// The most recent of the failed calls; none if no call has failed yet.
     std::optional<FailedCall> lastFailedCall() const { return m_lastFailedCall; }
 
 private:
     void list();
     void onList(TimePoint requestTime, const Outcome<KeyValueList> &outcome);
+    void scheduleRefresh();
     void onRefresh(TimePoint requestTime, const Outcome<KeyValueList> &outcome);
     void applyList(const KeyValueList &found);
     /// Like applyList(), for the first list since the service came back from a copy.
@@ -147,6 +156,8 @@
     bool m_isWatching = false;
     std::shared_ptr<CallHandle> m_watch;
     std::unique_ptr<Timer> m_retry;
+    std::unique_ptr<Timer> m_refreshTimer;
+    bool m_refreshesUntilRewritten = false;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/modules/mirror/src/prefixmirror.cpp
+++ b/modules/mirror/src/prefixmirror.cpp
@@ -76,6 +76,20 @@
     });
 }
 
+void PrefixMirror::scheduleRefresh()
+{
+    const TimePoint now = m_scheduler.now();
+    if (!m_refreshesUntilRewritten || now >= m_rewriteEnd)
+        return;
+    const Duration left = m_rewriteEnd - now;
+    // After a return nothing more is confirmed before the end of the period.
+    const Duration delay = m_wasRestored ? left : std::min(left, RefreshInterval);
+    m_refreshTimer = m_scheduler.after(delay, [this] {
+        refresh();
+        scheduleRefresh();
+    });
+}
+
 void PrefixMirror::onRefresh(TimePoint requestTime, const Outcome<KeyValueList> &outcome)
 {
     m_isListing = false;
@@ -132,6 +146,7 @@
         m_rewriteEnd = m_scheduler.now() + RewritePeriod;
     m_position = found.position;
     confirm(requestTime);
+    scheduleRefresh();
     watch();
 }
 
--- a/modules/mirror/tests/prefixmirrortest.cpp
+++ b/modules/mirror/tests/prefixmirrortest.cpp
@@ -433,3 +433,51 @@
         CHECK(it.confirmedAt == asked);
     }
 }
+
+// Guards against requests with keys that are refused for seconds after each start and each return
+// of the store, because the confirmations held back for lost writes are followed by a long poll.
+TEST_CASE("PrefixMirror asks for a confirmation as soon as lost writes have been written again")
+{
+    Fixture it;
+    PrefixMirror mirror(it.store, it.scheduler, Random(1), "p/", it.handlers());
+    mirror.refreshUntilRewritten();
+    mirror.start();
+    const auto age = [&] { return it.scheduler.now() - it.confirmedAt.value(); };
+
+    SECTION("after the start")
+    {
+        it.listed(10, {}, StoreEra{3});
+        const TimePoint start = it.scheduler.now();
+        while (it.scheduler.now() < start + 2 * PrefixMirror::RewritePeriod) {
+            const std::size_t lists = it.store.lists.size();
+            it.scheduler.advance(50ms);
+            CHECK(age() <= PrefixMirror::RewritePeriod + PrefixMirror::RefreshInterval + 50ms);
+            if (it.store.lists.size() > lists)
+                it.listed(10, {}, StoreEra{3});
+        }
+        CHECK(it.store.lists.size() == 3);
+        CHECK(it.confirmedAt == start + PrefixMirror::RewritePeriod);
+    }
+    SECTION("after a return")
+    {
+        it.listed(10, {}, StoreEra{1});
+        it.scheduler.advance(10s);
+        it.store.watches.back().second.onEnd(Error{ResultCode::StoreRestored, "era 2"});
+        it.listed(8, {}, StoreEra{2});
+        const std::size_t lists = it.store.lists.size();
+        it.scheduler.advance(PrefixMirror::RewritePeriod - 1ms);
+        CHECK(it.store.lists.size() == lists);
+        it.scheduler.advance(1ms);
+        REQUIRE(it.store.lists.size() == lists + 1);
+        it.listed(9, {}, StoreEra{2});
+        CHECK(age() == Duration::zero());
+        it.scheduler.advance(10s);
+        CHECK(it.store.lists.size() == lists + 1);
+    }
+    SECTION("but not of a store that states no era")
+    {
+        it.listed(10, {});
+        it.scheduler.advance(10s);
+        CHECK(it.store.lists.size() == 1);
+    }
+}
