Remember that a removed backend server drained, and extend pending removals

A process whose record was removed while it drained was used again if what was lost is written again in order (ready, draining, removed), between the first two; it is treated as draining from its first record on now. Failed before: "!it.records.contains(a) || it.records.at(a).draining".

--- a/modules/fleet/include/godwit/fleet/backendfeed.h
+++ b/modules/fleet/include/godwit/fleet/backendfeed.h
@@ -58,6 +58,12 @@
     void start() { m_mirror.start(); }
 
 private:
+    struct Removal
+    {
+        TimePoint at;
+        bool draining = false; ///< The last record said so.
+    };
+
     void handlePut(const KeyValueEntry &entry);
     /// Handles a record in the first list after the store came back from a copy.
     void handleCopiedPut(const BackendRecord &record, const KeyValueEntry &entry);
@@ -66,6 +72,7 @@
     void applyLater(const BackendRecord &record, StoreRevision revision, Duration delay);
     void handleRemoved(const std::string &key);
     void removeNow(const BackendId &id);
+    void removeLater(const BackendId &id, Duration delay);
     void handleRestored();
     /// Remembers that the process of \a record was removed, and forgets those of long ago.
     void recordRemoval(const BackendRecord &record);
@@ -84,9 +91,9 @@
     std::map<BackendId, std::unique_ptr<Timer>> m_pendingRemovals;
     /// Records from a copy that may be outdated.
     std::map<BackendId, std::unique_ptr<Timer>> m_pendingRecords;
-    std::map<BackendInstance, TimePoint> m_removedAt;
-    std::optional<TimePoint> m_unreachableSince; ///< No call has succeeded since then.
-    std::optional<TimePoint> m_graceEnd;         ///< For records that expired in an outage.
+    std::map<BackendInstance, Removal> m_removed; ///< Processes whose records were removed.
+    std::optional<TimePoint> m_unreachableSince;  ///< No call has succeeded since then.
+    std::optional<TimePoint> m_graceEnd;          ///< For records that expired in an outage.
     bool m_isReadingCopy = false; ///< The first list of a restored store is being reported.
     bool m_isUpToDate = false;    ///< All changes since the last failed call have been reported.
     PrefixMirror m_mirror;
--- a/modules/fleet/src/backendfeed.cpp
+++ b/modules/fleet/src/backendfeed.cpp
@@ -58,13 +58,12 @@
     }
     m_pendingRecords.erase(record.id);
     m_pendingRemovals.erase(record.id);
-    m_removedAt.erase(instanceOf(record));
     apply(record, entry.modified);
 }
 
 void BackendFeed::handleCopiedPut(const BackendRecord &record, const KeyValueEntry &entry)
 {
-    if (m_removedAt.contains(instanceOf(record))) {
+    if (m_removed.contains(instanceOf(record))) {
         logStateChange("backend_record_outdated",
                        {{"backend", record.id.value()}, {"revision", entry.modified.value}});
         applyLater(record, entry.modified, CopiedRecordTimeout);
@@ -89,7 +88,6 @@
     m_pendingRecords[record.id] = m_scheduler.after(delay, [this, record, revision] {
         const auto timer = std::move(m_pendingRecords[record.id]);
         m_pendingRecords.erase(record.id);
-        m_removedAt.erase(instanceOf(record));
         apply(record, revision);
     });
 }
@@ -98,8 +96,13 @@
 {
     const auto [it, isNew] = m_records.try_emplace(record.id);
     BackendRecord &known = it->second;
+    const auto removed = m_removed.find(instanceOf(record));
+    const bool hasDrained = (!isNew && known.draining && known.startTimeMs == record.startTimeMs)
+                            || (removed != m_removed.end() && removed->second.draining);
+    if (removed != m_removed.end())
+        m_removed.erase(removed);
     // A server that has announced its end never takes it back.
-    if (!isNew && known.draining && known.startTimeMs == record.startTimeMs)
+    if (hasDrained)
         record.draining = true;
     if (known == record)
         return;
@@ -122,13 +125,17 @@
     if (m_isUpToDate)
         remaining = std::min(remaining, m_maxRemovalDelay);
     if (!it->second.draining && remaining > Duration::zero())
-        // The removal destroys the function with its captures.
-        m_pendingRemovals[id] =
-                m_scheduler.after(remaining, [this, id] { removeNow(BackendId(id)); });
+        removeLater(id, remaining);
     else
         removeNow(id);
 }
 
+void BackendFeed::removeLater(const BackendId &id, Duration delay)
+{
+    // The removal destroys the function with its captures.
+    m_pendingRemovals[id] = m_scheduler.after(delay, [this, id] { removeNow(BackendId(id)); });
+}
+
 void BackendFeed::removeNow(const BackendId &id)
 {
     const auto it = m_records.find(id);
@@ -143,8 +150,8 @@
 void BackendFeed::recordRemoval(const BackendRecord &record)
 {
     const TimePoint now = m_scheduler.now();
-    std::erase_if(m_removedAt, [now](const auto &it) { return it.second + RemovalMemory <= now; });
-    m_removedAt[instanceOf(record)] = now;
+    std::erase_if(m_removed, [now](const auto &it) { return it.second.at + RemovalMemory <= now; });
+    m_removed[instanceOf(record)] = {now, record.draining};
 }
 
 void BackendFeed::handleRestored()
@@ -152,6 +159,9 @@
     m_isReadingCopy = true;
     m_isUpToDate = false;
     m_graceEnd = graceEnd();
+    // The mirror has reported these as removed after an earlier return, and does not do so again.
+    for (const auto &[id, timer] : std::exchange(m_pendingRemovals, {}))
+        removeLater(id, remainingGrace());
 }
 
 TimePoint BackendFeed::graceEnd() const
--- a/modules/fleet/tests/backendfeedtest.cpp
+++ b/modules/fleet/tests/backendfeedtest.cpp
@@ -347,4 +347,30 @@
         it.scheduler.advance(BackendFeed::ReregistrationGrace);
         CHECK_FALSE(it.records.contains(a));
     }
+    // Guards against requests to a server that leaves, while what was lost is written again in
+    // order.
+    SECTION("a process that was removed while it drained is not used when it is written again as "
+            "ready")
+    {
+        write("servers/a", "draining 100 4", 12);
+        it.remove("servers/a", 13);
+        it.store.restore(10, {entry("servers/b", "draining", 4)});
+        write("servers/a", "ready 100 4", 11);
+        CHECK((!it.records.contains(a) || it.records.at(a).draining));
+        write("servers/a", "ready 300 4", 12);
+        CHECK_FALSE(it.records.at(a).draining);
+    }
+    // Guards against the loss of sound servers that have not had the time to write their records
+    // again since the second return.
+    SECTION("a record that is missing in two copies has time to return after the second one")
+    {
+        it.store.restore(10, {entry("servers/b", "draining", 4)});
+        it.scheduler.advance(BackendFeed::ReregistrationGrace - 1s);
+        it.store.handlers.onPollStarted();
+        it.store.restore(9, {entry("servers/b", "draining", 4)});
+        it.scheduler.advance(1500ms);
+        CHECK(it.records.contains(a));
+        it.scheduler.advance(BackendFeed::ReregistrationGrace);
+        CHECK_FALSE(it.records.contains(a));
+    }
 }
