--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -452,9 +452,30 @@
     options.recordFile = argv[3];
     const char *trouble = std::getenv("TROUBLE");
     options.trouble = !trouble || std::string(trouble) != "0";
-    options.ipBlock = "127." + std::to_string(30 + ::getpid() % 200);
+    // A block of addresses that no other case uses: it holds one port of it until the program ends.
+    for (int i = 0; i < 200 && options.ipBlock.empty(); ++i) {
+        const std::string block = "127." + std::to_string(30 + (::getpid() + i) % 200);
+        const sockaddr_in address = toSockaddr({block + ".254.254", 8005});
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (::bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0)
+            options.ipBlock = block;
+        else
+            ::close(fd);
+    }
     ::signal(SIGPIPE, SIG_IGN);
     return options;
 }
 
+/// Runs a case and ends the program without the destructors of what its threads still use.
+[[noreturn]] inline void runCase(int argc, char **argv, int (*run)(const CaseOptions &))
+{
+    int code = 2;
+    try {
+        code = run(readOptions(argc, argv));
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << std::endl;
+    }
+    std::_Exit(code);
+}
+
 } // namespace review
--- a/review/standin/http.h
+++ b/review/standin/http.h
@@ -245,7 +245,7 @@
     Server(const Address &listen, Handler handler)
         : m_handler(std::move(handler))
     {
-        m_fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        m_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
         ::setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         sockaddr_in address = toSockaddr(listen);
@@ -264,7 +264,7 @@
     void accept()
     {
         for (;;) {
-            const int fd = ::accept(m_fd, nullptr, nullptr);
+            const int fd = ::accept4(m_fd, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0)
                 return;
             std::thread([this, fd] {
@@ -295,7 +295,7 @@
 /// Opens a connection; null if it is refused or takes longer than \a timeoutMs.
 inline std::unique_ptr<Socket> connectTo(const Address &address, int timeoutMs)
 {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     timeval limit{timeoutMs / 1000, timeoutMs % 1000 * 1000};
     ::setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
     const sockaddr_in peer = toSockaddr(address);
