--- a/review/standin/revokedkey.cpp
+++ b/review/standin/revokedkey.cpp
@@ -40,13 +40,15 @@
 
 int run(const CaseOptions &options)
 {
-    Record record(options.recordFile);
-    Store store(options.ip(9, 1), record);
+    // The threads of the stand-ins use these until the program ends.
+    Record &record = *new Record(options.recordFile);
+    Store &store = *new Store(options.ip(9, 1), record);
 
-    std::mutex mutex;
-    std::map<std::string, int> runs; // By attempt: when it ran.
-    const std::string engineId = "i-desk-1";
-    Server engine({options.ip(3, 1), 0}, [&](const Message &request, Socket &socket) {
+    std::mutex &mutex = *new std::mutex;
+    auto &runs = *new std::map<std::string, int>; // By attempt: when it ran.
+    static const std::string engineId = "i-desk-1";
+    Server &engine = *new Server({options.ip(3, 1), 0}, [&](const Message &request,
+                                                            Socket &socket) {
         const std::string attempt = request.header("x-attempt-id");
         const std::string expected = request.header("x-expect-instance");
         if (!expected.empty() && expected != engineId)
@@ -165,10 +167,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        return run(readOptions(argc, argv));
-    } catch (const std::exception &error) {
-        std::cerr << error.what() << '\n';
-        return 2;
-    }
+    runCase(argc, argv, run);
 }
