--- /dev/null
+++ b/review/standin/rollinghosts.cpp
@@ -0,0 +1,97 @@
+// The host processes of one zone are stopped with SIGTERM and started again in turn while new
+// weights are on their way. Each has to end in grace_s, and not by a signal of its own.
+#include "weights.h"
+
+using namespace review;
+
+namespace {
+
+constexpr int Hosts = 4;
+constexpr int Versions = 6;
+constexpr int GapMs = 1000;
+constexpr int GraceMs = 8000;
+
+int run(const CaseOptions &options)
+{
+    Record &record = *new Record(options.recordFile);
+    Store &store = *new Store(options.ip(9, 1), record);
+    Server &origin = *new Server({options.ip(4, 1), 0}, handleOrigin);
+    auto &engines = *new std::vector<std::unique_ptr<Engine>>;
+    Processes processes(options.program, options.folder, record);
+    std::vector<Machine> sides;
+    store.put("op/config", configuration(origin.address()));
+    for (int i = 1; i <= Hosts; ++i) {
+        engines.push_back(
+                std::make_unique<Engine>(options.ip(2, i), record, "i-draft-" + std::to_string(i)));
+        sides.push_back(
+                {"side-" + std::to_string(i), options.ip(2, i), false, engines.back()->address()});
+        store.put("servers/" + engines.back()->id(), engines.back()->entry());
+    }
+    for (const Machine &it : sides)
+        processes.start(it.name, settingsOf(it, store.address()));
+    sleepMs(1500);
+
+    int stops = 0;
+    int broken = 0;
+    const auto stopAndStart = [&](const Machine &machine) {
+        ++stops;
+        processes.signal(machine.name, SIGTERM, "SIGTERM");
+        std::optional<int> status;
+        waitFor(GraceMs, [&] { return (status = processes.ended(machine.name)).has_value(); });
+        if (!status) {
+            ++broken;
+            record.write("BROKEN: process " + machine.name + " hangs: it has not ended "
+                         + std::to_string(GraceMs) + " ms after SIGTERM");
+            processes.kill(machine.name);
+        } else if (WIFSIGNALED(*status)) {
+            ++broken;
+            record.write("BROKEN: process " + machine.name + " crashed with signal "
+                         + std::to_string(WTERMSIG(*status)));
+        } else {
+            record.write("process " + machine.name + ": exit code "
+                         + std::to_string(WEXITSTATUS(*status)));
+        }
+        processes.start(machine.name, settingsOf(machine, store.address()));
+    };
+    for (int version = 2; version <= Versions; ++version) {
+        newestVersion = version;
+        store.put("op/version/" + Model,
+                  json::serialize(json::object{{"model", Model}, {"version", version}}));
+        record.write("operator: version " + std::to_string(version) + " is named");
+        if (options.trouble) {
+            for (const Machine &it : sides) {
+                sleepMs(GapMs);
+                stopAndStart(it);
+            }
+        }
+        const bool isLoaded = waitFor(40'000, [&] {
+            return std::all_of(engines.begin(), engines.end(),
+                               [version](const auto &it) { return it->version() == version; });
+        });
+        if (!isLoaded) {
+            record.write("version " + std::to_string(version) + " is not loaded everywhere");
+            return 2;
+        }
+        for (const auto &it : engines)
+            store.put("servers/" + it->id(), it->entry());
+        for (const Machine &it : sides) {
+            if (processes.ended(it.name)) {
+                ++broken;
+                record.write("BROKEN: process " + it.name + " has ended by itself");
+                processes.start(it.name, settingsOf(it, store.address()));
+            }
+        }
+        if (record.nowMs() > 75'000)
+            break;
+    }
+    record.write(std::to_string(broken) + " of " + std::to_string(stops)
+                 + " stops ended with a crash or a hang");
+    return broken > 0 ? 1 : 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    runCase(argc, argv, run);
+}
