--- a/review/standin/spoiltweights.cpp
+++ b/review/standin/spoiltweights.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+/// Of the nine, one freezes.
+constexpr int Hosts = 9;
 constexpr int FreezeMs = 4000;
 
 int run(const CaseOptions &options)
@@ -15,15 +17,25 @@
     Record &record = *new Record(options.recordFile);
     Store &store = *new Store(options.ip(9, 1), record);
     Server &origin = *new Server({options.ip(4, 1), 0}, handleOrigin);
-    Engine &engine = *new Engine(options.ip(2, 1), record, "i-draft-1");
-    store.put("op/config", configuration(origin.address()));
-    store.put("servers/" + engine.id(), engine.entry());
-
+    auto &engines = *new std::vector<std::unique_ptr<Engine>>;
     Processes processes(options.program, options.folder, record);
     const Machine edge{"edge-1", options.ip(1, 1)};
-    const Machine side{"side-1", options.ip(2, 1), false, engine.address()};
+    std::vector<Machine> sides;
+    store.put("op/config", configuration(origin.address()));
+    for (int i = 1; i <= Hosts; ++i) {
+        engines.push_back(
+                std::make_unique<Engine>(options.ip(2, i), record, "i-draft-" + std::to_string(i)));
+        sides.push_back(
+                {"side-" + std::to_string(i), options.ip(2, i), false, engines.back()->address()});
+    }
+    const auto writeEntries = [&] {
+        for (const auto &it : engines)
+            store.put("servers/" + it->id(), it->entry());
+    };
+    writeEntries();
     processes.start(edge.name, settingsOf(edge, store.address()));
-    processes.start(side.name, settingsOf(side, store.address()));
+    for (const Machine &it : sides)
+        processes.start(it.name, settingsOf(it, store.address()));
     if (!waitFor(15'000, [&] { return isReady(edge); })) {
         record.write("the entry machine is not ready");
         return 2;
@@ -48,35 +60,54 @@
     store.put("op/version/" + Model,
               json::serialize(json::object{{"model", Model}, {"version", 2}}));
     record.write("operator: version 2 is named");
-    const auto refresh = [&] { store.put("servers/" + engine.id(), engine.entry()); };
     if (options.trouble) {
-        if (!waitFor(20'000, [&] { return engine.checkReads() > 0; })) {
+        // The first host that is in the middle of its check freezes.
+        std::size_t frozen = 0;
+        const bool isChecking = waitFor(20'000, [&] {
+            for (frozen = 0; frozen < engines.size(); ++frozen) {
+                if (engines[frozen]->checkReads() >= 30)
+                    return true;
+            }
+            return false;
+        });
+        if (!isChecking) {
             record.write("the pieces are not checked");
             return 2;
         }
-        sleepMs(300);
-        processes.signal(side.name, SIGSTOP,
-                         "freezes, after " + std::to_string(engine.checkReads())
-                                 + " reads of staged pieces");
+        processes.signal(sides[frozen].name, SIGSTOP,
+                         "freezes, its check has read "
+                                 + std::to_string(engines[frozen]->checkReads()) + " pieces");
         sleepMs(200);
-        engine.spoil(12);
+        engines[frozen]->spoil(12);
         sleepMs(FreezeMs - 200);
-        processes.signal(side.name, SIGCONT, "wakes");
+        processes.signal(sides[frozen].name, SIGCONT, "wakes");
     }
-    if (!waitFor(20'000, [&] { return engine.version() == 2; })) {
-        record.write("version 2 is not loaded");
+    const bool isLoaded = waitFor(25'000, [&] {
+        return std::all_of(engines.begin(), engines.end(),
+                           [](const auto &it) { return it->version() == 2; });
+    });
+    if (!isLoaded) {
+        record.write("version 2 is not loaded everywhere");
         return 2;
     }
     sleepMs(400);
-    refresh();
+    writeEntries();
     sleepMs(1500);
-    for (int i = 0; i < 5; ++i)
+    int bad = 0;
+    int good = 0;
+    for (int i = 0; i < 150 && bad < 5; ++i) {
         ask();
-    record.write(std::to_string(engine.badTokens()) + " requests ran on spoilt weights, "
-                 + std::to_string(engine.goodTokens()) + " on sound ones");
-    if (engine.badTokens() + engine.goodTokens() < 4)
+        bad = good = 0;
+        for (const auto &it : engines) {
+            bad += it->badTokens();
+            good += it->goodTokens();
+        }
+    }
+    record.write(std::to_string(bad) + " requests ran on spoilt weights, " + std::to_string(good)
+                 + " on sound ones");
+    if (bad + good < 4)
         return 2;
-    return engine.badTokens() > 0 ? 1 : 0;
+    return bad > 0 ? 1 : 0;
 }
 
 } // namespace
--- a/review/standin/weights.h
+++ b/review/standin/weights.h
@@ -78,7 +78,7 @@
                                             {"layers", layers(m_version)}});
     }
 
-    /// Number of reads of staged pieces since all pieces of version 2 have been put.
+    /// Number of pieces that the present check of version 2 has read.
     int checkReads()
     {
         const std::lock_guard lock(m_mutex);
@@ -165,8 +165,9 @@
         if (it == m_staged.end())
             return socket.send(formatResponse(404, {}, ""));
         const std::string bytes = it->second;
-        if (holdsVersion2())
-            ++m_checkReads;
+        // A check reads piece after piece; reads for other hosts come between.
+        if (holdsVersion2() && (it->first == m_checkReads || it->first == 0))
+            m_checkReads = it->first + 1;
         lock.unlock();
         sleepMs(6);
         return socket.send(formatResponse(200, {}, bytes));
