--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -329,6 +329,22 @@
         return status;
     }
 
+    /// Processor time that a running process has used.
+    double processorSeconds(const std::string &name) const
+    {
+        std::ifstream file("/proc/" + std::to_string(m_pids.at(name)) + "/stat");
+        std::string text;
+        std::getline(file, text);
+        std::istringstream fields(text.substr(text.rfind(')') + 1));
+        std::string skipped;
+        for (int i = 0; i < 11; ++i)
+            fields >> skipped;
+        double user = 0;
+        double system = 0;
+        fields >> user >> system;
+        return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    }
+
     std::string log(const std::string &name) const
     {
         std::ifstream file(m_folder + '/' + name + ".log");
