Order no load on an outdated verification of the staged chunks

Nothing reported it.

Cause: EngineStager verified the staged chunks one after the other and ordered the load after the last one, whatever time had passed since the first. A process that froze in between ordered the load on results that were seconds old.

Fix: a verification is given up and begins again when it is older than 2 s at any of its steps, by a clock that includes suspensions, and the order is not sent later than that either. Weights that take longer to verify by themselves are verified and loaded in several orders of some layers; if single layers take too long, the limit is that of a single read, and in the end there is none, so that every verification ends in a load.

--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -139,16 +139,18 @@
 
 void HostProcess::applyConfiguration(const GatewayConfiguration &configuration)
 {
+    const auto own = std::ranges::find(configuration.services, m_settings.engine->service,
+                                       &ServiceDescription::name);
+    const bool hasEngine = own != configuration.services.end() && own->engine;
+    const std::vector<ModelId> models = hasEngine ? own->engine->models : std::vector<ModelId>();
+    for (const ModelId &model : models)
+        m_rollout.setLayerCount(model, own->engine->layers);
     for (const ServiceDescription &it : configuration.services) {
         if (it.origin)
             updateOrigin(*it.origin);
     }
-    for (const ServiceDescription &it : configuration.services) {
-        if (it.name != m_settings.engine->service || !it.engine)
-            continue;
-        for (const ModelId &model : it.engine->models)
-            m_rollout.setWantedVersion(model, FirstVersion, std::nullopt);
-    }
+    for (const ModelId &model : models)
+        m_rollout.setWantedVersion(model, FirstVersion, std::nullopt);
 }
 
 void HostProcess::updateOrigin(const WeightOrigin &origin)
--- a/modules/gateway/include/godwit/gateway/backendrecord.h
+++ b/modules/gateway/include/godwit/gateway/backendrecord.h
@@ -20,6 +20,14 @@
     friend auto operator<=>(const LayerRange &, const LayerRange &) = default;
 };
 
+/// Whether an engine that reports \a held has loaded all \a layers of \a version. An engine that
+/// reports none does not load its model layer by layer.
+inline bool holdsAllLayers(const std::optional<LayerRange> &held, std::uint64_t version,
+                           std::uint32_t layers)
+{
+    return !held || (held->version == version && held->first == 0 && held->end >= layers);
+}
+
 /// A model that an engine serves.
 struct ServedModel
 {
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -108,14 +108,6 @@
     return none;
 }
 
-bool holdsAllLayers(const BackendRecord &record, std::uint64_t version, std::uint32_t layers)
-{
-    if (!record.layers)
-        return true;
-    const LayerRange &held = *record.layers;
-    return held.version == version && held.first == 0 && held.end >= layers;
-}
-
 } // namespace
 
 BackendPool::BackendPool(ZoneId zone, Random random)
@@ -213,7 +205,7 @@
     const auto served = std::ranges::find(record.models, query.model, &ServedModel::model);
     return served != record.models.end() && served->version >= requiredVersion(query.model, now)
            && (!query.version || served->version == *query.version)
-           && holdsAllLayers(record, served->version, service->engine->layers);
+           && holdsAllLayers(record.layers, served->version, service->engine->layers);
 }
 
 double BackendPool::loadReportWeight(const Backend &backend, TimePoint now)
--- a/modules/ports/include/godwit/ports/httpcall.h
+++ b/modules/ports/include/godwit/ports/httpcall.h
@@ -38,6 +38,9 @@
     /// Header that the server copies into the response. A response with another value belongs to an
     /// earlier call on the connection and is discarded; one without the header is accepted.
     std::optional<HttpCorrelation> correlation;
+    /// Time of AsioScheduler after which the call fails with NotSent if no byte of it has been
+    /// sent.
+    std::optional<TimePoint> sendBefore;
     bool retryable = false; ///< May be sent again if the server has closed a reused connection.
 };
 
--- a/modules/ports/src/clientconnection.cpp
+++ b/modules/ports/src/clientconnection.cpp
@@ -1,5 +1,7 @@
 #include "clientconnection.h"
 
+#include <godwit/ports/asioscheduler.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -172,6 +174,11 @@
 
 void ClientConnection::begin()
 {
+    const auto &sendBefore = m_call->request.sendBefore;
+    if (sendBefore && AsioScheduler(m_io).now() > *sendBefore) {
+        failCall(ResultCode::NotSent, "too late to be sent");
+        return;
+    }
     if (!m_call->beginSending()) {
         cancel();
         return;
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -1,5 +1,6 @@
 #include "loopback.h"
 
+#include <godwit/ports/asioscheduler.h>
 #include <godwit/ports/httpclient.h>
 #include <godwit/ports/httpserver.h>
 
@@ -176,6 +177,36 @@
     }
 }
 
+// Guards against an order that reaches its server long after the facts that it is based on.
+TEST_CASE("A call is not sent after the time by which it has to be")
+{
+    boost::asio::io_context io;
+    int requests = 0;
+    auto outcome = capture([&] {
+        return HttpServer::listen(io, {}, [&](const HttpRequest &, const auto &reply) {
+            ++requests;
+            reply->send({200, {}, ""});
+        });
+    });
+    REQUIRE(succeeded(outcome));
+    const auto server = std::move(std::get<0>(outcome));
+    HttpCall call;
+    call.endpoint = {"127.0.0.1", server->boundPort()};
+
+    SECTION("on a new connection")
+    {
+        call.sendBefore = AsioScheduler(io).now() - 1ms;
+        CHECK(callUntilError(io, call) == ResultCode::NotSent);
+        CHECK(requests == 0);
+    }
+    SECTION("and is sent before that time")
+    {
+        call.sendBefore = AsioScheduler(io).now() + 1h;
+        CHECK(callUntilError(io, call) == ResultCode::Ok);
+        CHECK(requests == 1);
+    }
+}
+
 // Guards against a copy of an earlier response that is taken for the response to the next call, and
 // against a call that is lost because the server has just closed the connection.
 TEST_CASE("A call uses no idle connection on which bytes or a close have arrived")
--- a/modules/ports/tests/virtualscheduler.h
+++ b/modules/ports/tests/virtualscheduler.h
@@ -32,6 +32,9 @@
         m_now = end;
     }
 
+    /// Advances the time by \a span without running timers, as if the process had been suspended.
+    void suspend(Duration span) { m_now += span; }
+
     std::size_t timers() const { return m_timers.size(); }
 
 private:
--- a/modules/rollout/include/godwit/rollout/enginestager.h
+++ b/modules/rollout/include/godwit/rollout/enginestager.h
@@ -18,6 +18,10 @@
 /// All staged chunks are read back and verified immediately before the order, because staged bytes
 /// may become corrupt. If the engine restarts in between or rejects the order, the sequence starts
 /// again from this verification.
+///
+/// A verification that takes longer than MaxVerificationAge is outdated and is repeated: the
+/// process may have been suspended. If this happens again, the weights are too large for it, and
+/// the engine is ordered to load fewer layers at a time, each after a verification of their chunks.
 class EngineStager
 {
 public:
@@ -35,10 +39,14 @@
 
     static constexpr Duration ReportPollInterval = std::chrono::milliseconds(150);
     static constexpr Duration RetryInterval = std::chrono::milliseconds(250);
+    /// From the first read of a verification to the order. Operators tolerate bytes that turned
+    /// corrupt up to 3 s before the engine takes them; the rest is left for the order to arrive.
+    static constexpr Duration MaxVerificationAge = std::chrono::milliseconds(2000);
 
+    /// \a layerCount is the number of layers of the model that the engine can load separately.
     EngineStager(ModelEnginePort &engine, Scheduler &scheduler,
-                 std::shared_ptr<const Manifest> manifest, std::uint64_t version,
-                 Handlers handlers);
+                 std::shared_ptr<const Manifest> manifest, std::uint64_t version, Handlers handlers,
+                 std::uint32_t layerCount = 1);
 
     /// Stages one chunk. \a done receives true if the engine accepted it.
     void stage(ChunkIndex chunk, std::function<void(bool)> done);
@@ -47,6 +55,19 @@
     void scheduleLoad(TimePoint notBefore);
 
 private:
+    /// What must not take longer than MaxVerificationAge.
+    enum class AgeLimit {
+        Verification,
+        Read, ///< Of one chunk: the verification as a whole cannot be made shorter.
+        None,
+    };
+
+    AgeLimit ageLimit() const;
+    bool isVerificationOutdated() const;
+    void repeatVerification(ChunkIndex reached);
+    ChunkIndex firstChunk() const;
+    ChunkIndex endChunk() const;
+    bool isWholeModel() const;
     void verifyStaged(ChunkIndex chunk);
     void restage(ChunkIndex chunk);
     void onStagedRead(ChunkIndex chunk, const Outcome<std::string> &outcome);
@@ -55,7 +76,7 @@
     void pollReport(bool beforeOrder);
     void onReport(bool beforeOrder, const Outcome<EngineReport> &outcome);
     void runAfter(void (EngineStager::*step)(), Duration delay);
-    void startVerification() { verifyStaged(0); }
+    void startVerification(const EngineReport &report);
     void pollAfterOrder() { pollReport(false); }
     void pollBeforeOrder() { pollReport(true); }
     bool isServing(const EngineReport &report) const;
@@ -78,6 +99,12 @@
     std::uint64_t m_acceptedOrders = 0;    ///< From the report on which the order is based.
     std::uint32_t m_runningRequests = 0;   ///< From the same report.
     std::uint64_t m_engineStartTimeMs = 0; ///< Of the engine whose chunks were verified.
+    std::uint32_t m_layerCount;
+    std::uint32_t m_layersPerOrder;
+    LayerRange m_orderedLayers;      ///< Whose chunks are being verified.
+    TimePoint m_verifiedSince;       ///< Before the first read of the verification.
+    TimePoint m_readAt;              ///< Before the last read.
+    std::uint32_t m_repetitions = 0; ///< Outdated verifications of this number of layers.
     std::unique_ptr<Timer> m_timer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/modules/rollout/include/godwit/rollout/modelengineport.h
+++ b/modules/rollout/include/godwit/rollout/modelengineport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/base/ids.h>
+#include <godwit/base/time.h>
 #include <godwit/gateway/backendrecord.h>
 #include <godwit/ports/completion.h>
 #include <godwit/weights/manifest.h>
@@ -30,13 +31,16 @@
 /// Whether the engine serves a version of \a model that is newer than \a version.
 bool servesNewerVersion(const EngineReport &report, const ModelId &model, std::uint64_t version);
 
-/// Orders the engine to load the staged chunks of a version once its running requests have
-/// finished.
+/// Orders the engine to load the staged chunks of a version. Unless it already holds other layers
+/// of that version, the engine first waits for its running requests.
 struct EngineLoadOrder
 {
     ModelId model;
     std::uint64_t version = 0;
     std::uint64_t expectedAcceptedOrders = 0; ///< Of the EngineReport it is based on.
+    std::optional<LayerRange> layers;         ///< None: all.
+    /// The order is based on facts that are outdated after this time and is not sent then.
+    std::optional<TimePoint> sendBefore;
 
     friend bool operator==(const EngineLoadOrder &, const EngineLoadOrder &) = default;
 };
@@ -61,8 +65,9 @@
                        Completion<Done> done) = 0;
 
     /// Succeeds once the order is being executed or is in effect. Fails with CompareFailed if the
-    /// engine has accepted other orders since or its state does not allow the order. After any
-    /// other error the order may nevertheless have been accepted.
+    /// engine has accepted other orders since or its state does not allow the order, and with
+    /// NotSent after EngineLoadOrder::sendBefore. After any other error the order may nevertheless
+    /// have been accepted.
     virtual void load(const EngineLoadOrder &order, Completion<Done> done) = 0;
 };
 
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -64,6 +64,10 @@
     void setWantedVersion(const ModelId &model, std::uint64_t version,
                           const std::optional<VersionWindow> &window);
 
+    /// Sets the number of layers of \a model, so that its weights can be loaded in several orders
+    /// if they are too large for one.
+    void setLayerCount(const ModelId &model, std::uint32_t layers);
+
     /// Reads the engine's report and restores versions that the engine should serve but does not.
     void checkEngine();
 
@@ -119,6 +123,8 @@
     static Key keyOf(const Rollout &rollout) { return {rollout.model, rollout.version}; }
 
     void reportIfNewer(const ModelId &model, std::uint64_t version) const;
+    /// 1 if it is not known.
+    std::uint32_t layerCount(const ModelId &model) const;
     void onEngineReport(const Outcome<EngineReport> &outcome);
     void reconcile(const EngineReport &report, Rollout &rollout);
     void startIfNeeded(Rollout &rollout);
@@ -196,6 +202,7 @@
     std::optional<EngineReport> m_lastReport;
     std::map<ModelId, Rollouts> m_rollouts;
     std::map<ModelId, LoadSchedule> m_loadSchedules;
+    std::map<ModelId, std::uint32_t> m_layerCounts;
     struct CachedChunk
     {
         Digest transfer;
--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -6,14 +6,27 @@
 
 namespace godwit {
 
+namespace {
+
+/// One outdated verification is most likely due to a suspension of the process, a second one to the
+/// size of the weights.
+constexpr std::uint32_t RepetitionsBeforeSplit = 2;
+/// After this many, weights that cannot be split further are loaded whatever the verification took:
+/// an engine without weights serves no request.
+constexpr std::uint32_t MaxRepetitions = 5;
+
+} // namespace
+
 EngineStager::EngineStager(ModelEnginePort &engine, Scheduler &scheduler,
                            std::shared_ptr<const Manifest> manifest, std::uint64_t version,
-                           Handlers handlers)
+                           Handlers handlers, std::uint32_t layerCount)
     : m_engine(engine)
     , m_scheduler(scheduler)
     , m_manifest(std::move(manifest))
     , m_version(version)
     , m_handlers(std::move(handlers))
+    , m_layerCount(std::max(layerCount, 1U))
+    , m_layersPerOrder(m_layerCount)
 {}
 
 void EngineStager::stage(ChunkIndex chunk, std::function<void(bool)> done)
@@ -55,7 +68,7 @@
     const bool isListed = std::ranges::any_of(report.models, [this](const ServedModel &it) {
         return it.model == m_manifest->model && it.version == m_version;
     });
-    return isListed && !report.busy;
+    return isListed && !report.busy && holdsAllLayers(report.layers, m_version, m_layerCount);
 }
 
 void EngineStager::pollReport(bool beforeOrder)
@@ -83,15 +96,83 @@
     m_acceptedOrders = report->acceptedOrders;
     m_engineStartTimeMs = report->startTimeMs;
     m_runningRequests = report->runningRequests;
-    startVerification();
+    startVerification(*report);
+}
+
+void EngineStager::startVerification(const EngineReport &report)
+{
+    const auto &held = report.layers;
+    const bool isPartlyLoaded =
+            held && held->version == m_version && held->first == 0 && held->end < m_layerCount;
+    const std::uint32_t first = isPartlyLoaded ? held->end : 0;
+    m_orderedLayers = {first, std::min(first + m_layersPerOrder, m_layerCount), m_version};
+    m_verifiedSince = m_scheduler.now();
+    m_readAt = m_verifiedSince;
+    verifyStaged(firstChunk());
+}
+
+bool EngineStager::isWholeModel() const
+{
+    return m_orderedLayers.first == 0 && m_orderedLayers.end == m_layerCount;
+}
+
+ChunkIndex EngineStager::firstChunk() const
+{
+    const std::uint64_t chunks = m_manifest->chunkCount();
+    return static_cast<ChunkIndex>(chunks * m_orderedLayers.first / m_layerCount);
+}
+
+ChunkIndex EngineStager::endChunk() const
+{
+    // A chunk may hold bytes of two layers, so the end is rounded up.
+    const std::uint64_t chunks = m_manifest->chunkCount();
+    return static_cast<ChunkIndex>((chunks * m_orderedLayers.end + m_layerCount - 1)
+                                   / m_layerCount);
+}
+
+EngineStager::AgeLimit EngineStager::ageLimit() const
+{
+    if (m_layersPerOrder > 1 || m_repetitions < RepetitionsBeforeSplit)
+        return AgeLimit::Verification;
+    return m_repetitions < MaxRepetitions ? AgeLimit::Read : AgeLimit::None;
+}
+
+bool EngineStager::isVerificationOutdated() const
+{
+    const AgeLimit limit = ageLimit();
+    const TimePoint since = limit == AgeLimit::Verification ? m_verifiedSince : m_readAt;
+    return limit != AgeLimit::None && m_scheduler.now() - since > MaxVerificationAge;
+}
+
+void EngineStager::repeatVerification(ChunkIndex reached)
+{
+    logStateChange("verification_outdated",
+                   {{"model", m_manifest->model.value()},
+                    {"version", m_version},
+                    {"layers", m_orderedLayers.end - m_orderedLayers.first},
+                    {"pieces", reached - firstChunk()},
+                    {"ms", toMilliseconds(m_scheduler.now() - m_verifiedSince)},
+                    {"last_read_ms", toMilliseconds(m_scheduler.now() - m_readAt)}},
+                   LogLevel::Warning);
+    ++m_repetitions;
+    if (m_repetitions >= RepetitionsBeforeSplit && m_layersPerOrder > 1) {
+        m_layersPerOrder /= 2;
+        m_repetitions = RepetitionsBeforeSplit - 1;
+    }
+    pollBeforeOrder();
 }
 
 void EngineStager::verifyStaged(ChunkIndex chunk)
 {
-    if (chunk >= m_manifest->chunkCount()) {
+    if (isVerificationOutdated()) {
+        repeatVerification(chunk);
+        return;
+    }
+    if (chunk >= endChunk()) {
         sendOrder();
         return;
     }
+    m_readAt = m_scheduler.now();
     m_engine.readStaged(m_manifest->model, chunk,
                         bindWeak<std::string>([this, chunk](const Outcome<std::string> &outcome) {
                             onStagedRead(chunk, outcome);
@@ -139,11 +220,19 @@
     order.model = m_manifest->model;
     order.version = m_version;
     order.expectedAcceptedOrders = m_acceptedOrders;
-    logStateChange("load_ordered", {{"model", order.model.value()},
-                                    {"version", m_version},
-                                    {"orders_before", m_acceptedOrders},
-                                    {"running", m_runningRequests},
-                                    {"engine_born_ms", m_engineStartTimeMs}});
+    if (!isWholeModel())
+        order.layers = m_orderedLayers;
+    if (ageLimit() == AgeLimit::Verification)
+        order.sendBefore = m_verifiedSince + MaxVerificationAge;
+    logStateChange("load_ordered",
+                   {{"model", order.model.value()},
+                    {"version", m_version},
+                    {"layers_from", m_orderedLayers.first},
+                    {"layers_to", m_orderedLayers.end},
+                    {"verified_ms", toMilliseconds(m_scheduler.now() - m_verifiedSince)},
+                    {"orders_before", m_acceptedOrders},
+                    {"running", m_runningRequests},
+                    {"engine_born_ms", m_engineStartTimeMs}});
     m_engine.load(order,
                   bindWeak<Done>([this](const Outcome<Done> &outcome) { onOrderResult(outcome); }));
 }
@@ -151,6 +240,10 @@
 void EngineStager::onOrderResult(const Outcome<Done> &outcome)
 {
     if (const auto *error = std::get_if<Error>(&outcome)) {
+        if (error->code == ResultCode::NotSent) {
+            repeatVerification(endChunk());
+            return;
+        }
         logStateChange("load_order_failed",
                        {{"model", m_manifest->model.value()},
                         {"version", m_version},
@@ -161,7 +254,9 @@
         return;
     }
     runAfter(&EngineStager::pollAfterOrder, ReportPollInterval);
-    m_handlers.onOrderAccepted();
+    // Until the last layers have been ordered, the staged chunks are still needed.
+    if (m_orderedLayers.end == m_layerCount)
+        m_handlers.onOrderAccepted();
 }
 
 } // namespace godwit
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -89,6 +89,17 @@
     }
 }
 
+void VersionRollout::setLayerCount(const ModelId &model, std::uint32_t layers)
+{
+    m_layerCounts[model] = layers;
+}
+
+std::uint32_t VersionRollout::layerCount(const ModelId &model) const
+{
+    const auto it = m_layerCounts.find(model);
+    return it == m_layerCounts.end() ? 1 : it->second;
+}
+
 void VersionRollout::setWantedVersion(const ModelId &model, std::uint64_t version,
                                       const std::optional<VersionWindow> &window)
 {
@@ -157,7 +168,10 @@
 void VersionRollout::reconcile(const EngineReport &report, Rollout &rollout)
 {
     const ServedModel wanted{rollout.model, rollout.version};
-    const bool serving = std::ranges::find(report.models, wanted) != report.models.end();
+    const bool isListed = std::ranges::find(report.models, wanted) != report.models.end();
+    // An engine of which this process restarted between two orders holds only some of the layers.
+    const bool serving =
+            isListed && holdsAllLayers(report.layers, rollout.version, layerCount(rollout.model));
     if (serving && !rollout.isServing && !rollout.stager) {
         // The engine already served the version when this process started.
         rollout.isServing = true;
@@ -283,7 +297,8 @@
                                    },
                                    [this, key] { onOrderAccepted(key); },
                                    [this, key] { onServing(key); },
-                                   [this, key] { onChunkMissing(key); }});
+                                   [this, key] { onChunkMissing(key); }},
+            layerCount(rollout.model));
     logStateChange("transfer_begun", {{"model", rollout.model.value()},
                                       {"version", rollout.version},
                                       {"own_copies", rollout.previouslyStaged.size()},
--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -50,11 +50,24 @@
     EngineReport report;
     std::vector<EngineLoadOrder> orders;
     bool loadedWrongBytes = false; ///< An order was accepted while a staged chunk was wrong.
+    /// An order was accepted for a chunk that had been corrupt for longer than the operators
+    /// tolerate.
+    bool loadedLongCorrupt = false;
     int ordersToRefuse = 0;
-    int orderResponsesToLose = 0; ///< Of orders that are accepted.
+    int orderResponsesToLose = 0;                     ///< Of orders that are accepted.
+    Duration readTime = std::chrono::milliseconds(1); ///< Of a staged chunk.
+    std::vector<ChunkIndex> reads;                    ///< Staged chunks that were read.
+    Duration orderDelay{0};       ///< Time for which orders wait before they are sent.
+    std::uint32_t layerCount = 0; ///< Of the model; must divide TestChunkCount. 0: not reported.
 
     void serve(std::uint64_t version) { report.models = {{TestModel, version}}; }
 
+    void corrupt(ChunkIndex chunk)
+    {
+        staged[chunk] = std::string(TestChunkBytes, 'r');
+        m_corruptSince[chunk] = m_scheduler.now();
+    }
+
     void readReport(Completion<EngineReport> done) override
     {
         respondLater([this, done] { done(report); });
@@ -70,22 +83,28 @@
     }
     void readStaged(const ModelId &, ChunkIndex chunk, Completion<std::string> done) override
     {
-        respondLater([this, chunk, done] {
-            if (staged.contains(chunk))
-                done(staged.at(chunk));
-            else
-                done(Error{ResultCode::NotFound, "not staged"});
-        });
+        reads.push_back(chunk);
+        const auto it = staged.find(chunk);
+        Outcome<std::string> bytes = Error{ResultCode::NotFound, "not staged"};
+        if (it != staged.end())
+            bytes = it->second;
+        respondLater([bytes, done] { done(bytes); }, readTime);
     }
     void stage(const ModelId &, ChunkIndex chunk, std::string bytes, Completion<Done> done) override
     {
         respondLater([this, chunk, bytes, done] {
             staged[chunk] = bytes;
+            m_corruptSince.erase(chunk);
             done(Done());
         });
     }
     void load(const EngineLoadOrder &order, Completion<Done> done) override
     {
+        const TimePoint sentAt = m_scheduler.now() + std::exchange(orderDelay, Duration(0));
+        if (order.sendBefore && sentAt > *order.sendBefore) {
+            respondLater([done] { done(Error{ResultCode::NotSent, "too late"}); });
+            return;
+        }
         respondLater([this, order, done] {
             if (ordersToRefuse > 0 || order.expectedAcceptedOrders != report.acceptedOrders
                 || report.busy) {
@@ -96,11 +115,18 @@
             orders.push_back(order);
             ++report.acceptedOrders;
             report.busy = true;
-            for (ChunkIndex i = 0; i < TestChunkCount; ++i)
+            const auto [first, end] = orderedChunks(order);
+            for (ChunkIndex i = first; i < end; ++i) {
                 loadedWrongBytes |= staged[i] != testChunk(order.version, i);
+                loadedLongCorrupt |= m_corruptSince.contains(i)
+                                     && m_scheduler.now() - m_corruptSince[i] > ToleratedCorruption;
+            }
             m_loading = m_scheduler.after(std::chrono::milliseconds(300), [this, order] {
                 report.busy = false;
                 serve(order.version);
+                if (layerCount > 0)
+                    report.layers = {0, order.layers ? order.layers->end : layerCount,
+                                     order.version};
             });
             if (orderResponsesToLose-- > 0)
                 done(Error{ResultCode::PlatformReplyLost, "connection reset"});
@@ -110,12 +136,24 @@
     }
 
 private:
-    void respondLater(std::function<void()> function)
+    /// Chunks may turn corrupt this long before the engine takes them.
+    static constexpr Duration ToleratedCorruption = std::chrono::seconds(3);
+
+    std::pair<ChunkIndex, ChunkIndex> orderedChunks(const EngineLoadOrder &order) const
+    {
+        if (!order.layers)
+            return {0, TestChunkCount};
+        const ChunkIndex perLayer = TestChunkCount / layerCount;
+        return {order.layers->first * perLayer, order.layers->end * perLayer};
+    }
+
+    void respondLater(std::function<void()> function, Duration delay = std::chrono::milliseconds(1))
     {
-        m_calls.push_back(m_scheduler.after(std::chrono::milliseconds(1), std::move(function)));
+        m_calls.push_back(m_scheduler.after(delay, std::move(function)));
     }
 
     Scheduler &m_scheduler;
+    std::map<ChunkIndex, TimePoint> m_corruptSince;
     std::vector<std::unique_ptr<Timer>> m_calls;
     std::unique_ptr<Timer> m_loading;
 };
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -125,6 +125,21 @@
         CHECK(it.isServing(1));
         CHECK_FALSE(it.engine.loadedWrongBytes);
     }
+    // Guards against a partly loaded engine that never gets the rest of its layers.
+    SECTION("an engine that holds some of the layers gets the others after a restart of the host")
+    {
+        constexpr std::uint32_t LayerCount = 3;
+        it.engine.layerCount = LayerCount;
+        it.engine.serve(2);
+        it.engine.report.layers = LayerRange{0, 1, 2};
+        it.stageAll(2);
+        it.rollout.setLayerCount(TestModel, LayerCount);
+        it.rollout.setWantedVersion(TestModel, 2, std::nullopt);
+        it.scheduler.advance(2s);
+        REQUIRE(it.engine.orders.size() == 1);
+        CHECK(it.engine.orders.front().layers == LayerRange{1, LayerCount, 2});
+        CHECK(it.engine.report.layers == LayerRange{0, LayerCount, 2});
+    }
     SECTION("a version older than the wanted one is ignored")
     {
         it.rollout.setWantedVersion(TestModel, 2, std::nullopt);
@@ -337,3 +352,133 @@
         CHECK(engine.orders.empty());
     }
 }
+
+// Guards against weights with bytes that turned corrupt between their verification and the load
+// order, because the process was suspended or the weights are large.
+TEST_CASE("EngineStager orders no load on an outdated verification")
+{
+    VirtualScheduler scheduler;
+    FakeEngine engine(scheduler);
+    const auto manifest = std::make_shared<const Manifest>(testManifest(2));
+    bool serving = false;
+    EngineStager stager(engine, scheduler, manifest, 2,
+                        {[&](ChunkIndex chunk) {
+                             return std::make_shared<const std::string>(testChunk(2, chunk));
+                         },
+                         [] {}, [&] { serving = true; }, [] {}});
+    for (ChunkIndex i = 0; i < TestChunkCount; ++i)
+        engine.staged[i] = testChunk(2, i);
+    engine.readTime = 10ms;
+    stager.scheduleLoad(scheduler.now());
+    scheduler.advance(35ms);
+    REQUIRE(engine.reads.size() == 4);
+
+    SECTION("if the process was suspended for seconds in the verification, it begins again")
+    {
+        engine.corrupt(1);
+        scheduler.suspend(4s);
+        scheduler.advance(2s);
+        CHECK(serving);
+        CHECK_FALSE(engine.loadedLongCorrupt);
+    }
+    SECTION("if the process was suspended briefly, it goes on")
+    {
+        scheduler.suspend(1s);
+        scheduler.advance(2s);
+        CHECK(serving);
+        CHECK(engine.reads.size() == TestChunkCount);
+    }
+    SECTION("weights that take longer to verify are loaded nevertheless")
+    {
+        engine.readTime = 1s;
+        scheduler.advance(60s);
+        CHECK(serving);
+        CHECK_FALSE(engine.loadedLongCorrupt);
+    }
+    SECTION("also without the chunk that turned corrupt during a suspension")
+    {
+        engine.readTime = 1s;
+        scheduler.advance(4s);
+        engine.corrupt(1);
+        scheduler.suspend(4s);
+        scheduler.advance(60s);
+        CHECK(serving);
+        CHECK_FALSE(engine.loadedLongCorrupt);
+    }
+    SECTION("also if the order waits too long in this process")
+    {
+        engine.orderDelay = 4s;
+        scheduler.advance(20ms);
+        REQUIRE(engine.reads.size() == TestChunkCount);
+        CHECK(engine.orders.empty());
+        engine.corrupt(1);
+        scheduler.advance(2s);
+        CHECK(serving);
+        CHECK_FALSE(engine.loadedLongCorrupt);
+    }
+}
+
+// Guards against weights with corrupt bytes if reading them all takes longer than bytes may be
+// corrupt before a load.
+TEST_CASE("EngineStager loads weights in parts if verifying all of them takes too long")
+{
+    constexpr std::uint32_t LayerCount = 3;
+    VirtualScheduler scheduler;
+    FakeEngine engine(scheduler);
+    engine.layerCount = LayerCount;
+    const auto manifest = std::make_shared<const Manifest>(testManifest(2));
+    bool isServing = false;
+    int releases = 0;
+    EngineStager stager(engine, scheduler, manifest, 2,
+                        {[&](ChunkIndex chunk) {
+                             return std::make_shared<const std::string>(testChunk(2, chunk));
+                         },
+                         [&] { ++releases; }, [&] { isServing = true; }, [] {}},
+                        LayerCount);
+    for (ChunkIndex i = 0; i < TestChunkCount; ++i)
+        engine.staged[i] = testChunk(2, i);
+    engine.readTime = 900ms;
+    stager.scheduleLoad(scheduler.now());
+    const auto ordered = [&](std::size_t n) { return engine.orders.at(n).layers; };
+
+    SECTION("each part after a verification of its chunks")
+    {
+        scheduler.advance(30s);
+        CHECK(isServing);
+        REQUIRE(engine.orders.size() == LayerCount);
+        for (std::uint32_t i = 0; i < LayerCount; ++i)
+            CHECK(ordered(i) == LayerRange{i, i + 1, 2});
+        CHECK(releases == 1);
+        CHECK_FALSE(engine.loadedWrongBytes);
+    }
+    SECTION("without a chunk that turned corrupt while another part was verified")
+    {
+        while (engine.orders.empty())
+            scheduler.advance(10ms);
+        engine.corrupt(5);
+        scheduler.advance(30s);
+        CHECK(isServing);
+        CHECK_FALSE(engine.loadedWrongBytes);
+    }
+    SECTION("from the first layer again after a restart of the engine")
+    {
+        while (engine.orders.size() < 2)
+            scheduler.advance(10ms);
+        scheduler.advance(400ms);
+        engine.report = EngineReport{};
+        engine.report.layers = LayerRange{};
+        engine.report.startTimeMs = 7;
+        scheduler.advance(30s);
+        CHECK(isServing);
+        CHECK(engine.report.layers == LayerRange{0, LayerCount, 2});
+    }
+    SECTION("and reports the version as served only when all layers are loaded")
+    {
+        while (engine.orders.empty())
+            scheduler.advance(10ms);
+        scheduler.advance(1s);
+        CHECK(engine.report.models.size() == 1);
+        CHECK_FALSE(isServing);
+        CHECK(releases == 0);
+    }
+}
