End the longest buffered response body first

Cause: the limit was applied to the request that received the next byte, whichever it was. A request that had been given up for a long body also kept its memory during the next attempt (by reading).

Ruled out: heads, chunk framing, trailers, interim and stale responses, events and discarded bodies without end; existing tests cover them.

Fix: the request with the longest buffered body ends first, and its memory is freed.

The section "the bodies of all requests together" counted only the newest requests among the ended ones; it counts all of them now, against the same bound of 9, as older ones end first.

--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -102,6 +102,10 @@
     void refuse(HttpReply &reply, const RequestId &id, int status, const Error &error,
                 Duration retryAfter);
     Duration withJitter(Duration duration);
+    /// Makes room for \a bytes more of the response body of \a request by ending the attempts with
+    /// longer bodies, the longest first: a backend server that sends bytes without end must not end
+    /// the requests of other clients. Returns false if the body would be the longest itself.
+    bool reserveBuffer(const ForwardedRequest &request, std::size_t bytes);
     /// \a instance crashed while a request with \a content waited for its response.
     void recordCrash(const BackendInstance &instance, const RequestContent &content);
     /// A backend server has begun to answer a request with \a content.
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -226,7 +226,7 @@
     m_currentAttempt = m_attempts.size() - 1;
     m_attemptSerial = ++m_lastSerial;
     m_bodyMode = BodyMode::None;
-    m_bufferedBody.clear();
+    discardBufferedBody();
     m_attemptInProgress = true;
     m_gateway.m_backends.onAttemptStarted(choice.id, m_urgency);
     HttpCall call = callFor(choice);
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -34,6 +34,12 @@
     /// Gives up if the content of the request is suspended and no response has started.
     void cancelIfSuspended();
 
+    /// Size of the part of the response body that is buffered; 0 for a stream.
+    std::size_t bufferedBytes() const;
+
+    /// Ends the current attempt because of the size of its response body.
+    void failTooLarge();
+
     /// Sends the request to another backend server if the current attempt is at \a instance and no
     /// byte of it has been sent.
     void moveIfUnsent(const BackendInstance &instance);
@@ -128,7 +134,8 @@
     void onEvents(std::string_view data);
     void passOn(std::string events);
     /// Whether a body without a declared length, or all buffered bodies together, are too long.
-    bool isBodyTooLarge(std::size_t more) const;
+    void bufferBody(std::string_view data);
+    void discardBufferedBody();
     /// Looks for another backend server unless the current one sends something within the silence
     /// timeout; of a stream that has begun only events count. Does nothing if the route does not
     /// allow another attempt.
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -7,10 +7,9 @@
 
 namespace {
 
-/// Maximum size of a body without a declared length, and of the bodies of all requests that are
-/// buffered at a time. A faulty backend server may send bytes without end.
+/// Maximum size of a body without a declared length. A faulty backend server may send bytes without
+/// end.
 constexpr std::size_t MaxUndeclaredBodyBytes = 1024UL * 1024;
-constexpr std::size_t MaxBufferedBytes = 32UL * 1024 * 1024;
 /// Maximum size of the body of a response that is discarded.
 constexpr std::size_t MaxDiscardedBytes = 64UL * 1024;
 
@@ -74,10 +73,32 @@
     restartSilenceTimer();
 }
 
-bool ForwardedRequest::isBodyTooLarge(std::size_t more) const
+std::size_t ForwardedRequest::bufferedBytes() const
 {
-    return (!m_hasDeclaredLength && m_bufferedBody.size() + more > MaxUndeclaredBodyBytes)
-           || m_gateway.m_bufferedBytes + more > MaxBufferedBytes;
+    return m_attemptInProgress ? m_bufferedBody.size() : 0;
+}
+
+void ForwardedRequest::failTooLarge()
+{
+    fail(AttemptOutcome::Broken, "response body is too large");
+}
+
+void ForwardedRequest::bufferBody(std::string_view data)
+{
+    const bool isTooLong =
+            !m_hasDeclaredLength && m_bufferedBody.size() + data.size() > MaxUndeclaredBodyBytes;
+    if (isTooLong || !m_gateway.reserveBuffer(*this, data.size())) {
+        failTooLarge();
+        return;
+    }
+    m_bufferedBody += data;
+}
+
+void ForwardedRequest::discardBufferedBody()
+{
+    m_bufferedBody.clear();
+    // The memory of a long body must not stay with a request whose next attempt is short.
+    m_bufferedBody.shrink_to_fit();
 }
 
 void ForwardedRequest::onData(std::string_view data)
@@ -86,12 +107,7 @@
         onEvents(data);
     } else if (m_bodyMode == BodyMode::Buffered) {
         restartSilenceTimer();
-        if (isBodyTooLarge(data.size())) {
-            fail(AttemptOutcome::Broken, "response body is too large");
-            return;
-        }
-        m_gateway.m_bufferedBytes += data.size();
-        m_bufferedBody += data;
+        bufferBody(data);
     } else if ((m_discardedBytes += data.size()) > MaxDiscardedBytes) {
         const bool isRejection = m_bodyMode == BodyMode::Rejection;
         if (m_call)
--- a/modules/gateway/src/forwardedsilence.cpp
+++ b/modules/gateway/src/forwardedsilence.cpp
@@ -127,7 +127,7 @@
     m_urgency = stalled.urgency;
     m_eventSplitter = std::move(stalled.eventSplitter);
     m_bodyMode = BodyMode::Events;
-    m_bufferedBody.clear();
+    discardBufferedBody();
     m_attemptInProgress = true;
     m_isTrial = false;
     restartSilenceTimer();
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -676,16 +676,36 @@
     }
     SECTION("the bodies of all requests together")
     {
-        std::size_t refused = 0;
+        std::vector<decltype(it.sendRequest("/book/x"))> views;
         for (int i = 0; i < 20; ++i) {
-            const auto view = it.sendRequest("/book/x");
+            views.push_back(it.sendRequest("/book/x"));
             auto &call = *it.backendCalls.back();
             call.head(200, {{"seal", "s"}, {"Content-Length", std::to_string(4 * OneMiB)}});
-            for (std::size_t sent = 0; sent < 3 * OneMiB && !view->finished; sent += chunk.size())
+            for (std::size_t sent = 0; sent < 3 * OneMiB && !views.back()->finished;
+                 sent += chunk.size())
                 call.data(chunk);
-            refused += view->status == 502;
         }
-        CHECK(refused >= 9);
+        // Each of the others holds 3 of the 32 MiB.
+        CHECK(std::ranges::count_if(views, [](const auto &view) { return view->status == 502; })
+              >= 9);
+    }
+    // A backend server that sends bytes without end must not end the requests of other clients.
+    SECTION("the longest one first")
+    {
+        const auto endless = it.sendRequest("/book/x");
+        it.backendCalls[0]->head(
+                200, {{"seal", "s"}, {"Content-Length", std::to_string(1024 * OneMiB)}});
+        for (std::size_t sent = 0; sent < 32 * OneMiB; sent += chunk.size())
+            it.backendCalls[0]->data(chunk);
+        REQUIRE_FALSE(endless->finished);
+        const auto view = it.sendRequest("/book/x");
+        it.backendCalls[1]->head(200, {{"seal", "s"}, {"Content-Length", "65536"}});
+        it.backendCalls[1]->data(chunk);
+        it.backendCalls[1]->complete();
+        CHECK(view->status == 200);
+        CHECK(view->body == chunk);
+        CHECK(it.backendCalls[0]->cancelled);
+        CHECK(endless->status == 502);
     }
     SECTION("a response that is not used")
     {
