Limit responses of engines and of the origin in size and time

What operators saw, by a report of others: a machine kept all bytes that a faulty engine sent without end, and ran out of memory. Here a host process accepted 8 MB for each response, also for a report or a chunk of 24 KB, with some 13 calls at a time in 128 MB (by calculation); and a body that got a byte now and then kept its call for ever, so that the process read no report again.

Cause: one size limit for all calls, taken from the manifest, and no limit of the whole time.

Ruled out: a limit that does not hold, as responses of 40 MB were refused before.

Fix: each call has the limits of what it reads, and a total time. A staged chunk that is longer than it may be is replaced when its response cannot be read twice in a row; otherwise the version would never be loaded.

--- a/modules/ports/include/godwit/ports/httpcall.h
+++ b/modules/ports/include/godwit/ports/httpcall.h
@@ -33,6 +33,9 @@
     Duration idleTimeout = std::chrono::seconds(10);
     /// Replaces idleTimeout once a byte of the response body has arrived. 0 disables it.
     Duration stallTimeout{0};
+    /// Longest time from the first byte of the request to the last one of the response. 0: none; a
+    /// server that sends a byte now and then could keep the call for ever.
+    Duration totalTimeout{0};
     std::uint64_t bodyLimit = 64UL * 1024 * 1024; ///< Maximum size of the response body.
     std::string host; ///< Value of the Host header; empty: the endpoint.
     /// Header that the server copies into the response. A response with another value belongs to an
--- a/modules/ports/src/clientconnection.cpp
+++ b/modules/ports/src/clientconnection.cpp
@@ -125,7 +125,7 @@
 {
     if (!m_call || m_connecting || m_closed)
         return;
-    m_timer.set(receiveTimeout());
+    setCallTimer(receiveTimeout());
     if (m_buffer.size() > 0 && !m_readPending)
         parse();
     else
@@ -189,7 +189,11 @@
     m_interimResponses = 0;
     m_requestHeader = formatRequestHeader(m_call->request);
     resetParser();
-    m_timer.set(m_call->request.idleTimeout);
+    const Duration totalTimeout = m_call->request.totalTimeout;
+    m_callEndsAt.reset();
+    if (totalTimeout > Duration::zero())
+        m_callEndsAt = MonotonicClock::now() + totalTimeout;
+    setCallTimer(m_call->request.idleTimeout);
     m_writing = true;
     const std::array buffers{asio::const_buffer(asio::buffer(m_requestHeader)),
                              asio::const_buffer(asio::buffer(m_call->request.body))};
@@ -209,6 +213,13 @@
     return useStallTimeout ? request.stallTimeout : request.idleTimeout;
 }
 
+void ClientConnection::setCallTimer(Duration timeout)
+{
+    if (m_callEndsAt)
+        timeout = std::clamp(*m_callEndsAt - MonotonicClock::now(), Duration::zero(), timeout);
+    m_timer.set(timeout);
+}
+
 void ClientConnection::resetParser()
 {
     m_parser.emplace();
@@ -252,7 +263,7 @@
     if (m_closed || m_call != call)
         return;
     if (!ec) {
-        m_timer.set(receiveTimeout());
+        setCallTimer(receiveTimeout());
         return;
     }
     if (n > 0 || m_receivedBytes) {
@@ -314,7 +325,7 @@
     // Only a complete header and bytes of the body count as progress. A server that sends other
     // bytes now and then, or responses to earlier calls, would otherwise never time out.
     if (m_call && !m_call->paused)
-        m_timer.set(receiveTimeout());
+        setCallTimer(receiveTimeout());
 }
 
 void ClientConnection::onReadFailed(const ErrorCode &ec)
@@ -406,7 +417,8 @@
 void ClientConnection::onReceiveTimeout()
 {
     distrustIdleConnections();
-    failCall(ResultCode::PlatformTimeout, "no data received within the idle or stall timeout");
+    failCall(ResultCode::PlatformTimeout,
+             "no data received within the idle or stall timeout, or no end within the total one");
 }
 
 void ClientConnection::failCall(ResultCode code, const std::string &detail)
--- a/modules/ports/src/clientconnection.h
+++ b/modules/ports/src/clientconnection.h
@@ -125,6 +125,8 @@
     void onConnected(const boost::system::error_code &ec);
     void begin();
     Duration receiveTimeout() const;
+    /// Sets the timer to \a timeout or to the end of the total timeout, whichever is earlier.
+    void setCallTimer(Duration timeout);
     void resetParser();
     void onHeader();
     void onWritten(const CallPointer &call, const boost::system::error_code &ec, std::size_t n);
@@ -152,6 +154,7 @@
     boost::beast::flat_buffer m_buffer;
     std::size_t m_readSize;
     std::optional<HttpParser<false>> m_parser;
+    std::optional<TimePoint> m_callEndsAt;      ///< End of the total timeout.
     std::optional<Duration> m_keepAliveTimeout; ///< Idle timeout announced by the server.
     int m_staleResponses = 0;
     int m_interimResponses = 0;     ///< To the current call.
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -137,6 +137,19 @@
     CHECK(callUntilError(io, server.call()) == ResultCode::PlatformTimeout);
 }
 
+// Each byte of a body restarts the idle timeout, so a body that never ends kept its call for ever.
+TEST_CASE("A call with a total timeout ends although the body of its response goes on")
+{
+    const std::string head =
+            GENERATE(std::string("HTTP/1.1 200 OK\r\nX-Id: 2\r\n\r\n"),
+                     std::string("HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 999999\r\n\r\n"));
+    boost::asio::io_context io;
+    EndlessServer server(io, head, "x", 50ms);
+    HttpCall call = server.call();
+    call.totalTimeout = 500ms;
+    CHECK(callUntilError(io, call) == ResultCode::PlatformTimeout);
+}
+
 // Guards against a caller that gets an empty or short body as a whole one, because the server
 // stopped within the header or the body of its response.
 TEST_CASE("A call is complete only if its response is")
--- a/modules/rollout/include/godwit/rollout/enginestager.h
+++ b/modules/rollout/include/godwit/rollout/enginestager.h
@@ -105,6 +105,7 @@
     TimePoint m_verifiedSince;       ///< Before the first read of the verification.
     TimePoint m_readAt;              ///< Before the last read.
     std::uint32_t m_repetitions = 0; ///< Outdated verifications of this number of layers.
+    std::optional<ChunkIndex> m_unreadableChunk; ///< Whose last read had an unreadable response.
     std::unique_ptr<Timer> m_timer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/modules/rollout/include/godwit/rollout/modelengineport.h
+++ b/modules/rollout/include/godwit/rollout/modelengineport.h
@@ -58,8 +58,9 @@
 
     /// Lists the staged chunks. The engine does not verify them.
     virtual void listStaged(const ModelId &model, Completion<std::set<ChunkIndex>> done) = 0;
-    /// Fails with NotFound if the chunk is not staged.
-    virtual void readStaged(const ModelId &model, ChunkIndex chunk,
+    /// Reads a chunk that should have \a size bytes. Fails with NotFound if it is not staged, and
+    /// with PlatformBadReply if the response cannot be read or is much longer.
+    virtual void readStaged(const ModelId &model, ChunkIndex chunk, std::uint32_t size,
                             Completion<std::string> done) = 0;
     virtual void stage(const ModelId &model, ChunkIndex chunk, std::string bytes,
                        Completion<Done> done) = 0;
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -175,6 +175,7 @@
     {
         ModelId model;
         ChunkIndex chunk = 0;
+        std::uint32_t size = 0;
     };
 
     /// Places in the staging area that should hold the bytes with \a digest.
--- a/modules/rollout/include/godwit/rollout/weightoriginport.h
+++ b/modules/rollout/include/godwit/rollout/weightoriginport.h
@@ -24,8 +24,10 @@
     virtual void readManifest(const ModelId &model, std::uint64_t version,
                               Completion<Manifest> done) = 0;
 
+    /// Reads a chunk that should have \a size bytes. Fails with PlatformBadReply if the response is
+    /// much longer.
     virtual std::shared_ptr<CallHandle> readChunk(const ModelId &model, std::uint64_t version,
-                                                  ChunkIndex chunk,
+                                                  ChunkIndex chunk, std::uint32_t size,
                                                   Completion<std::string> done) = 0;
 };
 
--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -173,7 +173,7 @@
         return;
     }
     m_readAt = m_scheduler.now();
-    m_engine.readStaged(m_manifest->model, chunk,
+    m_engine.readStaged(m_manifest->model, chunk, m_manifest->chunkSize(chunk),
                         bindWeak<std::string>([this, chunk](const Outcome<std::string> &outcome) {
                             onStagedRead(chunk, outcome);
                         }));
@@ -187,7 +187,10 @@
         return;
     }
     const auto *error = std::get_if<Error>(&outcome);
-    if (error && error->code != ResultCode::NotFound) {
+    // Staged bytes of a wrong length make each response unreadable, a failure of the engine one.
+    const bool isUnreadable = error && error->code == ResultCode::PlatformBadReply
+                              && std::exchange(m_unreadableChunk, chunk) == chunk;
+    if (error && error->code != ResultCode::NotFound && !isUnreadable) {
         runAfter(&EngineStager::pollBeforeOrder, RetryInterval);
         return;
     }
@@ -195,8 +198,9 @@
                    {{"model", m_manifest->model.value()},
                     {"version", m_version},
                     {"piece", chunk},
-                    {"found", bytes ? "other bytes" : "nothing"}},
+                    {"found", bytes || isUnreadable ? "other bytes" : "nothing"}},
                    LogLevel::Warning);
+    m_unreadableChunk.reset();
     restage(chunk);
 }
 
--- a/modules/rollout/src/rolloutactions.cpp
+++ b/modules/rollout/src/rolloutactions.cpp
@@ -53,7 +53,7 @@
     });
     if (!request.source) {
         download.call = m_origin->readChunk(download.rollout.model, download.rollout.version,
-                                            request.chunk, std::move(done));
+                                            request.chunk, request.bytes, std::move(done));
         return;
     }
     download.call = m_environment.peers.fetch(
@@ -110,7 +110,7 @@
         const auto &chunks = rollouts.front().manifest->chunks;
         for (ChunkIndex i = 0; i < chunks.size(); ++i) {
             if (chunks[i] == digest)
-                copies.push_back({model, i});
+                copies.push_back({model, i, rollouts.front().manifest->chunkSize(i)});
         }
     }
     return copies;
@@ -125,7 +125,7 @@
     const StagedCopy copy = copies.back();
     copies.pop_back();
     m_environment.engine.readStaged(
-            copy.model, copy.chunk,
+            copy.model, copy.chunk, copy.size,
             bindWeak<std::string>([this, action, copy, copies](Outcome<std::string> outcome) {
                 auto *bytes = std::get_if<std::string>(&outcome);
                 if (bytes && Digest::of(*bytes) == action.digest) {
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -321,7 +321,7 @@
     const ChunkIndex chunk = *rollout->previouslyStaged.begin();
     rollout->previouslyStaged.erase(chunk);
     m_environment.engine.readStaged(
-            key.model, chunk,
+            key.model, chunk, rollout->manifest->chunkBytes,
             bindWeak<std::string>(
                     [this, key, chunk, transfer = rollout->transfer](Outcome<std::string> outcome) {
                         // The staged bytes may belong to another version or be corrupt; the planner
--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -102,13 +102,16 @@
             done(indexes);
         });
     }
-    void readStaged(const ModelId &, ChunkIndex chunk, Completion<std::string> done) override
+    void readStaged(const ModelId &, ChunkIndex chunk, std::uint32_t size,
+                    Completion<std::string> done) override
     {
         reads.push_back(chunk);
         const auto it = staged.find(chunk);
         Outcome<std::string> bytes = Error{ResultCode::NotFound, "not staged"};
         if (it != staged.end())
             bytes = it->second;
+        if (it != staged.end() && it->second.size() > size)
+            bytes = Error{ResultCode::PlatformBadReply, "too long"};
         respondLater([bytes, done] { done(bytes); }, readTime);
     }
     void stage(const ModelId &, ChunkIndex chunk, std::string bytes, Completion<Done> done) override
@@ -202,7 +205,7 @@
         });
     }
     std::shared_ptr<CallHandle> readChunk(const ModelId &, std::uint64_t version, ChunkIndex chunk,
-                                          Completion<std::string> done) override
+                                          std::uint32_t, Completion<std::string> done) override
     {
         ++chunkReads;
         respondLater([this, version, chunk, done] {
--- a/modules/rollout/tests/manifestexchangetest.cpp
+++ b/modules/rollout/tests/manifestexchangetest.cpp
@@ -34,7 +34,7 @@
             manifest.chunks[0] = Digest::of(std::to_string(reads));
         done(manifest);
     }
-    std::shared_ptr<CallHandle> readChunk(const ModelId &, std::uint64_t, ChunkIndex,
+    std::shared_ptr<CallHandle> readChunk(const ModelId &, std::uint64_t, ChunkIndex, std::uint32_t,
                                           Completion<std::string>) override
     {
         return nullptr;
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -382,6 +382,15 @@
         CHECK(serving);
         CHECK_FALSE(engine.loadedWrongBytes);
     }
+    // Guards against a version that is never loaded, because the response of the engine is refused.
+    SECTION("replaces a staged chunk that is longer than it may be")
+    {
+        engine.staged[4] = std::string(2UL * TestChunkBytes, 'r');
+        stager.scheduleLoad(scheduler.now());
+        scheduler.advance(3s);
+        CHECK(serving);
+        CHECK_FALSE(engine.loadedWrongBytes);
+    }
     SECTION("reports a chunk that is neither staged nor in memory")
     {
         hasChunks = false;
