Name all layers that the engine is to hold in an order for some of them

What callers would see: an engine whose weights are loaded in several orders never finishes, and serves nothing.

Cause: an order for the layers 4 to 8 was meant to add them to 0 to 4. The engines of the operators' platform take the range for all that they are to hold, so that it replaced the first one, and both were ordered in turn without end.

Fix: an order names the range from the first layer, and the chunks of the added layers are verified before it.

--- a/modules/rollout/include/godwit/rollout/enginestager.h
+++ b/modules/rollout/include/godwit/rollout/enginestager.h
@@ -67,7 +67,9 @@
     void repeatVerification(ChunkIndex reached);
     ChunkIndex firstChunk() const;
     ChunkIndex endChunk() const;
-    bool isWholeModel() const;
+    bool canSplit() const { return m_isSplittable && m_layersPerOrder > 1; }
+    /// The engine has accepted an order for some layers, but does not hold them.
+    void stopSplitting();
     void verifyStaged(ChunkIndex chunk);
     void restage(ChunkIndex chunk);
     void onStagedRead(ChunkIndex chunk, const Outcome<std::string> &outcome);
@@ -101,10 +103,14 @@
     std::uint64_t m_engineStartTimeMs = 0; ///< Of the engine whose chunks were verified.
     std::uint32_t m_layerCount;
     std::uint32_t m_layersPerOrder;
-    LayerRange m_orderedLayers;      ///< Whose chunks are being verified.
-    TimePoint m_verifiedSince;       ///< Before the first read of the verification.
-    TimePoint m_readAt;              ///< Before the last read.
-    std::uint32_t m_repetitions = 0; ///< Outdated verifications of this number of layers.
+    bool m_isSplittable = true;
+    std::uint32_t m_heldLayers = 0;     ///< First layers of the version that the engine holds.
+    std::uint32_t m_orderedEnd = 0;     ///< The order is for the layers from m_heldLayers to here.
+    std::uint32_t m_expectedLayers = 0; ///< To be held after an accepted order for a part.
+    std::uint64_t m_orderedStartTimeMs = 0; ///< Of the engine that accepted that order.
+    TimePoint m_verifiedSince;              ///< Before the first read of the verification.
+    TimePoint m_readAt;                     ///< Before the last read.
+    std::uint32_t m_repetitions = 0;        ///< Outdated verifications of this number of layers.
     std::optional<ChunkIndex> m_unreadableChunk; ///< Whose last read had an unreadable response.
     std::unique_ptr<Timer> m_timer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/modules/rollout/include/godwit/rollout/modelengineport.h
+++ b/modules/rollout/include/godwit/rollout/modelengineport.h
@@ -38,7 +38,9 @@
     ModelId model;
     std::uint64_t version = 0;
     std::uint64_t expectedAcceptedOrders = 0; ///< Of the EngineReport it is based on.
-    std::optional<LayerRange> layers;         ///< None: all.
+    /// Layers that the engine holds afterwards; none: all. It loads those that it does not hold
+    /// yet.
+    std::optional<LayerRange> layers;
     /// The order is based on facts that are outdated after this time and is not sent then.
     std::optional<TimePoint> sendBefore;
 
--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -104,35 +104,44 @@
     const auto &held = report.layers;
     const bool isPartlyLoaded =
             held && held->version == m_version && held->first == 0 && held->end < m_layerCount;
-    const std::uint32_t first = isPartlyLoaded ? held->end : 0;
-    m_orderedLayers = {first, std::min(first + m_layersPerOrder, m_layerCount), m_version};
+    m_heldLayers = isPartlyLoaded ? held->end : 0;
+    const std::uint32_t expected = std::exchange(m_expectedLayers, 0);
+    if (m_heldLayers < expected && report.startTimeMs == m_orderedStartTimeMs)
+        stopSplitting();
+    m_orderedEnd = std::min(m_heldLayers + m_layersPerOrder, m_layerCount);
     m_verifiedSince = m_scheduler.now();
     m_readAt = m_verifiedSince;
     verifyStaged(firstChunk());
 }
 
-bool EngineStager::isWholeModel() const
+void EngineStager::stopSplitting()
 {
-    return m_orderedLayers.first == 0 && m_orderedLayers.end == m_layerCount;
+    logStateChange("layers_not_loaded",
+                   {{"model", m_manifest->model.value()},
+                    {"version", m_version},
+                    {"layers", m_heldLayers}},
+                   LogLevel::Warning);
+    m_isSplittable = false;
+    m_layersPerOrder = m_layerCount;
+    m_repetitions = std::max(m_repetitions, RepetitionsBeforeSplit);
 }
 
 ChunkIndex EngineStager::firstChunk() const
 {
     const std::uint64_t chunks = m_manifest->chunkCount();
-    return static_cast<ChunkIndex>(chunks * m_orderedLayers.first / m_layerCount);
+    return static_cast<ChunkIndex>(chunks * m_heldLayers / m_layerCount);
 }
 
 ChunkIndex EngineStager::endChunk() const
 {
     // A chunk may hold bytes of two layers, so the end is rounded up.
     const std::uint64_t chunks = m_manifest->chunkCount();
-    return static_cast<ChunkIndex>((chunks * m_orderedLayers.end + m_layerCount - 1)
-                                   / m_layerCount);
+    return static_cast<ChunkIndex>((chunks * m_orderedEnd + m_layerCount - 1) / m_layerCount);
 }
 
 EngineStager::AgeLimit EngineStager::ageLimit() const
 {
-    if (m_layersPerOrder > 1 || m_repetitions < RepetitionsBeforeSplit)
+    if (canSplit() || m_repetitions < RepetitionsBeforeSplit)
         return AgeLimit::Verification;
     return m_repetitions < MaxRepetitions ? AgeLimit::Read : AgeLimit::None;
 }
@@ -149,13 +158,13 @@
     logStateChange("verification_outdated",
                    {{"model", m_manifest->model.value()},
                     {"version", m_version},
-                    {"layers", m_orderedLayers.end - m_orderedLayers.first},
+                    {"layers", m_orderedEnd - m_heldLayers},
                     {"pieces", reached - firstChunk()},
                     {"ms", toMilliseconds(m_scheduler.now() - m_verifiedSince)},
                     {"last_read_ms", toMilliseconds(m_scheduler.now() - m_readAt)}},
                    LogLevel::Warning);
     ++m_repetitions;
-    if (m_repetitions >= RepetitionsBeforeSplit && m_layersPerOrder > 1) {
+    if (m_repetitions >= RepetitionsBeforeSplit && canSplit()) {
         m_layersPerOrder /= 2;
         m_repetitions = RepetitionsBeforeSplit - 1;
     }
@@ -224,15 +233,16 @@
     order.model = m_manifest->model;
     order.version = m_version;
     order.expectedAcceptedOrders = m_acceptedOrders;
-    if (!isWholeModel())
-        order.layers = m_orderedLayers;
+    // The engine keeps the layers that it holds and loads the others of the range.
+    if (m_heldLayers > 0 || m_orderedEnd < m_layerCount)
+        order.layers = LayerRange{0, m_orderedEnd, m_version};
     if (ageLimit() == AgeLimit::Verification)
         order.sendBefore = m_verifiedSince + MaxVerificationAge;
     logStateChange("load_ordered",
                    {{"model", order.model.value()},
                     {"version", m_version},
-                    {"layers_from", m_orderedLayers.first},
-                    {"layers_to", m_orderedLayers.end},
+                    {"layers_before", m_heldLayers},
+                    {"layers", m_orderedEnd},
                     {"verified_ms", toMilliseconds(m_scheduler.now() - m_verifiedSince)},
                     {"orders_before", m_acceptedOrders},
                     {"running", m_runningRequests},
@@ -258,9 +268,13 @@
         return;
     }
     runAfter(&EngineStager::pollAfterOrder, ReportPollInterval);
-    // Until the last layers have been ordered, the staged chunks are still needed.
-    if (m_orderedLayers.end == m_layerCount)
+    if (m_orderedEnd == m_layerCount) {
         m_handlers.onOrderAccepted();
+        return;
+    }
+    // The staged chunks of the other layers are still needed.
+    m_expectedLayers = m_orderedEnd;
+    m_orderedStartTimeMs = m_engineStartTimeMs;
 }
 
 } // namespace godwit
