--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -133,7 +133,7 @@
     void onComplete();
     void onEvents(std::string_view data);
     void passOn(std::string events);
-    /// Whether a body without a declared length, or all buffered bodies together, are too long.
+    /// Keeps \a data until the body is complete, or ends the attempt if that takes too much memory.
     void bufferBody(std::string_view data);
     void discardBufferedBody();
     /// Looks for another backend server unless the current one sends something within the silence
