Log the age of the verification when an engine has accepted a load order

An engine takes the staged chunks when it accepts the order, which load_ordered cannot show: its verified_ms is the age when the order is sent.

No logic is changed.

--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -261,12 +261,19 @@
         logStateChange("load_order_failed",
                        {{"model", m_manifest->model.value()},
                         {"version", m_version},
+                        {"verified_ms", toMilliseconds(m_scheduler.now() - m_verifiedSince)},
                         {"problem", toString(*error)}},
                        LogLevel::Warning);
         // The engine may nevertheless have accepted the order; its report shows which is the case.
         runAfter(&EngineStager::pollAfterOrder, RetryInterval);
         return;
     }
+    // The age is an upper bound: the engine accepted the order at some time before the response.
+    logStateChange("load_accepted",
+                   {{"model", m_manifest->model.value()},
+                    {"version", m_version},
+                    {"layers", m_orderedEnd},
+                    {"verified_ms", toMilliseconds(m_scheduler.now() - m_verifiedSince)}});
     runAfter(&EngineStager::pollAfterOrder, ReportPollInterval);
     if (m_orderedEnd == m_layerCount) {
         m_handlers.onOrderAccepted();
