Reproduce loads of corrupt chunks by an engine that accepts the order late

What callers may see: tokens made with a layer whose chunk was corrupt for over 3 s when the engine took it. The new test has two sections, and both fail on this code: an engine that is silent for 4 s as the order arrives, and one that is silent for 1.5 s after a verification of 2 s. The order is sent on a verification that is young enough; nothing looks at when the engine accepted it.

The fake engine models what the test needs: calls that time out and are carried out later, silence as an order arrives, layers that are kept, dropped and loaded, and which of them came from chunks that had been corrupt for too long.

--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -5,8 +5,10 @@
 #include <godwit/rollout/peertransport.h>
 #include <godwit/rollout/weightoriginport.h>
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,10 +61,13 @@
 }
 
 /// Fake engine that responds to each call after 1 ms and takes 300 ms to load the chunks that were
-/// staged when it accepted the order.
+/// staged when it accepted the order. A call without a response for ClientTimeout fails, but is
+/// carried out nevertheless.
 class FakeEngine : public ModelEnginePort
 {
 public:
+    static constexpr Duration ClientTimeout = std::chrono::milliseconds(1500);
+
     explicit FakeEngine(Scheduler &scheduler)
         : m_scheduler(scheduler)
     {}
@@ -74,12 +79,17 @@
     /// An order was accepted for a chunk that had been corrupt for longer than the operators
     /// tolerate.
     bool loadedLongCorrupt = false;
+    /// All layers were loaded, so that requests could run, and one of them from such a chunk.
+    bool servedLongCorrupt = false;
     int ordersToRefuse = 0;
     int orderResponsesToLose = 0;                     ///< Of orders that are accepted.
     Duration readTime = std::chrono::milliseconds(1); ///< Of a staged chunk.
     std::vector<ChunkIndex> reads;                    ///< Staged chunks that were read.
-    Duration orderDelay{0};            ///< Time for which orders wait before they are sent.
+    Duration orderDelay{0};        ///< Time for which orders wait before they are sent.
+    Duration silenceOnOrder{0};    ///< Begins when the next order arrives, before it is accepted.
+    std::function<void()> onOrder; ///< Called when the next order arrives.
     bool ignoresPartialOrders = false; ///< Accepts orders for some layers but does not load them.
+    bool ignoresRanges = false;        ///< Loads all layers with each order.
     std::uint32_t layerCount = 0; ///< Of the model; must divide TestChunkCount. 0: not reported.
 
     void serve(std::uint64_t version) { report.models = {{TestModel, version}}; }
@@ -90,17 +100,21 @@
         m_corruptSince[chunk] = m_scheduler.now();
     }
 
+    /// Whether a layer that the engine holds was loaded from a chunk that had been corrupt for
+    /// longer than the operators tolerate.
+    bool holdsLongCorrupt() const { return !m_corruptLayers.empty(); }
+
     void readReport(Completion<EngineReport> done) override
     {
-        respondLater([this, done] { done(report); });
+        respond<EngineReport>(done, [this] { return report; });
     }
     void listStaged(const ModelId &, Completion<std::set<ChunkIndex>> done) override
     {
-        respondLater([this, done] {
+        respond<std::set<ChunkIndex>>(done, [this] {
             std::set<ChunkIndex> indexes;
             for (const auto &[chunk, bytes] : staged)
                 indexes.insert(chunk);
-            done(indexes);
+            return indexes;
         });
     }
     void readStaged(const ModelId &, ChunkIndex chunk, std::uint32_t size,
@@ -113,77 +127,114 @@
             bytes = it->second;
         if (it != staged.end() && it->second.size() > size)
             bytes = Error{ResultCode::PlatformBadReply, "too long"};
-        respondLater([bytes, done] { done(bytes); }, readTime);
+        respond<std::string>(
+                done, [bytes] { return bytes; }, readTime);
     }
     void stage(const ModelId &, ChunkIndex chunk, std::string bytes, Completion<Done> done) override
     {
-        respondLater([this, chunk, bytes, done] {
+        respond<Done>(done, [this, chunk, bytes] {
             staged[chunk] = bytes;
             m_corruptSince.erase(chunk);
-            done(Done());
+            return Done();
         });
     }
     void load(const EngineLoadOrder &order, Completion<Done> done) override
     {
         const TimePoint sentAt = m_scheduler.now() + std::exchange(orderDelay, Duration(0));
         if (order.sendBefore && sentAt > *order.sendBefore) {
-            respondLater([done] { done(Error{ResultCode::NotSent, "too late"}); });
+            respond<Done>(done, [] { return Error{ResultCode::NotSent, "too late"}; });
             return;
         }
-        respondLater([this, order, done] {
-            if (ordersToRefuse > 0 || order.expectedAcceptedOrders != report.acceptedOrders
-                || report.busy) {
-                --ordersToRefuse;
-                done(Error{ResultCode::CompareFailed, "refused"});
-                return;
-            }
-            orders.push_back(order);
-            ++report.acceptedOrders;
-            report.busy = true;
-            const auto [first, end] = orderedChunks(order);
-            for (ChunkIndex i = first; i < end; ++i) {
-                loadedWrongBytes |= staged[i] != testChunk(order.version, i);
-                loadedLongCorrupt |= m_corruptSince.contains(i)
-                                     && m_scheduler.now() - m_corruptSince[i] > ToleratedCorruption;
-            }
-            m_loading = m_scheduler.after(std::chrono::milliseconds(300), [this, order] {
-                report.busy = false;
-                if (order.layers && ignoresPartialOrders)
-                    return;
-                serve(order.version);
-                if (layerCount > 0)
-                    report.layers = order.layers.value_or(LayerRange{0, layerCount, order.version});
-            });
-            if (orderResponsesToLose-- > 0)
-                done(Error{ResultCode::PlatformReplyLost, "connection reset"});
-            else
-                done(Done());
-        });
+        if (const auto function = std::exchange(onOrder, nullptr))
+            function();
+        if (silenceOnOrder > Duration::zero())
+            m_silentUntil = m_scheduler.now() + std::exchange(silenceOnOrder, Duration(0));
+        respond<Done>(done, [this, order] { return accept(order); });
     }
 
 private:
     /// Chunks may turn corrupt this long before the engine takes them.
     static constexpr Duration ToleratedCorruption = std::chrono::seconds(3);
 
-    /// Chunks of the layers that the engine does not hold yet.
-    std::pair<ChunkIndex, ChunkIndex> orderedChunks(const EngineLoadOrder &order) const
+    Outcome<Done> accept(const EngineLoadOrder &order)
     {
-        if (!order.layers)
-            return {0, TestChunkCount};
-        const bool extends = report.layers && report.layers->version == order.version
-                             && report.layers->first == order.layers->first;
-        const ChunkIndex perLayer = TestChunkCount / layerCount;
-        return {(extends ? report.layers->end : order.layers->first) * perLayer,
-                order.layers->end * perLayer};
+        if (ordersToRefuse > 0 || order.expectedAcceptedOrders != report.acceptedOrders
+            || report.busy) {
+            --ordersToRefuse;
+            return Error{ResultCode::CompareFailed, "refused"};
+        }
+        const LayerRange all{0, std::max(layerCount, 1U), order.version};
+        const LayerRange wanted = ignoresRanges ? all : order.layers.value_or(all);
+        if (!ignoresRanges && report.layers == wanted)
+            return Done();
+        orders.push_back(order);
+        ++report.acceptedOrders;
+        report.busy = true;
+        if (!order.layers || !ignoresPartialOrders)
+            takeChunks(wanted);
+        m_loading = m_scheduler.after(std::chrono::milliseconds(300), [this, order, wanted, all] {
+            report.busy = false;
+            if (order.layers && ignoresPartialOrders)
+                return;
+            serve(order.version);
+            if (layerCount > 0)
+                report.layers = wanted;
+            servedLongCorrupt |= wanted == all && holdsLongCorrupt();
+        });
+        if (orderResponsesToLose-- > 0)
+            return Error{ResultCode::PlatformReplyLost, "connection reset"};
+        return Done();
     }
 
-    void respondLater(std::function<void()> function, Duration delay = std::chrono::milliseconds(1))
+    /// Takes the chunks of the layers in \a wanted that the engine does not hold yet, and drops the
+    /// layers outside of it.
+    void takeChunks(const LayerRange &wanted)
     {
-        m_calls.push_back(m_scheduler.after(delay, std::move(function)));
+        const bool keepsLayers =
+                !ignoresRanges && report.layers && report.layers->version == wanted.version;
+        const LayerRange held = keepsLayers ? *report.layers : LayerRange{};
+        const ChunkIndex perLayer = TestChunkCount / std::max(layerCount, 1U);
+        std::erase_if(m_corruptLayers, [&](std::uint32_t it) {
+            return !contains(held, it) || !contains(wanted, it);
+        });
+        for (std::uint32_t layer = wanted.first; layer < wanted.end; ++layer) {
+            if (contains(held, layer))
+                continue;
+            for (ChunkIndex i = layer * perLayer; i < (layer + 1) * perLayer; ++i) {
+                loadedWrongBytes |= staged[i] != testChunk(wanted.version, i);
+                if (m_corruptSince.contains(i)
+                    && m_scheduler.now() - m_corruptSince[i] > ToleratedCorruption)
+                    m_corruptLayers.insert(layer);
+            }
+        }
+        loadedLongCorrupt |= holdsLongCorrupt();
+    }
+
+    static bool contains(const LayerRange &range, std::uint32_t layer)
+    {
+        return layer >= range.first && layer < range.end;
+    }
+
+    template <typename T>
+    void respond(Completion<T> done, std::function<Outcome<T>()> carryOut,
+                 Duration delay = std::chrono::milliseconds(1))
+    {
+        const TimePoint now = m_scheduler.now();
+        const Duration wait = std::max(delay, m_silentUntil - now);
+        if (wait <= ClientTimeout) {
+            m_calls.push_back(m_scheduler.after(wait, [done, carryOut] { done(carryOut()); }));
+            return;
+        }
+        m_calls.push_back(m_scheduler.after(ClientTimeout, [done] {
+            done(Error{ResultCode::PlatformTimeout, "timed out"});
+        }));
+        m_calls.push_back(m_scheduler.after(wait, [carryOut] { carryOut(); }));
     }
 
     Scheduler &m_scheduler;
     std::map<ChunkIndex, TimePoint> m_corruptSince;
+    std::set<std::uint32_t> m_corruptLayers; ///< Held, and loaded from long corrupt chunks.
+    TimePoint m_silentUntil{};
     std::vector<std::unique_ptr<Timer>> m_calls;
     std::unique_ptr<Timer> m_loading;
 };
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -567,3 +567,43 @@
         CHECK(releases == 0);
     }
 }
+
+// Guards against requests on corrupt weights: an engine takes the staged chunks when it accepts the
+// order, which may lie in its buffers until the verification is outdated.
+TEST_CASE("EngineStager lets no engine serve chunks that turned corrupt before a late acceptance")
+{
+    constexpr std::uint32_t LayerCount = 3;
+    VirtualScheduler scheduler;
+    FakeEngine engine(scheduler);
+    engine.layerCount = LayerCount;
+    const auto manifest = std::make_shared<const Manifest>(testManifest(2));
+    bool isServing = false;
+    EngineStager stager(engine, scheduler, manifest, 2,
+                        {[&](ChunkIndex chunk) {
+                             return std::make_shared<const std::string>(testChunk(2, chunk));
+                         },
+                         [] {}, [&] { isServing = true; }, [] {}},
+                        LayerCount);
+    for (ChunkIndex i = 0; i < TestChunkCount; ++i)
+        engine.staged[i] = testChunk(2, i);
+
+    SECTION("after a long silence of the engine")
+    {
+        engine.onOrder = [&] { engine.corrupt(1); };
+        engine.silenceOnOrder = 4s;
+        stager.scheduleLoad(scheduler.now());
+        scheduler.advance(30s);
+    }
+    SECTION("after a slow verification and a short silence")
+    {
+        engine.readTime = 330ms;
+        stager.scheduleLoad(scheduler.now());
+        scheduler.advance(350ms);
+        engine.corrupt(0);
+        engine.silenceOnOrder = 1500ms;
+        scheduler.advance(60s);
+    }
+    CHECK(isServing);
+    CHECK_FALSE(engine.holdsLongCorrupt());
+    CHECK_FALSE(engine.servedLongCorrupt);
+}
