Let no engine serve layers of a load that is not known to be sound

Cause: the host process took an order that it had sent in time for one that was accepted in time. It looked at no response and, without one, asked only whether the engine serves the version.

LoadConfirmation decides which layers are known to be sound: those whose order was answered within 3 s of the beginning of the verification, and those whose chunks are all found intact once the engine has accepted the order. Other layers are dropped and loaded again. Requests are kept away meanwhile because the last layer is ordered by itself, after all others are confirmed: an engine that lacks a layer serves nothing, whatever entry processes know, and no new message or key is needed. Layers that an engine holds when a host process starts are read again before the rest is ordered. An engine that loads all layers whatever is ordered, or reports none, is told to load all of them again.

Ruled out: a lower limit of the age alone. It excuses short silences, not those of a frozen machine, and large weights would never be loaded. Marks in the key-value service that keep entry processes away until a load is confirmed: two writes and as many watch events for each entry process and load, and no effect while the service is away.

New: the last layer, models loaded as a whole, engines that ignore ranges, layers of an earlier host process, chunks that have to be fetched again, LoadConfirmation by itself.

--- /dev/null
+++ b/modules/rollout/include/godwit/rollout/loadconfirmation.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <godwit/base/time.h>
+#include <godwit/gateway/backendrecord.h>
+#include <godwit/rollout/layerlayout.h>
+
+#include <cstdint>
+#include <set>
+
+namespace godwit {
+
+/// Knows which layers of a version an engine has loaded from sound chunks. Has no clock and
+/// performs no I/O.
+///
+/// An engine takes the staged chunks when it accepts an order, which may be long after their
+/// verification: the order lies in its buffers while it is silent, and its response may be lost. A
+/// load is confirmed if the response came within ToleratedCorruption of the beginning of the
+/// verification. Otherwise all its chunks are read again once the engine has accepted the order:
+/// those that are intact then were intact when the engine took them. A chunk that was found corrupt
+/// meanwhile does not count as intact, even if it has been replaced.
+class LoadConfirmation
+{
+public:
+    /// Operators tolerate bytes that turned corrupt up to this long before the engine takes them.
+    static constexpr Duration ToleratedCorruption = std::chrono::milliseconds(3000);
+
+    explicit LoadConfirmation(const LayerLayout &layout)
+        : m_layout(layout)
+    {}
+
+    /// The engine process that started at \a startTimeMs holds \a held, layers of this version.
+    void onReport(std::uint64_t startTimeMs, const LayerRange &held);
+
+    /// Whether all of \a held were loaded from sound chunks.
+    bool isConfirmed(const LayerRange &held) const;
+
+    /// Takes \a held as sound, because they were loaded before this process could observe it.
+    void trust(std::uint64_t startTimeMs, const LayerRange &held);
+
+    /// An order is being sent after which the engine holds \a layers. The chunks of those that it
+    /// does not hold yet have been verified since \a verifiedSince.
+    void onOrderSent(const LayerRange &layers, TimePoint verifiedSince);
+    /// The response to that order came at \a now. Returns whether this confirms the load.
+    bool onOrderAccepted(TimePoint now);
+    /// There was no response to that order; the engine may have accepted it, or still do so.
+    void onOrderUncertain() { m_hasUncertainOrder = true; }
+
+    /// The staged \a chunk is corrupt or missing.
+    void onChunkCorrupt(ChunkIndex chunk) { m_corrupt.insert(chunk); }
+
+    /// The layers of \a held that are not confirmed, with those between them.
+    LayerRange unconfirmed(const LayerRange &held) const;
+
+    /// Whether an unconfirmed layer of \a held may have been loaded from a chunk that was found
+    /// corrupt.
+    bool mayHoldCorrupt(const LayerRange &held) const;
+
+    /// The chunks of the unconfirmed layers of \a held were read after the engine had accepted the
+    /// order, and those that are not intact were passed to onChunkCorrupt().
+    void onAllRead(const LayerRange &held);
+
+    /// The longest series of layers of \a held that are confirmed or have no chunk that was found
+    /// corrupt; empty if there is none.
+    LayerRange intactLayers(const LayerRange &held) const;
+
+    /// The engine has accepted an order to hold only \a kept, all of which are intact.
+    void onDropped(const LayerRange &kept) { m_sound = kept; }
+
+private:
+    bool isIntact(std::uint32_t layer) const;
+
+    LayerLayout m_layout;
+    std::uint64_t m_engineStartTimeMs = 0;
+    LayerRange m_sound; ///< Empty if none.
+    LayerRange m_ordered;
+    TimePoint m_verifiedSince;
+    bool m_hasUncertainOrder = false; ///< Since the held layers were last confirmed.
+    /// Chunks that were found corrupt since the last order before which all held layers were
+    /// confirmed.
+    std::set<ChunkIndex> m_corrupt;
+};
+
+} // namespace godwit
--- a/modules/rollout/include/godwit/rollout/modelengineport.h
+++ b/modules/rollout/include/godwit/rollout/modelengineport.h
@@ -31,6 +31,11 @@
 /// Whether the engine serves a version of \a model that is newer than \a version.
 bool servesNewerVersion(const EngineReport &report, const ModelId &model, std::uint64_t version);
 
+/// The layers of \a version of \a model, which has \a layerCount of them, that the engine holds;
+/// empty if none. An engine that does not report layers holds all or none.
+LayerRange heldLayers(const EngineReport &report, const ModelId &model, std::uint64_t version,
+                      std::uint32_t layerCount);
+
 /// Orders the engine to load the staged chunks of a version. Unless it already holds other layers
 /// of that version, the engine first waits for its running requests.
 struct EngineLoadOrder
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -91,7 +91,9 @@
         bool hasWindow = false;                   ///< Requested with VersionWindow.
         std::shared_ptr<const Manifest> manifest; ///< Null until it has been read.
         Digest transfer;
-        std::unique_ptr<EngineStager> stager;   ///< Null until the transfer has begun.
+        std::unique_ptr<EngineStager> stager; ///< Null until the transfer has begun.
+        /// Outlasts the stager; null if this process has not begun to load the version.
+        std::shared_ptr<LoadConfirmation> confirmation;
         std::set<ChunkIndex> previouslyStaged;  ///< Staged before the transfer, not yet read.
         std::vector<ChunkIndex> deferredChunks; ///< Staged once no older version uses the area.
         std::uint32_t manifestFailures = 0;     ///< Since the manifest was last read.
@@ -187,6 +189,9 @@
     void serve(const ServeChunk &action);
     /// Reads the chunks that the engine had staged before the transfer, one at a time.
     void readPreviouslyStaged(const Key &key);
+    void onPreviouslyStagedRead(const Key &key, const Digest &transfer, ChunkIndex chunk,
+                                Outcome<std::string> outcome);
+    void prepareConfirmation(Rollout &rollout);
     void fetch(Download &download);
     void onChunkReceived(ChunkRequestId request, Outcome<std::string> outcome);
     void scheduleTick();
--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -19,14 +19,17 @@
 
 EngineStager::EngineStager(ModelEnginePort &engine, Scheduler &scheduler,
                            std::shared_ptr<const Manifest> manifest, std::uint64_t version,
-                           Handlers handlers, std::uint32_t layerCount)
+                           Handlers handlers, std::uint32_t layerCount,
+                           std::shared_ptr<LoadConfirmation> confirmation)
     : m_engine(engine)
     , m_scheduler(scheduler)
     , m_manifest(std::move(manifest))
     , m_version(version)
     , m_handlers(std::move(handlers))
     , m_layerCount(std::max(layerCount, 1U))
-    , m_layersPerOrder(m_layerCount)
+    , m_layersPerOrder(std::max(m_layerCount - 1, 1U))
+    , m_confirmation(confirmation ? std::move(confirmation)
+                                  : std::make_shared<LoadConfirmation>(layout()))
 {}
 
 void EngineStager::stage(ChunkIndex chunk, std::function<void(bool)> done)
@@ -63,6 +66,21 @@
     });
 }
 
+LayerRange heldLayers(const EngineReport &report, const ModelId &model, std::uint64_t version,
+                      std::uint32_t layerCount)
+{
+    if (report.layers)
+        return report.layers->version == version ? *report.layers : LayerRange{};
+    const bool isListed =
+            std::ranges::find(report.models, ServedModel{model, version}) != report.models.end();
+    return isListed ? LayerRange{0, layerCount, version} : LayerRange{};
+}
+
+LayerLayout EngineStager::layout() const
+{
+    return {m_manifest->chunkCount(), m_layerCount};
+}
+
 bool EngineStager::isServing(const EngineReport &report) const
 {
     const bool isListed = std::ranges::any_of(report.models, [this](const ServedModel &it) {
@@ -82,24 +100,32 @@
 void EngineStager::onReport(bool beforeOrder, const Outcome<EngineReport> &outcome)
 {
     const auto *report = std::get_if<EngineReport>(&outcome);
-    if (report && isServing(*report)) {
-        m_handlers.onServing();
-        return;
-    }
     const bool isOutdated = report && servesNewerVersion(*report, m_manifest->model, m_version);
     if (!report || report->busy || isOutdated) {
         runAfter(beforeOrder ? &EngineStager::pollBeforeOrder : &EngineStager::pollAfterOrder,
-                 ReportPollInterval);
+                 m_expectedLayers > 0 ? PartialPollInterval : ReportPollInterval);
         return;
     }
-    // Neither busy nor serving: the order has not been accepted, or the engine has restarted since.
     m_acceptedOrders = report->acceptedOrders;
     m_engineStartTimeMs = report->startTimeMs;
     m_runningRequests = report->runningRequests;
-    startVerification(*report);
+    const LayerRange held = heldLayers(*report, m_manifest->model, m_version, m_layerCount);
+    m_confirmation->onReport(report->startTimeMs, held);
+    if (!m_confirmation->isConfirmed(held)) {
+        handleUnconfirmed(held);
+        return;
+    }
+    m_isDropOrdered = false;
+    if (isServing(*report)) {
+        m_handlers.onServing();
+        return;
+    }
+    // Neither busy nor serving: the order has not been accepted, or the engine has restarted since.
+    selectLayers(*report);
+    startVerification();
 }
 
-void EngineStager::startVerification(const EngineReport &report)
+void EngineStager::selectLayers(const EngineReport &report)
 {
     const auto &held = report.layers;
     const bool isPartlyLoaded =
@@ -107,16 +133,21 @@
     m_heldLayers = isPartlyLoaded ? held->end : 0;
     const std::uint32_t expected = std::exchange(m_expectedLayers, 0);
     if (m_heldLayers < expected && report.startTimeMs == m_orderedStartTimeMs)
-        stopSplitting();
+        stopSplitting("layers_not_loaded");
+    m_orderedFirst = 0;
     m_orderedEnd = std::min(m_heldLayers + m_layersPerOrder, m_layerCount);
+}
+
+void EngineStager::startVerification()
+{
     m_verifiedSince = m_scheduler.now();
     m_readAt = m_verifiedSince;
     verifyStaged(firstChunk());
 }
 
-void EngineStager::stopSplitting()
+void EngineStager::stopSplitting(std::string_view event)
 {
-    logStateChange("layers_not_loaded",
+    logStateChange(event,
                    {{"model", m_manifest->model.value()},
                     {"version", m_version},
                     {"layers", m_heldLayers}},
@@ -128,15 +159,16 @@
 
 ChunkIndex EngineStager::firstChunk() const
 {
-    const std::uint64_t chunks = m_manifest->chunkCount();
-    return static_cast<ChunkIndex>(chunks * m_heldLayers / m_layerCount);
+    return layout().firstChunk(std::max(m_heldLayers, m_orderedFirst));
 }
 
 ChunkIndex EngineStager::endChunk() const
 {
-    // A chunk may hold bytes of two layers, so the end is rounded up.
-    const std::uint64_t chunks = m_manifest->chunkCount();
-    return static_cast<ChunkIndex>((chunks * m_orderedEnd + m_layerCount - 1) / m_layerCount);
+    // The last layer is ordered by itself. Its chunks are verified with the others, so that one
+    // that must be fetched again is found while the engine still serves the earlier version.
+    if (m_heldLayers == 0 && m_orderedFirst == 0 && m_orderedEnd + 1 == m_layerCount)
+        return m_manifest->chunkCount();
+    return layout().endChunk(m_orderedEnd);
 }
 
 EngineStager::AgeLimit EngineStager::ageLimit() const
@@ -188,28 +220,41 @@
                         }));
 }
 
-void EngineStager::onStagedRead(ChunkIndex chunk, const Outcome<std::string> &outcome)
+bool EngineStager::isIntact(ChunkIndex chunk, const Outcome<std::string> &outcome) const
 {
     const auto *bytes = std::get_if<std::string>(&outcome);
-    if (bytes && Digest::of(*bytes) == m_manifest->chunks[chunk]) {
+    return bytes && Digest::of(*bytes) == m_manifest->chunks[chunk];
+}
+
+bool EngineStager::isUnusable(ChunkIndex chunk, const Error &error)
+{
+    if (error.code == ResultCode::NotFound)
+        return true;
+    // Staged bytes of a wrong length make each response unreadable, a failure of the engine one.
+    return error.code == ResultCode::PlatformBadReply
+           && std::exchange(m_unreadableChunk, chunk) == chunk;
+}
+
+void EngineStager::onStagedRead(ChunkIndex chunk, const Outcome<std::string> &outcome)
+{
+    if (isIntact(chunk, outcome)) {
         verifyStaged(chunk + 1);
         return;
     }
     const auto *error = std::get_if<Error>(&outcome);
-    // Staged bytes of a wrong length make each response unreadable, a failure of the engine one.
-    const bool isUnreadable = error && error->code == ResultCode::PlatformBadReply
-                              && std::exchange(m_unreadableChunk, chunk) == chunk;
-    if (error && error->code != ResultCode::NotFound && !isUnreadable) {
+    if (error && !isUnusable(chunk, *error)) {
         runAfter(&EngineStager::pollBeforeOrder, RetryInterval);
         return;
     }
+    const bool isMissing = error && error->code == ResultCode::NotFound;
     logStateChange("staged_piece_replaced",
                    {{"model", m_manifest->model.value()},
                     {"version", m_version},
                     {"piece", chunk},
-                    {"found", bytes || isUnreadable ? "other bytes" : "nothing"}},
+                    {"found", isMissing ? "nothing" : "other bytes"}},
                    LogLevel::Warning);
     m_unreadableChunk.reset();
+    m_confirmation->onChunkCorrupt(chunk);
     restage(chunk);
 }
 
@@ -234,8 +279,9 @@
     order.version = m_version;
     order.expectedAcceptedOrders = m_acceptedOrders;
     // The engine keeps the layers that it holds and loads the others of the range.
-    if (m_heldLayers > 0 || m_orderedEnd < m_layerCount)
-        order.layers = LayerRange{0, m_orderedEnd, m_version};
+    const LayerRange layers{m_orderedFirst, m_orderedEnd, m_version};
+    if (m_heldLayers > 0 || layers.first > 0 || layers.end < m_layerCount)
+        order.layers = layers;
     if (ageLimit() == AgeLimit::Verification)
         order.sendBefore = m_verifiedSince + MaxVerificationAge;
     logStateChange("load_ordered",
@@ -247,6 +293,7 @@
                     {"orders_before", m_acceptedOrders},
                     {"running", m_runningRequests},
                     {"engine_born_ms", m_engineStartTimeMs}});
+    m_confirmation->onOrderSent(layers, m_verifiedSince);
     m_engine.load(order,
                   bindWeak<Done>([this](const Outcome<Done> &outcome) { onOrderResult(outcome); }));
 }
@@ -254,34 +301,51 @@
 void EngineStager::onOrderResult(const Outcome<Done> &outcome)
 {
     if (const auto *error = std::get_if<Error>(&outcome)) {
-        if (error->code == ResultCode::NotSent) {
-            repeatVerification(endChunk());
-            return;
-        }
-        logStateChange("load_order_failed",
-                       {{"model", m_manifest->model.value()},
-                        {"version", m_version},
-                        {"verified_ms", toMilliseconds(m_scheduler.now() - m_verifiedSince)},
-                        {"problem", toString(*error)}},
-                       LogLevel::Warning);
-        // The engine may nevertheless have accepted the order; its report shows which is the case.
-        runAfter(&EngineStager::pollAfterOrder, RetryInterval);
+        onOrderError(*error);
         return;
     }
+    const bool isConfirmed = m_confirmation->onOrderAccepted(m_scheduler.now());
     // The age is an upper bound: the engine accepted the order at some time before the response.
     logStateChange("load_accepted",
                    {{"model", m_manifest->model.value()},
                     {"version", m_version},
                     {"layers", m_orderedEnd},
-                    {"verified_ms", toMilliseconds(m_scheduler.now() - m_verifiedSince)}});
-    runAfter(&EngineStager::pollAfterOrder, ReportPollInterval);
+                    {"verified_ms", toMilliseconds(m_scheduler.now() - m_verifiedSince)},
+                    {"confirmed", isConfirmed}},
+                   isConfirmed ? LogLevel::Info : LogLevel::Warning);
     if (m_orderedEnd == m_layerCount) {
-        m_handlers.onOrderAccepted();
+        runAfter(&EngineStager::pollAfterOrder, ReportPollInterval);
+        if (isConfirmed && m_orderedFirst == 0)
+            m_handlers.onOrderAccepted();
         return;
     }
     // The staged chunks of the other layers are still needed.
     m_expectedLayers = m_orderedEnd;
     m_orderedStartTimeMs = m_engineStartTimeMs;
+    runAfter(&EngineStager::pollAfterOrder, PartialPollInterval);
+}
+
+void EngineStager::onOrderError(const Error &error)
+{
+    if (error.code == ResultCode::NotSent) {
+        repeatVerification(endChunk());
+        return;
+    }
+    const bool isCertain = error.code == ResultCode::CompareFailed
+                           || error.code == ResultCode::PlatformRejected
+                           || error.code == ResultCode::PlatformRefused;
+    logStateChange("load_order_failed",
+                   {{"model", m_manifest->model.value()},
+                    {"version", m_version},
+                    {"verified_ms", toMilliseconds(m_scheduler.now() - m_verifiedSince)},
+                    {"accepted", isCertain ? "no" : "unknown"},
+                    {"problem", toString(error)}},
+                   LogLevel::Warning);
+    if (!isCertain)
+        m_confirmation->onOrderUncertain();
+    if (error.code == ResultCode::PlatformRejected && canSplit())
+        stopSplitting("layers_not_loaded");
+    runAfter(&EngineStager::pollAfterOrder, RetryInterval);
 }
 
 } // namespace godwit
--- a/modules/rollout/src/rolloutactions.cpp
+++ b/modules/rollout/src/rolloutactions.cpp
@@ -139,6 +139,9 @@
                                 {"piece", copy.chunk},
                                 {"found", bytes ? "other bytes" : "nothing"}},
                                LogLevel::Warning);
+                const auto rollouts = m_rollouts.find(copy.model);
+                if (rollouts != m_rollouts.end() && rollouts->second.front().confirmation)
+                    rollouts->second.front().confirmation->onChunkCorrupt(copy.chunk);
                 serveStaged(action, copies);
             }));
 }
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -172,7 +172,10 @@
     // An engine of which this process restarted between two orders holds only some of the layers.
     const bool serving =
             isListed && holdsAllLayers(report.layers, rollout.version, layerCount(rollout.model));
-    if (serving && !rollout.isServing && !rollout.stager) {
+    const LayerRange held =
+            heldLayers(report, rollout.model, rollout.version, layerCount(rollout.model));
+    const bool isConfirmed = !rollout.confirmation || rollout.confirmation->isConfirmed(held);
+    if (serving && isConfirmed && !rollout.isServing && !rollout.stager) {
         // The engine already served the version when this process started.
         rollout.isServing = true;
     } else if (!serving && rollout.isServing && !report.busy) {
@@ -290,6 +293,7 @@
     const auto manifest = rollout.manifest;
     const Key key = keyOf(rollout);
     rollout.transfer = manifest->digest();
+    prepareConfirmation(rollout);
     rollout.stager = std::make_unique<EngineStager>(
             m_environment.engine, m_environment.scheduler, manifest, rollout.version,
             EngineStager::Handlers{[this, manifest](ChunkIndex chunk) {
@@ -298,7 +302,7 @@
                                    [this, key] { onOrderAccepted(key); },
                                    [this, key] { onServing(key); },
                                    [this, key] { onChunkMissing(key); }},
-            layerCount(rollout.model));
+            layerCount(rollout.model), rollout.confirmation);
     logStateChange("transfer_begun", {{"model", rollout.model.value()},
                                       {"version", rollout.version},
                                       {"own_copies", rollout.previouslyStaged.size()},
@@ -313,6 +317,23 @@
     readPreviouslyStaged(key);
 }
 
+void VersionRollout::prepareConfirmation(Rollout &rollout)
+{
+    const Manifest &manifest = *rollout.manifest;
+    const std::uint32_t layers = layerCount(rollout.model);
+    if (!rollout.confirmation)
+        rollout.confirmation =
+                std::make_shared<LoadConfirmation>(LayerLayout{manifest.chunkCount(), layers});
+    if (rollout.isServing)
+        rollout.confirmation->trust(
+                m_lastReport->startTimeMs,
+                heldLayers(*m_lastReport, rollout.model, rollout.version, layers));
+    for (ChunkIndex i = 0; i < manifest.chunkCount(); ++i) {
+        if (!rollout.previouslyStaged.contains(i))
+            rollout.confirmation->onChunkCorrupt(i);
+    }
+}
+
 void VersionRollout::readPreviouslyStaged(const Key &key)
 {
     Rollout *rollout = find(key);
@@ -324,16 +345,26 @@
             key.model, chunk, rollout->manifest->chunkBytes,
             bindWeak<std::string>(
                     [this, key, chunk, transfer = rollout->transfer](Outcome<std::string> outcome) {
-                        // The staged bytes may belong to another version or be corrupt; the planner
-                        // verifies them.
-                        if (auto *bytes = std::get_if<std::string>(&outcome))
-                            run(m_planner.chunkFound(
-                                    now(), transfer, chunk,
-                                    std::make_shared<const std::string>(std::move(*bytes))));
-                        readPreviouslyStaged(key);
+                        onPreviouslyStagedRead(key, transfer, chunk, std::move(outcome));
                     }));
 }
 
+void VersionRollout::onPreviouslyStagedRead(const Key &key, const Digest &transfer,
+                                            ChunkIndex chunk, Outcome<std::string> outcome)
+{
+    auto *bytes = std::get_if<std::string>(&outcome);
+    Rollout *rollout = find(key);
+    // The staged bytes may belong to another version.
+    const bool isKnown = rollout && rollout->manifest && chunk < rollout->manifest->chunkCount();
+    if (isKnown && (!bytes || Digest::of(*bytes) != rollout->manifest->chunks[chunk]))
+        rollout->confirmation->onChunkCorrupt(chunk);
+    // The planner verifies them as well.
+    if (bytes)
+        run(m_planner.chunkFound(now(), transfer, chunk,
+                                 std::make_shared<const std::string>(std::move(*bytes))));
+    readPreviouslyStaged(key);
+}
+
 bool VersionRollout::ownsStagingArea(const Rollout &rollout) const
 {
     return m_rollouts.at(rollout.model).front().version == rollout.version;
--- /dev/null
+++ b/modules/rollout/tests/loadconfirmationtest.cpp
@@ -0,0 +1,121 @@
+#include <godwit/rollout/loadconfirmation.h>
+
+#include <catch2/catch.hpp>
+
+using namespace godwit;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t StartTimeMs = 5;
+
+LayerRange layers(std::uint32_t first, std::uint32_t end)
+{
+    return {first, end, 2};
+}
+
+} // namespace
+
+TEST_CASE("LoadConfirmation")
+{
+    // Chunk 1 has bytes of the layers 0 and 1, chunk 4 of the layers 2 and 3.
+    LoadConfirmation confirmation(LayerLayout{6, 4});
+    const TimePoint verifiedSince{1h};
+    const LayerRange none;
+    confirmation.onReport(StartTimeMs, none);
+    CHECK(confirmation.isConfirmed(none));
+
+    SECTION("does not take layers as sound that it knows nothing of")
+    {
+        confirmation.onReport(StartTimeMs, layers(0, 2));
+        CHECK_FALSE(confirmation.isConfirmed(layers(0, 2)));
+        CHECK(confirmation.unconfirmed(layers(0, 2)) == layers(0, 2));
+
+        SECTION("until it is told to trust them")
+        {
+            confirmation.trust(StartTimeMs, layers(0, 2));
+            CHECK(confirmation.isConfirmed(layers(0, 2)));
+        }
+    }
+    SECTION("takes a load as sound if the response to its order is timely")
+    {
+        confirmation.onOrderSent(layers(0, 3), verifiedSince);
+        CHECK(confirmation.onOrderAccepted(verifiedSince + LoadConfirmation::ToleratedCorruption));
+        confirmation.onReport(StartTimeMs, layers(0, 3));
+        CHECK(confirmation.isConfirmed(layers(0, 3)));
+
+        SECTION("but no further layers")
+        {
+            CHECK_FALSE(confirmation.isConfirmed(layers(0, 4)));
+            CHECK(confirmation.unconfirmed(layers(0, 4)) == layers(3, 4));
+        }
+        SECTION("unless the engine restarts and gets them from elsewhere")
+        {
+            confirmation.onReport(StartTimeMs + 1, layers(0, 3));
+            CHECK_FALSE(confirmation.isConfirmed(layers(0, 3)));
+        }
+        SECTION("or drops layers and gets them again")
+        {
+            confirmation.onReport(StartTimeMs, layers(0, 1));
+            CHECK(confirmation.isConfirmed(layers(0, 1)));
+            confirmation.onReport(StartTimeMs, layers(0, 3));
+            CHECK(confirmation.unconfirmed(layers(0, 3)) == layers(1, 3));
+        }
+    }
+    SECTION("takes no load as sound if the response is late")
+    {
+        confirmation.onOrderSent(layers(0, 3), verifiedSince);
+        CHECK_FALSE(confirmation.onOrderAccepted(verifiedSince
+                                                 + LoadConfirmation::ToleratedCorruption + 1us));
+        CHECK_FALSE(confirmation.isConfirmed(layers(0, 3)));
+
+        SECTION("until all its chunks have been found intact")
+        {
+            confirmation.onAllRead(layers(0, 3));
+            CHECK(confirmation.isConfirmed(layers(0, 3)));
+        }
+        SECTION("and keeps the layers without a corrupt chunk otherwise")
+        {
+            confirmation.onChunkCorrupt(1);
+            confirmation.onAllRead(layers(0, 3));
+            CHECK_FALSE(confirmation.isConfirmed(layers(0, 3)));
+            CHECK(confirmation.mayHoldCorrupt(layers(0, 3)));
+            CHECK(confirmation.intactLayers(layers(0, 3)) == layers(2, 3));
+            confirmation.onDropped(layers(2, 3));
+            CHECK(confirmation.isConfirmed(layers(2, 3)));
+        }
+        SECTION("and keeps none if all have one")
+        {
+            confirmation.onChunkCorrupt(1);
+            confirmation.onChunkCorrupt(4);
+            const LayerRange kept = confirmation.intactLayers(layers(0, 3));
+            CHECK(kept.first == kept.end);
+        }
+    }
+    // Guards against a load that counts as sound because of the response to a later order, while
+    // the engine has accepted the earlier one.
+    SECTION("takes no load as sound after an order without a response")
+    {
+        confirmation.onOrderSent(layers(0, 3), verifiedSince);
+        confirmation.onOrderUncertain();
+        // Found and replaced by the verification before the second order.
+        confirmation.onChunkCorrupt(0);
+        confirmation.onOrderSent(layers(0, 3), verifiedSince + 1s);
+        CHECK_FALSE(confirmation.onOrderAccepted(verifiedSince + 1s));
+
+        SECTION("and counts chunks as corrupt that have been replaced since")
+        {
+            confirmation.onAllRead(layers(0, 3));
+            CHECK_FALSE(confirmation.isConfirmed(layers(0, 3)));
+            CHECK(confirmation.intactLayers(layers(0, 3)) == layers(1, 3));
+        }
+    }
+    SECTION("forgets corrupt chunks when an order is sent on a new verification")
+    {
+        confirmation.onChunkCorrupt(0);
+        confirmation.onOrderSent(layers(0, 3), verifiedSince);
+        CHECK_FALSE(confirmation.onOrderAccepted(verifiedSince + 4s));
+        confirmation.onAllRead(layers(0, 3));
+        CHECK(confirmation.isConfirmed(layers(0, 3)));
+    }
+}
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -603,7 +603,114 @@
         engine.silenceOnOrder = 1500ms;
         scheduler.advance(60s);
     }
+    SECTION("with corrupt chunks in all layers")
+    {
+        engine.onOrder = [&] {
+            for (ChunkIndex i = 0; i < TestChunkCount; ++i)
+                engine.corrupt(i);
+        };
+        engine.silenceOnOrder = 4s;
+        stager.scheduleLoad(scheduler.now());
+        scheduler.advance(60s);
+    }
+    // The host process that had ordered them has ended.
+    SECTION("when the engine holds layers that this process has not ordered")
+    {
+        engine.corrupt(0);
+        scheduler.advance(4s);
+        engine.load({TestModel, 2, 0, LayerRange{0, 2, 2}, {}}, [](const auto &) {});
+        scheduler.advance(1s);
+        REQUIRE(engine.holdsLongCorrupt());
+        stager.scheduleLoad(scheduler.now());
+        scheduler.advance(30s);
+    }
     CHECK(isServing);
     CHECK_FALSE(engine.holdsLongCorrupt());
     CHECK_FALSE(engine.servedLongCorrupt);
 }
+
+// Guards against an engine that keeps corrupt weights because it serves them already when they are
+// found.
+TEST_CASE("EngineStager has corrupt layers loaded again that the engine serves already")
+{
+    VirtualScheduler scheduler;
+    FakeEngine engine(scheduler);
+    const auto manifest = std::make_shared<const Manifest>(testManifest(2));
+    bool isServing = false;
+    const auto createStager = [&](std::uint32_t layerCount) {
+        return std::make_unique<EngineStager>(
+                engine, scheduler, manifest, 2,
+                EngineStager::Handlers{[&](ChunkIndex chunk) {
+                                           return std::make_shared<const std::string>(
+                                                   testChunk(2, chunk));
+                                       },
+                                       [] {},
+                                       [&] {
+                                           isServing = true;
+                                           CHECK_FALSE(engine.holdsLongCorrupt());
+                                       },
+                                       [] {}},
+                layerCount);
+    };
+    for (ChunkIndex i = 0; i < TestChunkCount; ++i)
+        engine.staged[i] = testChunk(2, i);
+    const auto corruptOnOrder = [&](ChunkIndex chunk) {
+        engine.onOrder = [&engine, chunk] { engine.corrupt(chunk); };
+        engine.silenceOnOrder = 4s;
+    };
+
+    SECTION("the last layer")
+    {
+        engine.layerCount = 3;
+        const auto stager = createStager(3);
+        stager->scheduleLoad(scheduler.now());
+        while (engine.orders.empty())
+            scheduler.advance(1ms);
+        corruptOnOrder(5);
+        scheduler.advance(30s);
+        CHECK(isServing);
+        CHECK(engine.loadedLongCorrupt);
+    }
+    SECTION("a model that is loaded as a whole")
+    {
+        const auto stager = createStager(1);
+        corruptOnOrder(5);
+        stager->scheduleLoad(scheduler.now());
+        scheduler.advance(30s);
+        CHECK(isServing);
+        CHECK(engine.loadedLongCorrupt);
+    }
+    SECTION("an engine that loads all layers with each order")
+    {
+        engine.layerCount = 3;
+        engine.ignoresRanges = true;
+        const auto stager = createStager(3);
+        corruptOnOrder(1);
+        stager->scheduleLoad(scheduler.now());
+        scheduler.advance(30s);
+        CHECK(isServing);
+        CHECK(engine.loadedLongCorrupt);
+    }
+}
+
+// Guards against corrupt layers that are taken for sound after their chunks have been fetched and
+// staged again.
+TEST_CASE("VersionRollout fetches corrupt chunks again that a silent engine has loaded")
+{
+    constexpr std::uint32_t LayerCount = 3;
+    Fixture it;
+    it.engine.layerCount = LayerCount;
+    it.engine.serve(1);
+    it.engine.report.layers = LayerRange{0, LayerCount, 1};
+    it.rollout.setLayerCount(TestModel, LayerCount);
+    // Only the chunk that was staged last is kept in memory.
+    it.engine.onOrder = [&] { it.engine.corrupt(1); };
+    it.engine.silenceOnOrder = 4s;
+    it.rollout.setWantedVersion(TestModel, 2, std::nullopt);
+    it.scheduler.advance(20s);
+    CHECK(it.engine.loadedLongCorrupt);
+    CHECK_FALSE(it.engine.servedLongCorrupt);
+    CHECK_FALSE(it.engine.holdsLongCorrupt());
+    CHECK(it.isServing(2));
+    CHECK(it.engine.report.layers == LayerRange{0, LayerCount, 2});
+}
