Stage no newer version while an order for the older one may be accepted

What callers could see: tokens made with weights of two versions.

Cause: the engine accepts the order for a version, which releases the staging area, and restarts before it serves the version. The host process verifies and orders that version again, but the area still counts as released. A newer version that is named then is staged at once, and the engine may accept the order while the area holds chunks of both.

Fix: an order that is on its way, or to which there was no response, occupies the staging area as the first one does.

Evidence: "VersionRollout stages no newer version while an order may still be accepted" failed before for an order that is accepted 80 ms after it was sent (loadedWrongBytes; the other five delays hit no mixed state) and passes for all six.

--- a/modules/rollout/include/godwit/rollout/loadconfirmation.h
+++ b/modules/rollout/include/godwit/rollout/loadconfirmation.h
@@ -45,6 +45,9 @@
     /// There was no response to that order; the engine may have accepted it, or still do so.
     void onOrderUncertain() { m_hasUncertainOrder = true; }
 
+    /// Whether the engine may still accept an order to which there was no response.
+    bool hasUncertainOrder() const { return m_hasUncertainOrder; }
+
     /// The staged \a chunk is corrupt or missing.
     void onChunkCorrupt(ChunkIndex chunk) { m_corrupt.insert(chunk); }
 
--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -294,12 +294,14 @@
                     {"running", m_runningRequests},
                     {"engine_born_ms", m_engineStartTimeMs}});
     m_confirmation->onOrderSent(layers, m_verifiedSince);
+    m_isOrderInFlight = true;
     m_engine.load(order,
                   bindWeak<Done>([this](const Outcome<Done> &outcome) { onOrderResult(outcome); }));
 }
 
 void EngineStager::onOrderResult(const Outcome<Done> &outcome)
 {
+    m_isOrderInFlight = false;
     if (const auto *error = std::get_if<Error>(&outcome)) {
         onOrderError(*error);
         return;
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -119,7 +119,11 @@
                    {{"model", model.value()}, {"version", version}, {"previous", previous}});
     const bool isFrontOutdated =
             m_lastReport && servesNewerVersion(*m_lastReport, model, rollouts.front().version);
-    if (!rollouts.front().awaitingOrder || isFrontOutdated)
+    Rollout &front = rollouts.front();
+    // After a restart of the engine, its order may have been sent again.
+    if (front.stager && front.stager->mayOrderBeAccepted())
+        front.awaitingOrder = true;
+    if (!front.awaitingOrder || isFrontOutdated)
         endOlderRollouts(rollout);
     checkEngine();
 }
--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -85,9 +85,10 @@
     int orderResponsesToLose = 0;                     ///< Of orders that are accepted.
     Duration readTime = std::chrono::milliseconds(1); ///< Of a staged chunk.
     std::vector<ChunkIndex> reads;                    ///< Staged chunks that were read.
-    Duration orderDelay{0};        ///< Time for which orders wait before they are sent.
-    Duration silenceOnOrder{0};    ///< Begins when the next order arrives, before it is accepted.
-    std::function<void()> onOrder; ///< Called when the next order arrives.
+    Duration orderDelay{0};     ///< Time for which orders wait before they are sent.
+    Duration silenceOnOrder{0}; ///< Begins when the next order arrives, before it is accepted.
+    Duration orderHold{0}; ///< The next order is accepted after this time; other calls overtake it.
+    std::function<void()> onOrder;     ///< Called when the next order arrives.
     bool ignoresPartialOrders = false; ///< Accepts orders for some layers but does not load them.
     bool ignoresRanges = false;        ///< Loads all layers with each order.
     std::uint32_t layerCount = 0; ///< Of the model; must divide TestChunkCount. 0: not reported.
@@ -104,6 +105,16 @@
     /// longer than the operators tolerate.
     bool holdsLongCorrupt() const { return !m_corruptLayers.empty(); }
 
+    /// Starts again without layers; the staged chunks are kept.
+    void restart()
+    {
+        const std::uint64_t startTimeMs = report.startTimeMs + 1;
+        report = EngineReport{};
+        report.startTimeMs = startTimeMs;
+        m_loading.reset();
+        m_corruptLayers.clear();
+    }
+
     void readReport(Completion<EngineReport> done) override
     {
         respond<EngineReport>(done, [this] { return report; });
@@ -149,7 +160,9 @@
             function();
         if (silenceOnOrder > Duration::zero())
             m_silentUntil = m_scheduler.now() + std::exchange(silenceOnOrder, Duration(0));
-        respond<Done>(done, [this, order] { return accept(order); });
+        const Duration delay = std::exchange(orderHold, Duration(0)) + std::chrono::milliseconds(1);
+        respond<Done>(
+                done, [this, order] { return accept(order); }, delay);
     }
 
 private:
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -714,3 +714,27 @@
     CHECK(it.isServing(2));
     CHECK(it.engine.report.layers == LayerRange{0, LayerCount, 2});
 }
+
+// Guards against weights with chunks of two versions: the engine restarts after it has accepted the
+// order for one version, that order is sent again, and the next version is staged before the engine
+// accepts it.
+TEST_CASE("VersionRollout stages no newer version while an order may still be accepted")
+{
+    Fixture it;
+    it.rollout.setWantedVersion(TestModel, 2, std::nullopt);
+    while (it.engine.orders.empty())
+        it.scheduler.advance(1ms);
+    it.scheduler.advance(50ms);
+    const Duration hold = GENERATE(as<Duration>{}, 20ms, 40ms, 80ms, 160ms, 1s, 4s);
+    INFO("accepted after " << hold.count() << " us");
+    it.engine.restart();
+    bool isOrdered = false;
+    it.engine.onOrder = [&] { isOrdered = true; };
+    it.engine.orderHold = hold;
+    while (!isOrdered)
+        it.scheduler.advance(1ms);
+    it.rollout.setWantedVersion(TestModel, 3, std::nullopt);
+    it.scheduler.advance(20s);
+    CHECK_FALSE(it.engine.loadedWrongBytes);
+    CHECK(it.isServing(3));
+}
