Keep the staging area for an order without a response while a lost chunk is fetched

What callers could see: tokens made with weights of two versions. A newer version that was named then was staged while the engine could still accept the order.

LoadConfirmation, which outlasts the transfer, now knows the order that is on its way as well as one without a response, and VersionRollout asks it alone.

Evidence: with the condition in setWantedVersion() removed, two checks of "VersionRollout stages no newer version while an order may still be accepted" fail (loadedOtherVersion); with it all 257 assertions of the module pass.

--- a/modules/rollout/include/godwit/rollout/enginestager.h
+++ b/modules/rollout/include/godwit/rollout/enginestager.h
@@ -65,13 +65,6 @@
     /// Orders the load at \a notBefore or later. All chunks must have been staged.
     void scheduleLoad(TimePoint notBefore);
 
-    /// Whether the engine may still accept an order that was sent, so that the staged chunks must
-    /// not be replaced by those of another version.
-    bool mayOrderBeAccepted() const
-    {
-        return m_isOrderInFlight || m_confirmation->hasUncertainOrder();
-    }
-
 private:
     /// What must not take longer than MaxVerificationAge.
     enum class AgeLimit {
@@ -152,7 +145,6 @@
     std::uint32_t m_repetitions = 0;        ///< Outdated verifications of this number of layers.
     std::shared_ptr<LoadConfirmation> m_confirmation;
     LayerRange m_recheckedLayers;
-    bool m_isOrderInFlight = false;
     bool m_isDropOrdered = false;                ///< The engine has accepted to drop layers.
     std::optional<ChunkIndex> m_unreadableChunk; ///< Whose last read had an unreadable response.
     std::unique_ptr<Timer> m_timer;
--- a/modules/rollout/include/godwit/rollout/loadconfirmation.h
+++ b/modules/rollout/include/godwit/rollout/loadconfirmation.h
@@ -42,11 +42,14 @@
     void onOrderSent(const LayerRange &layers, TimePoint verifiedSince);
     /// The response to that order came at \a now. Returns whether this confirms the load.
     bool onOrderAccepted(TimePoint now);
+    /// The engine has not accepted that order and will not do so.
+    void onOrderRejected() { m_isOrderInFlight = false; }
     /// There was no response to that order; the engine may have accepted it, or still do so.
-    void onOrderUncertain() { m_hasUncertainOrder = true; }
+    void onOrderUncertain();
 
-    /// Whether the engine may still accept an order to which there was no response.
-    bool hasUncertainOrder() const { return m_hasUncertainOrder; }
+    /// Whether the engine may still accept an order, so that the staged chunks must not be replaced
+    /// by those of another version.
+    bool mayOrderBeAccepted() const { return m_isOrderInFlight || m_hasUncertainOrder; }
 
     /// The staged \a chunk is corrupt or missing.
     void onChunkCorrupt(ChunkIndex chunk) { m_corrupt.insert(chunk); }
@@ -77,6 +80,7 @@
     LayerRange m_sound; ///< Empty if none.
     LayerRange m_ordered;
     TimePoint m_verifiedSince;
+    bool m_isOrderInFlight = false;   ///< There has been no result of the last order.
     bool m_hasUncertainOrder = false; ///< Since the held layers were last confirmed.
     /// Chunks that were found corrupt since the last order before which all held layers were
     /// confirmed.
--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -294,14 +294,12 @@
                     {"running", m_runningRequests},
                     {"engine_born_ms", m_engineStartTimeMs}});
     m_confirmation->onOrderSent(layers, m_verifiedSince);
-    m_isOrderInFlight = true;
     m_engine.load(order,
                   bindWeak<Done>([this](const Outcome<Done> &outcome) { onOrderResult(outcome); }));
 }
 
 void EngineStager::onOrderResult(const Outcome<Done> &outcome)
 {
-    m_isOrderInFlight = false;
     if (const auto *error = std::get_if<Error>(&outcome)) {
         onOrderError(*error);
         return;
@@ -330,6 +328,7 @@
 void EngineStager::onOrderError(const Error &error)
 {
     if (error.code == ResultCode::NotSent) {
+        m_confirmation->onOrderRejected();
         repeatVerification(endChunk());
         return;
     }
@@ -343,7 +342,9 @@
                     {"accepted", isCertain ? "no" : "unknown"},
                     {"problem", toString(error)}},
                    LogLevel::Warning);
-    if (!isCertain)
+    if (isCertain)
+        m_confirmation->onOrderRejected();
+    else
         m_confirmation->onOrderUncertain();
     if (error.code == ResultCode::PlatformRejected && canSplit())
         stopSplitting("layers_not_loaded");
--- a/modules/rollout/src/loadconfirmation.cpp
+++ b/modules/rollout/src/loadconfirmation.cpp
@@ -54,13 +54,21 @@
 void LoadConfirmation::onOrderSent(const LayerRange &layers, TimePoint verifiedSince)
 {
     m_ordered = layers;
+    m_isOrderInFlight = true;
     m_verifiedSince = verifiedSince;
     if (!m_hasUncertainOrder)
         m_corrupt.clear();
 }
 
+void LoadConfirmation::onOrderUncertain()
+{
+    m_isOrderInFlight = false;
+    m_hasUncertainOrder = true;
+}
+
 bool LoadConfirmation::onOrderAccepted(TimePoint now)
 {
+    m_isOrderInFlight = false;
     // After an order without a response, the engine may have accepted that one in place of this.
     if (m_hasUncertainOrder || now - m_verifiedSince > ToleratedCorruption)
         return false;
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -120,8 +120,9 @@
     const bool isFrontOutdated =
             m_lastReport && servesNewerVersion(*m_lastReport, model, rollouts.front().version);
     Rollout &front = rollouts.front();
-    // After a restart of the engine, its order may have been sent again.
-    if (front.stager && front.stager->mayOrderBeAccepted())
+    // After a restart of the engine, or while a lost chunk is fetched, there may be an order
+    // although the rollout is not waiting for one.
+    if (front.confirmation && front.confirmation->mayOrderBeAccepted())
         front.awaitingOrder = true;
     if (!front.awaitingOrder || isFrontOutdated)
         endOlderRollouts(rollout);
--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -81,6 +81,7 @@
     bool loadedLongCorrupt = false;
     /// All layers were loaded, so that requests could run, and one of them from such a chunk.
     bool servedLongCorrupt = false;
+    bool loadedOtherVersion = false; ///< A layer was loaded from a chunk of another version.
     int ordersToRefuse = 0;
     int orderResponsesToLose = 0;                     ///< Of orders that are accepted.
     Duration readTime = std::chrono::milliseconds(1); ///< Of a staged chunk.
@@ -215,6 +216,7 @@
                 continue;
             for (ChunkIndex i = layer * perLayer; i < (layer + 1) * perLayer; ++i) {
                 loadedWrongBytes |= staged[i] != testChunk(wanted.version, i);
+                loadedOtherVersion |= staged[i] == testChunk(wanted.version + 1, i);
                 if (m_corruptSince.contains(i)
                     && m_scheduler.now() - m_corruptSince[i] > ToleratedCorruption)
                     m_corruptLayers.insert(layer);
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -715,26 +715,50 @@
     CHECK(it.engine.report.layers == LayerRange{0, LayerCount, 2});
 }
 
-// Guards against weights with chunks of two versions: the engine restarts after it has accepted the
-// order for one version, that order is sent again, and the next version is staged before the engine
-// accepts it.
+// Guards against weights with chunks of two versions: the next version is staged before the engine
+// accepts an order for the one before.
 TEST_CASE("VersionRollout stages no newer version while an order may still be accepted")
 {
     Fixture it;
-    it.rollout.setWantedVersion(TestModel, 2, std::nullopt);
-    while (it.engine.orders.empty())
-        it.scheduler.advance(1ms);
-    it.scheduler.advance(50ms);
-    const Duration hold = GENERATE(as<Duration>{}, 20ms, 40ms, 80ms, 160ms, 1s, 4s);
-    INFO("accepted after " << hold.count() << " us");
-    it.engine.restart();
     bool isOrdered = false;
-    it.engine.onOrder = [&] { isOrdered = true; };
-    it.engine.orderHold = hold;
-    while (!isOrdered)
-        it.scheduler.advance(1ms);
-    it.rollout.setWantedVersion(TestModel, 3, std::nullopt);
-    it.scheduler.advance(20s);
-    CHECK_FALSE(it.engine.loadedWrongBytes);
+    const auto holdNextOrder = [&](Duration hold) {
+        it.engine.onOrder = [&] { isOrdered = true; };
+        it.engine.orderHold = hold;
+    };
+    const auto advanceToOrder = [&] {
+        while (!isOrdered)
+            it.scheduler.advance(1ms);
+    };
+
+    SECTION("that was sent again after a restart of the engine")
+    {
+        const Duration hold = GENERATE(as<Duration>{}, 20ms, 40ms, 80ms, 160ms, 1s, 4s);
+        INFO("accepted after " << hold.count() << " us");
+        it.rollout.setWantedVersion(TestModel, 2, std::nullopt);
+        while (it.engine.orders.empty())
+            it.scheduler.advance(1ms);
+        it.scheduler.advance(50ms);
+        it.engine.restart();
+        holdNextOrder(hold);
+        advanceToOrder();
+        it.rollout.setWantedVersion(TestModel, 3, std::nullopt);
+        it.scheduler.advance(20s);
+    }
+    SECTION("that was not answered, while a lost chunk is fetched")
+    {
+        const Duration hold = GENERATE(as<Duration>{}, 1820ms, 1860ms, 1900ms);
+        INFO("accepted after " << hold.count() << " us");
+        it.rollout.setWantedVersion(TestModel, 2, std::nullopt);
+        holdNextOrder(hold);
+        advanceToOrder();
+        it.scheduler.advance(FakeEngine::ClientTimeout);
+        it.engine.corrupt(0);
+        // The next verification finds it and restarts the transfer.
+        it.origin->manifestFailures = 1;
+        it.scheduler.advance(280ms);
+        it.rollout.setWantedVersion(TestModel, 3, std::nullopt);
+        it.scheduler.advance(20s);
+    }
+    CHECK_FALSE(it.engine.loadedOtherVersion);
     CHECK(it.isServing(3));
 }
