Wait for an engine to drop layers before it counts as one that cannot

An engine that gives up layers may wait for the requests in progress that use them. The first form took a report that still shows these layers, right after the engine had accepted the order, for an engine that ignores such orders, and ordered all layers, which that engine holds already: corrupt layers would have counted as loaded again.

--- a/modules/rollout/include/godwit/rollout/enginestager.h
+++ b/modules/rollout/include/godwit/rollout/enginestager.h
@@ -47,6 +47,9 @@
     static constexpr Duration ReportPollInterval = std::chrono::milliseconds(150);
     /// While the engine holds only some of the layers, so that it cannot serve requests.
     static constexpr Duration PartialPollInterval = std::chrono::milliseconds(50);
+    /// An engine that still holds layers that it was to drop ignores such orders. Requests in
+    /// progress may delay it.
+    static constexpr Duration DropTimeout = std::chrono::milliseconds(3000);
     static constexpr Duration RetryInterval = std::chrono::milliseconds(250);
     /// From the first read of a verification to the order. Operators tolerate bytes that turned
     /// corrupt up to 3 s before the engine takes them; the rest is left for the order to arrive.
@@ -145,7 +148,8 @@
     std::uint32_t m_repetitions = 0;        ///< Outdated verifications of this number of layers.
     std::shared_ptr<LoadConfirmation> m_confirmation;
     LayerRange m_recheckedLayers;
-    bool m_isDropOrdered = false;                ///< The engine has accepted to drop layers.
+    /// The engine has accepted to drop layers, and should not hold them from this time on.
+    std::optional<TimePoint> m_droppedFrom;
     std::optional<ChunkIndex> m_unreadableChunk; ///< Whose last read had an unreadable response.
     std::unique_ptr<Timer> m_timer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -115,7 +115,7 @@
         handleUnconfirmed(held);
         return;
     }
-    m_isDropOrdered = false;
+    m_droppedFrom.reset();
     if (isServing(*report)) {
         m_handlers.onServing();
         return;
--- a/modules/rollout/src/enginestagerrecheck.cpp
+++ b/modules/rollout/src/enginestagerrecheck.cpp
@@ -8,7 +8,11 @@
 void EngineStager::handleUnconfirmed(const LayerRange &held)
 {
     m_expectedLayers = 0;
-    if (std::exchange(m_isDropOrdered, false))
+    if (m_droppedFrom && m_scheduler.now() < *m_droppedFrom) {
+        runAfter(&EngineStager::pollAfterOrder, PartialPollInterval);
+        return;
+    }
+    if (std::exchange(m_droppedFrom, std::nullopt))
         stopSplitting("layers_not_dropped");
     m_recheckedLayers = held;
     recheck(layout().firstChunk(m_confirmation->unconfirmed(held).first));
@@ -108,7 +112,7 @@
             stopSplitting("layers_not_dropped");
     } else {
         m_confirmation->onDropped(kept);
-        m_isDropOrdered = true;
+        m_droppedFrom = m_scheduler.now() + DropTimeout;
     }
     runAfter(&EngineStager::pollAfterOrder, PartialPollInterval);
 }
