Confirm no load by an order that failed or that had nothing to load

Found by a review of the confirmation of loads, all in the code since and seen by no caller:

- A chunk that was found corrupt counted as intact as soon as an order had been sent, also if that order failed.
A load from it was confirmed by the next reading.
The marks are now dropped only when an order has begun, which has replaced what was loaded from these chunks.
- A response that an order is in effect already (200) confirmed a load like one that it has begun (202).
The port tells the two apart.
An engine without layers that does not load a version again is reported (corrupt_layers_kept, error) and used: nothing else can be done about it.
- The last layer was not ordered by itself after a drop, a restart of the host process, or a split.
- An order without a response counted as settled by any later reading.
Now it is settled by the count of accepted orders, by a restart of the engine, or by an order of its own that has begun.
- An engine that reports more layers than the configuration of its service led to reads of chunks that do not exist and to a version that was never served.

Tests changed: "an engine that holds some of the layers gets the others after a restart of the host" expects two orders now, of which the second is for the last layer; what it checks of the result is unchanged. "a model that is loaded as a whole" has an engine that loads a version again; one that does not has a test of its own.

--- a/modules/rollout/include/godwit/rollout/enginestager.h
+++ b/modules/rollout/include/godwit/rollout/enginestager.h
@@ -89,7 +89,9 @@
     void restage(ChunkIndex chunk);
     void onStagedRead(ChunkIndex chunk, const Outcome<std::string> &outcome);
     void sendOrder();
-    void onOrderResult(const Outcome<Done> &outcome);
+    void onOrderResult(const Outcome<OrderAcceptance> &outcome);
+    /// The engine held the layers of the order already.
+    void onOrderInEffect();
     void pollReport(bool beforeOrder);
     void onReport(bool beforeOrder, const Outcome<EngineReport> &outcome);
     void runAfter(void (EngineStager::*step)(), Duration delay);
@@ -100,14 +102,14 @@
     void onOrderError(const Error &error);
     /// Reads the chunks of the layers of \a held that are not confirmed again.
     void handleUnconfirmed(const LayerRange &held);
-    /// Orders the layers from \a first to \a end, whatever the engine holds.
+    /// Has the layers from \a first to \a end loaded, whatever the engine holds.
     void loadAgain(std::uint32_t first, std::uint32_t end);
     void recheck(ChunkIndex chunk);
     void onRechecked(ChunkIndex chunk, const Outcome<std::string> &outcome);
     void finishRecheck();
     /// Orders the engine to hold no layers of m_recheckedLayers that may be corrupt.
     void dropCorruptLayers();
-    void onDropResult(const LayerRange &kept, const Outcome<Done> &outcome);
+    void onDropResult(const LayerRange &kept, const Outcome<OrderAcceptance> &outcome);
     /// Whether \a outcome, of a read of the staged \a chunk, has the bytes of the manifest.
     bool isIntact(ChunkIndex chunk, const Outcome<std::string> &outcome) const;
     /// Whether the read of \a chunk shows that it is missing or too long, rather than that the
@@ -148,6 +150,7 @@
     std::uint32_t m_repetitions = 0;        ///< Outdated verifications of this number of layers.
     std::shared_ptr<LoadConfirmation> m_confirmation;
     LayerRange m_recheckedLayers;
+    bool m_loadsAgain = false; ///< The order is for layers that the engine may hold corrupt.
     /// The engine has accepted to drop layers, and should not hold them from this time on.
     std::optional<TimePoint> m_droppedFrom;
     std::optional<ChunkIndex> m_unreadableChunk; ///< Whose last read had an unreadable response.
--- a/modules/rollout/include/godwit/rollout/loadconfirmation.h
+++ b/modules/rollout/include/godwit/rollout/loadconfirmation.h
@@ -28,8 +28,9 @@
         : m_layout(layout)
     {}
 
-    /// The engine process that started at \a startTimeMs holds \a held, layers of this version.
-    void onReport(std::uint64_t startTimeMs, const LayerRange &held);
+    /// The engine process that started at \a startTimeMs and has accepted \a acceptedOrders since
+    /// holds \a held, layers of this version.
+    void onReport(std::uint64_t startTimeMs, std::uint64_t acceptedOrders, const LayerRange &held);
 
     /// Whether all of \a held were loaded from sound chunks.
     bool isConfirmed(const LayerRange &held) const;
@@ -37,13 +38,14 @@
     /// Takes \a held as sound, because they were loaded before this process could observe it.
     void trust(std::uint64_t startTimeMs, const LayerRange &held);
 
-    /// An order is being sent after which the engine holds \a layers. The chunks of those that it
-    /// does not hold yet have been verified since \a verifiedSince.
+    /// An order based on the last report is being sent, after which the engine holds \a layers. The
+    /// chunks of those that it loads have been verified since \a verifiedSince.
     void onOrderSent(const LayerRange &layers, TimePoint verifiedSince);
-    /// The response to that order came at \a now. Returns whether this confirms the load.
-    bool onOrderAccepted(TimePoint now);
-    /// The engine has not accepted that order and will not do so.
-    void onOrderRejected() { m_isOrderInFlight = false; }
+    /// The response that the order has begun came at \a now. Returns whether this confirms the
+    /// load.
+    bool onOrderBegun(TimePoint now);
+    /// The engine has not accepted that order and will not do so, or it had nothing to load.
+    void onOrderWithoutEffect();
     /// There was no response to that order; the engine may have accepted it, or still do so.
     void onOrderUncertain();
 
@@ -81,10 +83,12 @@
     LayerRange m_ordered;
     TimePoint m_verifiedSince;
     bool m_isOrderInFlight = false;   ///< There has been no result of the last order.
-    bool m_hasUncertainOrder = false; ///< Since the held layers were last confirmed.
-    /// Chunks that were found corrupt since the last order before which all held layers were
-    /// confirmed.
+    bool m_hasUncertainOrder = false; ///< The engine may still accept an order without a response.
+    std::uint64_t m_acceptedOrders = 0; ///< By the last report.
+    /// Chunks that were found corrupt since the last order that had an effect.
     std::set<ChunkIndex> m_corrupt;
+    /// Those of them that were found before the order that is on its way.
+    std::set<ChunkIndex> m_corruptBefore;
 };
 
 } // namespace godwit
--- a/modules/rollout/include/godwit/rollout/modelengineport.h
+++ b/modules/rollout/include/godwit/rollout/modelengineport.h
@@ -36,6 +36,12 @@
 LayerRange heldLayers(const EngineReport &report, const ModelId &model, std::uint64_t version,
                       std::uint32_t layerCount);
 
+/// How an engine answers an order that fits its state.
+enum class OrderAcceptance {
+    Begun,    ///< It has taken the staged chunks of the layers that it does not hold yet.
+    InEffect, ///< It held the layers already; nothing has begun.
+};
+
 /// Orders the engine to load the staged chunks of a version. Unless it already holds other layers
 /// of that version, the engine first waits for its running requests.
 struct EngineLoadOrder
@@ -72,11 +78,11 @@
     virtual void stage(const ModelId &model, ChunkIndex chunk, std::string bytes,
                        Completion<Done> done) = 0;
 
-    /// Succeeds once the order is being executed or is in effect. Fails with CompareFailed if the
+    /// Fails with CompareFailed if the
     /// engine has accepted other orders since or its state does not allow the order, and with
     /// NotSent after EngineLoadOrder::sendBefore. After any other error the order may nevertheless
     /// have been accepted.
-    virtual void load(const EngineLoadOrder &order, Completion<Done> done) = 0;
+    virtual void load(const EngineLoadOrder &order, Completion<OrderAcceptance> done) = 0;
 };
 
 } // namespace godwit
--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -69,8 +69,12 @@
 LayerRange heldLayers(const EngineReport &report, const ModelId &model, std::uint64_t version,
                       std::uint32_t layerCount)
 {
+    if (report.layers && report.layers->version != version)
+        return {};
+    // The engine may count more layers than the configuration of its service states.
     if (report.layers)
-        return report.layers->version == version ? *report.layers : LayerRange{};
+        return {std::min(report.layers->first, layerCount),
+                std::min(report.layers->end, layerCount), version};
     const bool isListed =
             std::ranges::find(report.models, ServedModel{model, version}) != report.models.end();
     return isListed ? LayerRange{0, layerCount, version} : LayerRange{};
@@ -110,7 +114,7 @@
     m_engineStartTimeMs = report->startTimeMs;
     m_runningRequests = report->runningRequests;
     const LayerRange held = heldLayers(*report, m_manifest->model, m_version, m_layerCount);
-    m_confirmation->onReport(report->startTimeMs, held);
+    m_confirmation->onReport(report->startTimeMs, report->acceptedOrders, held);
     if (!m_confirmation->isConfirmed(held)) {
         handleUnconfirmed(held);
         return;
@@ -121,6 +125,7 @@
         return;
     }
     // Neither busy nor serving: the order has not been accepted, or the engine has restarted since.
+    m_loadsAgain = false;
     selectLayers(*report);
     startVerification();
 }
@@ -136,6 +141,10 @@
         stopSplitting("layers_not_loaded");
     m_orderedFirst = 0;
     m_orderedEnd = std::min(m_heldLayers + m_layersPerOrder, m_layerCount);
+    // Without the last layer the engine serves no requests, so that it waits until the others are
+    // confirmed.
+    if (m_isSplittable && m_heldLayers + 1 < m_layerCount)
+        m_orderedEnd = std::min(m_orderedEnd, m_layerCount - 1);
 }
 
 void EngineStager::startVerification()
@@ -164,7 +173,7 @@
 
 ChunkIndex EngineStager::endChunk() const
 {
-    // The last layer is ordered by itself. Its chunks are verified with the others, so that one
+    // The chunks of the last layer are verified with the others, so that one
     // that must be fetched again is found while the engine still serves the earlier version.
     if (m_heldLayers == 0 && m_orderedFirst == 0 && m_orderedEnd + 1 == m_layerCount)
         return m_manifest->chunkCount();
@@ -287,24 +296,29 @@
     logStateChange("load_ordered",
                    {{"model", order.model.value()},
                     {"version", m_version},
-                    {"layers_before", m_heldLayers},
+                    {"layers_before", std::max(m_heldLayers, m_orderedFirst)},
                     {"layers", m_orderedEnd},
                     {"verified_ms", toMilliseconds(m_scheduler.now() - m_verifiedSince)},
                     {"orders_before", m_acceptedOrders},
                     {"running", m_runningRequests},
                     {"engine_born_ms", m_engineStartTimeMs}});
     m_confirmation->onOrderSent(layers, m_verifiedSince);
-    m_engine.load(order,
-                  bindWeak<Done>([this](const Outcome<Done> &outcome) { onOrderResult(outcome); }));
+    m_engine.load(order, bindWeak<OrderAcceptance>([this](const Outcome<OrderAcceptance> &outcome) {
+                      onOrderResult(outcome);
+                  }));
 }
 
-void EngineStager::onOrderResult(const Outcome<Done> &outcome)
+void EngineStager::onOrderResult(const Outcome<OrderAcceptance> &outcome)
 {
     if (const auto *error = std::get_if<Error>(&outcome)) {
         onOrderError(*error);
         return;
     }
-    const bool isConfirmed = m_confirmation->onOrderAccepted(m_scheduler.now());
+    if (std::get<OrderAcceptance>(outcome) == OrderAcceptance::InEffect) {
+        onOrderInEffect();
+        return;
+    }
+    const bool isConfirmed = m_confirmation->onOrderBegun(m_scheduler.now());
     // The age is an upper bound: the engine accepted the order at some time before the response.
     logStateChange("load_accepted",
                    {{"model", m_manifest->model.value()},
@@ -328,13 +342,14 @@
 void EngineStager::onOrderError(const Error &error)
 {
     if (error.code == ResultCode::NotSent) {
-        m_confirmation->onOrderRejected();
+        m_confirmation->onOrderWithoutEffect();
         repeatVerification(endChunk());
         return;
     }
     const bool isCertain = error.code == ResultCode::CompareFailed
                            || error.code == ResultCode::PlatformRejected
-                           || error.code == ResultCode::PlatformRefused;
+                           || error.code == ResultCode::PlatformRefused
+                           || error.code == ResultCode::PlatformUnreachable;
     logStateChange("load_order_failed",
                    {{"model", m_manifest->model.value()},
                     {"version", m_version},
@@ -343,7 +358,7 @@
                     {"problem", toString(error)}},
                    LogLevel::Warning);
     if (isCertain)
-        m_confirmation->onOrderRejected();
+        m_confirmation->onOrderWithoutEffect();
     else
         m_confirmation->onOrderUncertain();
     if (error.code == ResultCode::PlatformRejected && canSplit())
--- a/modules/rollout/src/enginestagerrecheck.cpp
+++ b/modules/rollout/src/enginestagerrecheck.cpp
@@ -67,12 +67,29 @@
 
 void EngineStager::loadAgain(std::uint32_t first, std::uint32_t end)
 {
+    m_loadsAgain = true;
     m_heldLayers = 0;
     m_orderedFirst = first;
     m_orderedEnd = end;
     startVerification();
 }
 
+void EngineStager::onOrderInEffect()
+{
+    m_confirmation->onOrderWithoutEffect();
+    // An earlier order without a response may have been accepted, which the report shows. An engine
+    // that was to load all layers again, because it cannot drop some, offers no other way.
+    if (m_loadsAgain) {
+        logStateChange("corrupt_layers_kept",
+                       {{"model", m_manifest->model.value()},
+                        {"version", m_version},
+                        {"engine_born_ms", m_engineStartTimeMs}},
+                       LogLevel::Error);
+        m_confirmation->trust(m_engineStartTimeMs, m_recheckedLayers);
+    }
+    runAfter(&EngineStager::pollAfterOrder, RetryInterval);
+}
+
 void EngineStager::dropCorruptLayers()
 {
     const LayerRange kept = m_confirmation->intactLayers(m_recheckedLayers);
@@ -94,12 +111,12 @@
                     {"end_kept", kept.end},
                     {"engine_born_ms", m_engineStartTimeMs}},
                    LogLevel::Warning);
-    m_engine.load(order, bindWeak<Done>([this, kept](const Outcome<Done> &outcome) {
+    m_engine.load(order, bindWeak<OrderAcceptance>([this, kept](const auto &outcome) {
                       onDropResult(kept, outcome);
                   }));
 }
 
-void EngineStager::onDropResult(const LayerRange &kept, const Outcome<Done> &outcome)
+void EngineStager::onDropResult(const LayerRange &kept, const Outcome<OrderAcceptance> &outcome)
 {
     if (const auto *error = std::get_if<Error>(&outcome)) {
         // If the engine has accepted it nevertheless, its report shows that.
--- a/modules/rollout/src/loadconfirmation.cpp
+++ b/modules/rollout/src/loadconfirmation.cpp
@@ -1,6 +1,7 @@
 #include <godwit/rollout/loadconfirmation.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace godwit {
 
@@ -26,15 +27,17 @@
 
 } // namespace
 
-void LoadConfirmation::onReport(std::uint64_t startTimeMs, const LayerRange &held)
+void LoadConfirmation::onReport(std::uint64_t startTimeMs, std::uint64_t acceptedOrders,
+                                const LayerRange &held)
 {
-    if (startTimeMs != m_engineStartTimeMs) {
-        m_engineStartTimeMs = startTimeMs;
-        m_sound = {};
-        // The orders were sent to the earlier process. Layers that this one holds already are read
-        // again in any case.
+    // An order states how many were accepted before it, so that it fits no later state. The
+    // connection to an earlier process has ended.
+    if (startTimeMs != m_engineStartTimeMs || acceptedOrders != m_acceptedOrders)
         m_hasUncertainOrder = false;
-    }
+    if (startTimeMs != m_engineStartTimeMs)
+        m_sound = {};
+    m_engineStartTimeMs = startTimeMs;
+    m_acceptedOrders = acceptedOrders;
     // A layer that was dropped may be loaded again from other bytes.
     m_sound = intersect(m_sound, held);
 }
@@ -48,7 +51,6 @@
 {
     m_engineStartTimeMs = startTimeMs;
     m_sound = held;
-    m_hasUncertainOrder = false;
 }
 
 void LoadConfirmation::onOrderSent(const LayerRange &layers, TimePoint verifiedSince)
@@ -56,24 +58,31 @@
     m_ordered = layers;
     m_isOrderInFlight = true;
     m_verifiedSince = verifiedSince;
-    if (!m_hasUncertainOrder)
-        m_corrupt.clear();
+    m_corruptBefore = std::exchange(m_corrupt, {});
 }
 
-void LoadConfirmation::onOrderUncertain()
+bool LoadConfirmation::onOrderBegun(TimePoint now)
 {
     m_isOrderInFlight = false;
-    m_hasUncertainOrder = true;
+    m_hasUncertainOrder = false;
+    // The layers that were loaded from these chunks have been replaced.
+    m_corruptBefore.clear();
+    if (now - m_verifiedSince > ToleratedCorruption)
+        return false;
+    m_sound = m_ordered;
+    return true;
 }
 
-bool LoadConfirmation::onOrderAccepted(TimePoint now)
+void LoadConfirmation::onOrderWithoutEffect()
 {
     m_isOrderInFlight = false;
-    // After an order without a response, the engine may have accepted that one in place of this.
-    if (m_hasUncertainOrder || now - m_verifiedSince > ToleratedCorruption)
-        return false;
-    m_sound = m_ordered;
-    return true;
+    m_corrupt.merge(m_corruptBefore);
+}
+
+void LoadConfirmation::onOrderUncertain()
+{
+    onOrderWithoutEffect();
+    m_hasUncertainOrder = true;
 }
 
 LayerRange LoadConfirmation::unconfirmed(const LayerRange &held) const
@@ -100,9 +109,6 @@
 
 void LoadConfirmation::onAllRead(const LayerRange &held)
 {
-    // Some order has been accepted since, so that one without a response cannot be accepted any
-    // more: it states the number of orders that were accepted before it.
-    m_hasUncertainOrder = false;
     if (!mayHoldCorrupt(held))
         m_sound = held;
 }
--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -5,6 +5,7 @@
 #include <godwit/rollout/peertransport.h>
 #include <godwit/rollout/weightoriginport.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -91,7 +92,8 @@
     Duration orderHold{0}; ///< The next order is accepted after this time; other calls overtake it.
     std::function<void()> onOrder;     ///< Called when the next order arrives.
     bool ignoresPartialOrders = false; ///< Accepts orders for some layers but does not load them.
-    bool ignoresRanges = false;        ///< Loads all layers with each order.
+    bool reloadsWhole = false;  ///< Loads a version again that it serves, if it reports no layers.
+    bool ignoresRanges = false; ///< Loads all layers with each order.
     std::uint32_t layerCount = 0; ///< Of the model; must divide TestChunkCount. 0: not reported.
 
     void serve(std::uint64_t version) { report.models = {{TestModel, version}}; }
@@ -150,11 +152,11 @@
             return Done();
         });
     }
-    void load(const EngineLoadOrder &order, Completion<Done> done) override
+    void load(const EngineLoadOrder &order, Completion<OrderAcceptance> done) override
     {
         const TimePoint sentAt = m_scheduler.now() + std::exchange(orderDelay, Duration(0));
         if (order.sendBefore && sentAt > *order.sendBefore) {
-            respond<Done>(done, [] { return Error{ResultCode::NotSent, "too late"}; });
+            respond<OrderAcceptance>(done, [] { return Error{ResultCode::NotSent, "too late"}; });
             return;
         }
         if (const auto function = std::exchange(onOrder, nullptr))
@@ -162,7 +164,7 @@
         if (silenceOnOrder > Duration::zero())
             m_silentUntil = m_scheduler.now() + std::exchange(silenceOnOrder, Duration(0));
         const Duration delay = std::exchange(orderHold, Duration(0)) + std::chrono::milliseconds(1);
-        respond<Done>(
+        respond<OrderAcceptance>(
                 done, [this, order] { return accept(order); }, delay);
     }
 
@@ -170,7 +172,7 @@
     /// Chunks may turn corrupt this long before the engine takes them.
     static constexpr Duration ToleratedCorruption = std::chrono::seconds(3);
 
-    Outcome<Done> accept(const EngineLoadOrder &order)
+    Outcome<OrderAcceptance> accept(const EngineLoadOrder &order)
     {
         if (ordersToRefuse > 0 || order.expectedAcceptedOrders != report.acceptedOrders
             || report.busy) {
@@ -179,8 +181,12 @@
         }
         const LayerRange all{0, std::max(layerCount, 1U), order.version};
         const LayerRange wanted = ignoresRanges ? all : order.layers.value_or(all);
-        if (!ignoresRanges && report.layers == wanted)
-            return Done();
+        const bool isWhole =
+                std::ranges::find(report.models, ServedModel{order.model, order.version})
+                        != report.models.end()
+                && layerCount == 0 && !reloadsWhole;
+        if (isWhole || (!ignoresRanges && report.layers == wanted))
+            return OrderAcceptance::InEffect;
         orders.push_back(order);
         ++report.acceptedOrders;
         report.busy = true;
@@ -197,7 +203,7 @@
         });
         if (orderResponsesToLose-- > 0)
             return Error{ResultCode::PlatformReplyLost, "connection reset"};
-        return Done();
+        return OrderAcceptance::Begun;
     }
 
     /// Takes the chunks of the layers in \a wanted that the engine does not hold yet, and drops the
--- a/modules/rollout/tests/loadconfirmationtest.cpp
+++ b/modules/rollout/tests/loadconfirmationtest.cpp
@@ -22,12 +22,12 @@
     LoadConfirmation confirmation(LayerLayout{6, 4});
     const TimePoint verifiedSince{1h};
     const LayerRange none;
-    confirmation.onReport(StartTimeMs, none);
+    confirmation.onReport(StartTimeMs, 0, none);
     CHECK(confirmation.isConfirmed(none));
 
     SECTION("does not take layers as sound that it knows nothing of")
     {
-        confirmation.onReport(StartTimeMs, layers(0, 2));
+        confirmation.onReport(StartTimeMs, 1, layers(0, 2));
         CHECK_FALSE(confirmation.isConfirmed(layers(0, 2)));
         CHECK(confirmation.unconfirmed(layers(0, 2)) == layers(0, 2));
 
@@ -40,8 +40,8 @@
     SECTION("takes a load as sound if the response to its order is timely")
     {
         confirmation.onOrderSent(layers(0, 3), verifiedSince);
-        CHECK(confirmation.onOrderAccepted(verifiedSince + LoadConfirmation::ToleratedCorruption));
-        confirmation.onReport(StartTimeMs, layers(0, 3));
+        CHECK(confirmation.onOrderBegun(verifiedSince + LoadConfirmation::ToleratedCorruption));
+        confirmation.onReport(StartTimeMs, 1, layers(0, 3));
         CHECK(confirmation.isConfirmed(layers(0, 3)));
 
         SECTION("but no further layers")
@@ -51,22 +51,22 @@
         }
         SECTION("unless the engine restarts and gets them from elsewhere")
         {
-            confirmation.onReport(StartTimeMs + 1, layers(0, 3));
+            confirmation.onReport(StartTimeMs + 1, 1, layers(0, 3));
             CHECK_FALSE(confirmation.isConfirmed(layers(0, 3)));
         }
         SECTION("or drops layers and gets them again")
         {
-            confirmation.onReport(StartTimeMs, layers(0, 1));
+            confirmation.onReport(StartTimeMs, 2, layers(0, 1));
             CHECK(confirmation.isConfirmed(layers(0, 1)));
-            confirmation.onReport(StartTimeMs, layers(0, 3));
+            confirmation.onReport(StartTimeMs, 1, layers(0, 3));
             CHECK(confirmation.unconfirmed(layers(0, 3)) == layers(1, 3));
         }
     }
     SECTION("takes no load as sound if the response is late")
     {
         confirmation.onOrderSent(layers(0, 3), verifiedSince);
-        CHECK_FALSE(confirmation.onOrderAccepted(verifiedSince
-                                                 + LoadConfirmation::ToleratedCorruption + 1us));
+        CHECK_FALSE(confirmation.onOrderBegun(verifiedSince + LoadConfirmation::ToleratedCorruption
+                                              + 1us));
         CHECK_FALSE(confirmation.isConfirmed(layers(0, 3)));
 
         SECTION("until all its chunks have been found intact")
@@ -92,29 +92,66 @@
             CHECK(kept.first == kept.end);
         }
     }
-    // Guards against a load that counts as sound because of the response to a later order, while
-    // the engine has accepted the earlier one.
-    SECTION("takes no load as sound after an order without a response")
+    // Guards against a load that counts as sound because a chunk was replaced after the engine had
+    // taken it.
+    SECTION("counts chunks as corrupt that have been replaced since an order without a response")
     {
         confirmation.onOrderSent(layers(0, 3), verifiedSince);
         confirmation.onOrderUncertain();
-        // Found and replaced by the verification before the second order.
+        CHECK(confirmation.mayOrderBeAccepted());
+        // By the verification before a second order, which the engine refuses.
         confirmation.onChunkCorrupt(0);
         confirmation.onOrderSent(layers(0, 3), verifiedSince + 1s);
-        CHECK_FALSE(confirmation.onOrderAccepted(verifiedSince + 1s));
+        confirmation.onOrderWithoutEffect();
+        confirmation.onReport(StartTimeMs, 1, layers(0, 3));
+        CHECK_FALSE(confirmation.mayOrderBeAccepted());
+        confirmation.onAllRead(layers(0, 3));
+        CHECK_FALSE(confirmation.isConfirmed(layers(0, 3)));
+        CHECK(confirmation.intactLayers(layers(0, 3)) == layers(1, 3));
 
-        SECTION("and counts chunks as corrupt that have been replaced since")
+        SECTION("also if the order to load them again has no response")
         {
+            confirmation.onOrderSent(layers(0, 3), verifiedSince + 2s);
+            confirmation.onOrderUncertain();
             confirmation.onAllRead(layers(0, 3));
             CHECK_FALSE(confirmation.isConfirmed(layers(0, 3)));
-            CHECK(confirmation.intactLayers(layers(0, 3)) == layers(1, 3));
         }
+        SECTION("until they are loaded again")
+        {
+            confirmation.onOrderSent(layers(0, 3), verifiedSince + 2s);
+            CHECK_FALSE(confirmation.onOrderBegun(verifiedSince + 6s));
+            confirmation.onAllRead(layers(0, 3));
+            CHECK(confirmation.isConfirmed(layers(0, 3)));
+        }
+    }
+    SECTION("waits for an order without a response until the engine has accepted one or restarted")
+    {
+        confirmation.onOrderSent(layers(0, 3), verifiedSince);
+        CHECK(confirmation.mayOrderBeAccepted());
+        confirmation.onOrderUncertain();
+        confirmation.onReport(StartTimeMs, 0, none);
+        CHECK(confirmation.mayOrderBeAccepted());
+
+        SECTION("one")
+        {
+            confirmation.onReport(StartTimeMs, 1, none);
+        }
+        SECTION("restarted")
+        {
+            confirmation.onReport(StartTimeMs + 1, 0, none);
+        }
+        SECTION("the next one")
+        {
+            confirmation.onOrderSent(layers(0, 3), verifiedSince + 1s);
+            CHECK(confirmation.onOrderBegun(verifiedSince + 2s));
+        }
+        CHECK_FALSE(confirmation.mayOrderBeAccepted());
     }
-    SECTION("forgets corrupt chunks when an order is sent on a new verification")
+    SECTION("forgets chunks that were corrupt before an order that had an effect")
     {
         confirmation.onChunkCorrupt(0);
         confirmation.onOrderSent(layers(0, 3), verifiedSince);
-        CHECK_FALSE(confirmation.onOrderAccepted(verifiedSince + 4s));
+        CHECK_FALSE(confirmation.onOrderBegun(verifiedSince + 4s));
         confirmation.onAllRead(layers(0, 3));
         CHECK(confirmation.isConfirmed(layers(0, 3)));
     }
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -136,8 +136,10 @@
         it.rollout.setLayerCount(TestModel, LayerCount);
         it.rollout.setWantedVersion(TestModel, 2, std::nullopt);
         it.scheduler.advance(2s);
-        REQUIRE(it.engine.orders.size() == 1);
-        CHECK(it.engine.orders.front().layers == LayerRange{0, LayerCount, 2});
+        // The last layer is ordered by itself.
+        REQUIRE(it.engine.orders.size() == 2);
+        CHECK(it.engine.orders.front().layers == LayerRange{0, LayerCount - 1, 2});
+        CHECK(it.engine.orders.back().layers == LayerRange{0, LayerCount, 2});
         CHECK(it.engine.report.layers == LayerRange{0, LayerCount, 2});
     }
     SECTION("a version older than the wanted one is ignored")
@@ -673,6 +675,7 @@
     }
     SECTION("a model that is loaded as a whole")
     {
+        engine.reloadsWhole = true;
         const auto stager = createStager(1);
         corruptOnOrder(5);
         stager->scheduleLoad(scheduler.now());
@@ -693,6 +696,51 @@
     }
 }
 
+// Guards against orders without end, and against a version that is never served.
+TEST_CASE("EngineStager gives up on corrupt weights that the engine does not load again")
+{
+    VirtualScheduler scheduler;
+    FakeEngine engine(scheduler);
+    const auto manifest = std::make_shared<const Manifest>(testManifest(2));
+    bool isServing = false;
+    EngineStager stager(engine, scheduler, manifest, 2,
+                        {[&](ChunkIndex chunk) {
+                             return std::make_shared<const std::string>(testChunk(2, chunk));
+                         },
+                         [] {}, [&] { isServing = true; }, [] {}});
+    for (ChunkIndex i = 0; i < TestChunkCount; ++i)
+        engine.staged[i] = testChunk(2, i);
+    engine.onOrder = [&] { engine.corrupt(5); };
+    engine.silenceOnOrder = 4s;
+    stager.scheduleLoad(scheduler.now());
+    scheduler.advance(30s);
+    CHECK(isServing);
+    CHECK(engine.orders.size() == 1);
+}
+
+// Guards against reads of chunks that do not exist, and against a version that is never served, if
+// the engine counts more layers than the configuration of its service.
+TEST_CASE("EngineStager serves an engine that reports more layers than are configured")
+{
+    VirtualScheduler scheduler;
+    FakeEngine engine(scheduler);
+    engine.layerCount = 3;
+    const auto manifest = std::make_shared<const Manifest>(testManifest(2));
+    bool isServing = false;
+    EngineStager stager(engine, scheduler, manifest, 2,
+                        {[&](ChunkIndex chunk) {
+                             return std::make_shared<const std::string>(testChunk(2, chunk));
+                         },
+                         [] {}, [&] { isServing = true; }, [] {}});
+    for (ChunkIndex i = 0; i < TestChunkCount; ++i)
+        engine.staged[i] = testChunk(2, i);
+    engine.silenceOnOrder = 4s;
+    stager.scheduleLoad(scheduler.now());
+    scheduler.advance(30s);
+    CHECK(isServing);
+    CHECK(std::ranges::max(engine.reads) < TestChunkCount);
+}
+
 // Guards against corrupt layers that are taken for sound after their chunks have been fetched and
 // staged again.
 TEST_CASE("VersionRollout fetches corrupt chunks again that a silent engine has loaded")
