Forget chunks of an earlier version when an order is in no doubt

The chunks of the version before count as corrupt ones when a transfer begins, and after an order without a response they were taken for such that the order had met, in every layer. Chunks that were found corrupt while all layers are confirmed and no order is open say nothing of what is loaded next.

--- a/modules/rollout/include/godwit/rollout/loadconfirmation.h
+++ b/modules/rollout/include/godwit/rollout/loadconfirmation.h
@@ -79,13 +79,14 @@
 
     LayerLayout m_layout;
     std::uint64_t m_engineStartTimeMs = 0;
+    LayerRange m_held;  ///< By the last report.
     LayerRange m_sound; ///< Empty if none.
     LayerRange m_ordered;
     TimePoint m_verifiedSince;
     bool m_isOrderInFlight = false;   ///< There has been no result of the last order.
     bool m_hasUncertainOrder = false; ///< The engine may still accept an order without a response.
     std::uint64_t m_acceptedOrders = 0; ///< By the last report.
-    /// Chunks that were found corrupt since the last order that had an effect.
+    /// Chunks that were found corrupt and from which an unconfirmed layer may have been loaded.
     std::set<ChunkIndex> m_corrupt;
     /// Those of them that were found before the order that is on its way.
     std::set<ChunkIndex> m_corruptBefore;
--- a/modules/rollout/src/loadconfirmation.cpp
+++ b/modules/rollout/src/loadconfirmation.cpp
@@ -38,6 +38,7 @@
         m_sound = {};
     m_engineStartTimeMs = startTimeMs;
     m_acceptedOrders = acceptedOrders;
+    m_held = held;
     // A layer that was dropped may be loaded again from other bytes.
     m_sound = intersect(m_sound, held);
 }
@@ -58,6 +59,9 @@
     m_ordered = layers;
     m_isOrderInFlight = true;
     m_verifiedSince = verifiedSince;
+    // No layer that the engine holds, or may get from an earlier order, is in doubt.
+    if (!m_hasUncertainOrder && isConfirmed(m_held))
+        m_corrupt.clear();
     m_corruptBefore = std::exchange(m_corrupt, {});
 }
 
