Load only the models of the service that the engine belongs to

Cause: which models an engine is to hold was decided in two places. The configuration began version 1 of the models of the own service, the handler of named versions began every version of every model.

EngineVersions now decides it for both ways. Versions that are read before the configuration, or whose model the service lacks, are kept until a configuration gives the service their model. As a host process does not watch the configuration, it reads it again after such a version, at a random time within 5 s if no service has the model, within 60 s if another one has it.

Ruled out: the configuration gives the model to the wrong service (the models of the own service are right); a peer causes the load (the test has none).

--- a/modules/fleet/include/godwit/fleet/configurationlookup.h
+++ b/modules/fleet/include/godwit/fleet/configurationlookup.h
@@ -29,7 +29,14 @@
     /// one is not reported: the store may have come back from a copy.
     void lookUp();
 
+    /// Reads the configuration at a random time within \a period, so that many processes do not
+    /// read it at once, but not before the time at which lookUp() would. Does nothing if an earlier
+    /// such read is already scheduled.
+    void lookUpWithin(Duration period);
+
 private:
+    bool isRecent() const;
+    void lookUpScheduled();
     void read();
     void scheduleRetry();
     void onRead(const Outcome<std::optional<KeyValueEntry>> &outcome);
@@ -43,6 +50,8 @@
     std::optional<TimePoint> m_lastReadAt; ///< Time of the last successful read.
     std::uint64_t m_newestVersion = 0;     ///< Of the configurations that were reported.
     std::unique_ptr<Timer> m_retryTimer;
+    std::optional<TimePoint> m_scheduledAt; ///< Time of the read of lookUpWithin().
+    std::unique_ptr<Timer> m_scheduleTimer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/modules/fleet/src/configurationlookup.cpp
+++ b/modules/fleet/src/configurationlookup.cpp
@@ -24,12 +24,43 @@
 
 void ConfigurationLookup::lookUp()
 {
-    if (m_isReading || (m_lastReadAt && m_scheduler.now() < *m_lastReadAt + MinRefreshInterval))
+    if (m_isReading || isRecent())
         return;
     m_isReading = true;
     read();
 }
 
+bool ConfigurationLookup::isRecent() const
+{
+    return m_lastReadAt && m_scheduler.now() < *m_lastReadAt + MinRefreshInterval;
+}
+
+void ConfigurationLookup::lookUpWithin(Duration period)
+{
+    const TimePoint now = m_scheduler.now();
+    const TimePoint earliest = isRecent() ? *m_lastReadAt + MinRefreshInterval : now;
+    const auto delay = std::chrono::duration_cast<Duration>(period * m_random.uniform());
+    const TimePoint at = earliest + delay;
+    if (m_scheduledAt && *m_scheduledAt <= at)
+        return;
+    m_scheduledAt = at;
+    m_scheduleTimer = m_scheduler.after(at - now, [this] {
+        const auto timer = std::move(m_scheduleTimer);
+        m_scheduledAt.reset();
+        lookUpScheduled();
+    });
+}
+
+void ConfigurationLookup::lookUpScheduled()
+{
+    // A read that is in progress or has just completed may have begun before lookUpWithin() was
+    // called.
+    if (m_isReading || isRecent())
+        lookUpWithin(MinRefreshInterval);
+    else
+        lookUp();
+}
+
 void ConfigurationLookup::read()
 {
     m_store.get(std::string(m_platform.configurationKey()),
--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -13,8 +13,6 @@
 constexpr Duration MinVersionRefreshInterval = std::chrono::milliseconds(500);
 constexpr Duration MaintenanceInterval = std::chrono::seconds(3);
 constexpr double BitsPerByte = 8;
-/// Version of a model that is wanted before the operator has specified one.
-constexpr std::uint64_t FirstVersion = 1;
 
 /// Engine tokens share the host's link with uploads of weights and are late after a tenth of a
 /// second, so uploads are sent in small pieces that keep the queue on the link short.
@@ -56,6 +54,7 @@
     , m_engine(platform.createEngine(m_engineClient, toHttpEndpoint(m_settings.engine->endpoint)))
     , m_peerTransport(m_io, m_scheduler, HostId(m_settings.listen.peers.address),
                       m_settings.listen.peers.port, uploadLinks(m_settings))
+    , m_engineVersions(m_settings.engine->service)
     , m_rollout(rolloutOptions(m_settings),
                 {m_scheduler, *m_engine, m_peerTransport,
                  [this] { m_configurationLookup.lookUp(); }, [this] { refreshVersions(); }},
@@ -72,7 +71,7 @@
               m_settings.bounds, newRandom(),
               {[](const GatewayConfiguration &) {},
                [this](const WantedVersion &wanted, const std::optional<VersionWindow> &window) {
-                   m_rollout.setWantedVersion(wanted.model, wanted.version, window);
+                   applyVersion(wanted, window);
                },
                [](TimePoint) {}})
     , m_backendFeed(m_platform, *m_backendStore, m_scheduler, m_settings.bounds, newRandom(),
@@ -141,16 +140,40 @@
 {
     const auto own = std::ranges::find(configuration.services, m_settings.engine->service,
                                        &ServiceDescription::name);
-    const bool hasEngine = own != configuration.services.end() && own->engine;
-    const std::vector<ModelId> models = hasEngine ? own->engine->models : std::vector<ModelId>();
-    for (const ModelId &model : models)
-        m_rollout.setLayerCount(model, own->engine->layers);
+    if (own != configuration.services.end() && own->engine) {
+        for (const ModelId &model : own->engine->models)
+            m_rollout.setLayerCount(model, own->engine->layers);
+    }
     for (const ServiceDescription &it : configuration.services) {
         if (it.origin)
             updateOrigin(*it.origin);
     }
-    for (const ModelId &model : models)
-        m_rollout.setWantedVersion(model, FirstVersion, std::nullopt);
+    for (const EngineVersions::Target &it : m_engineVersions.setConfiguration(configuration))
+        load(it);
+    lookUpConfigurationIfNeeded();
+}
+
+void HostProcess::applyVersion(const WantedVersion &wanted,
+                               const std::optional<VersionWindow> &window)
+{
+    if (const auto target = m_engineVersions.setVersion(wanted, window))
+        load(*target);
+    else
+        logStateChange("version_kept", {{"model", wanted.model.value()},
+                                        {"version", wanted.version},
+                                        {"service", m_settings.engine->service}});
+    lookUpConfigurationIfNeeded();
+}
+
+void HostProcess::load(const EngineVersions::Target &target)
+{
+    m_rollout.setWantedVersion(target.wanted.model, target.wanted.version, target.window);
+}
+
+void HostProcess::lookUpConfigurationIfNeeded()
+{
+    if (const auto period = m_engineVersions.takeLookupPeriod())
+        m_configurationLookup.lookUpWithin(*period);
 }
 
 void HostProcess::updateOrigin(const WeightOrigin &origin)
--- a/modules/fleet/src/hostprocess.h
+++ b/modules/fleet/src/hostprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "engineversions.h"
 #include "fleetprocessbase.h"
 #include "http2peertransport.h"
 
@@ -25,6 +26,9 @@
 
 private:
     void applyConfiguration(const GatewayConfiguration &configuration);
+    void applyVersion(const WantedVersion &wanted, const std::optional<VersionWindow> &window);
+    void load(const EngineVersions::Target &target);
+    void lookUpConfigurationIfNeeded();
     void updateOrigin(const WeightOrigin &origin);
     void updateParticipants();
     void runMaintenance();
@@ -35,6 +39,7 @@
     HttpClient m_originClient;
     std::unique_ptr<ModelEnginePort> m_engine;
     Http2PeerTransport m_peerTransport;
+    EngineVersions m_engineVersions;
     VersionRollout m_rollout;
     std::optional<WeightOrigin> m_origin;
     std::map<BackendId, BackendRecord> m_backendRecords;
--- a/modules/fleet/tests/configurationlookuptest.cpp
+++ b/modules/fleet/tests/configurationlookuptest.cpp
@@ -65,4 +65,58 @@
         respond("5");
         CHECK(versions == std::vector<std::uint64_t>{4, 5});
     }
+    // Guards against a configuration that never comes because it was asked for too early, and
+    // against all hosts reading it at once.
+    SECTION("reads later on request")
+    {
+        respond("4");
+        it.scheduler.advance(6s);
+        lookup.lookUpWithin(60s);
+        lookup.lookUpWithin(60s);
+        CHECK(it.store.getCalls == 1);
+        it.scheduler.advance(60s);
+        REQUIRE(it.store.getCalls == 2);
+        respond("5");
+        it.scheduler.advance(1h);
+        CHECK(it.store.getCalls == 2);
+        CHECK(versions == std::vector<std::uint64_t>{4, 5});
+    }
+    SECTION("reads sooner on a more urgent request")
+    {
+        respond("4");
+        it.scheduler.advance(6s);
+        lookup.lookUpWithin(1h);
+        lookup.lookUpWithin(1s);
+        it.scheduler.advance(1s);
+        REQUIRE(it.store.getCalls == 2);
+        respond("5");
+        it.scheduler.advance(2h);
+        CHECK(it.store.getCalls == 2);
+    }
+    SECTION("reads on request after a read that may have begun before it")
+    {
+        SECTION("and is in progress at the time of the next one")
+        {
+            lookup.lookUpWithin(1s);
+            it.scheduler.advance(2s);
+            respond("4");
+        }
+        SECTION("and has just completed")
+        {
+            lookup.lookUpWithin(1s);
+            respond("4");
+        }
+        SECTION("and had just completed")
+        {
+            respond("4");
+            lookup.lookUpWithin(1s);
+        }
+        it.scheduler.advance(3s);
+        CHECK(it.store.getCalls == 1);
+        it.scheduler.advance(20s);
+        REQUIRE(it.store.getCalls == 2);
+        respond("5");
+        it.scheduler.advance(1h);
+        CHECK(it.store.getCalls == 2);
+    }
 }
