--- a/modules/fleet/tests/hostprocesstest.cpp
+++ b/modules/fleet/tests/hostprocesstest.cpp
@@ -23,7 +23,7 @@
         done(Error{ResultCode::NotFound, "not staged"});
     }
     void stage(const ModelId &, ChunkIndex, std::string, Completion<Done>) override {}
-    void load(const EngineLoadOrder &, Completion<Done>) override {}
+    void load(const EngineLoadOrder &, Completion<OrderAcceptance>) override {}
 };
 
 /// Origin that records which manifests are read, and does not respond.
