End the streams of a closed client before it has connected

What callers saw: a WireClient that was destroyed or closed before it had connected ended its waiting streams later, when its owner could be gone. If it had not begun to connect yet, it connected nevertheless, sent the requests and called back with the responses. Calls that were pending when the event loop ended were never freed.

Cause: the posted start of the connection and the handler of the connection held the client's data alive, and close() did not touch the streams that wait for the connection.

Now close() ends them with NotSent before it returns, and handlers of abandoned attempts to connect hold weak references and do nothing.

--- a/modules/wire/include/godwit/wire/wireclient.h
+++ b/modules/wire/include/godwit/wire/wireclient.h
@@ -23,6 +23,8 @@
 
     WireClient(boost::asio::io_context &io, std::string address, std::uint16_t port,
                WireOptions options = {});
+
+    /// Calls close(). No callback is called later.
     ~WireClient();
     WireClient(const WireClient &) = delete;
     WireClient &operator=(const WireClient &) = delete;
@@ -39,7 +41,8 @@
     void call(const std::string &path, std::string body, Duration timeout, CallCallback done,
               WireFields fields = {});
 
-    /// Closes the connection; open streams fail with ConnectionLost.
+    /// Closes the connection. Open streams fail with ConnectionLost, those that wait for the
+    /// connection with NotSent, all of them before this function returns.
     void close();
 
     bool connected() const;
--- a/modules/wire/src/wireclient.cpp
+++ b/modules/wire/src/wireclient.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <utility>
 #include <vector>
 
@@ -28,6 +29,7 @@
     void connect();
     void startConnectTimer();
     void onConnected(boost::system::error_code ec);
+    void abandonAttempt();
     void failPendingStreams(const std::string &reason);
 
     boost::asio::io_context &io;
@@ -38,7 +40,8 @@
     boost::asio::steady_timer connectTimer;
     std::shared_ptr<Http2Connection> connection;
     std::vector<std::shared_ptr<WireStream>>
-            pendingStreams; ///< Opened before the connection is established.
+            pendingStreams;    ///< Opened before the connection is established.
+    std::uint64_t attempt = 0; ///< To connect; the callbacks of previous attempts do nothing.
     bool connecting = false;
 };
 
@@ -82,27 +85,32 @@
     boost::system::error_code ec;
     const auto ip = boost::asio::ip::make_address(address, ec);
     if (ec) {
-        failPendingStreams(address + " is not an IP address");
+        failPendingStreams("cannot connect to " + address + ", which is not an IP address");
         return;
     }
     connecting = true;
+    ++attempt;
     socket = tcp::socket(io);
     startConnectTimer();
-    socket.async_connect(
-            tcp::endpoint(ip, port),
-            [self = shared_from_this()](boost::system::error_code ec) { self->onConnected(ec); });
+    socket.async_connect(tcp::endpoint(ip, port), [weak = weak_from_this(), started = attempt](
+                                                          boost::system::error_code ec) {
+        const auto self = weak.lock();
+        if (self && self->attempt == started)
+            self->onConnected(ec);
+    });
 }
 
 void WireClient::Private::startConnectTimer()
 {
     connectTimer.expires_after(options.connectTimeout);
-    connectTimer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
-        const auto self = weak.lock();
-        if (!ec && self && self->connecting) {
-            boost::system::error_code ignored;
-            self->socket.close(ignored);
-        }
-    });
+    connectTimer.async_wait(
+            [weak = weak_from_this(), started = attempt](boost::system::error_code ec) {
+                const auto self = weak.lock();
+                if (!ec && self && self->connecting && self->attempt == started) {
+                    boost::system::error_code ignored;
+                    self->socket.close(ignored);
+                }
+            });
 }
 
 void WireClient::Private::onConnected(boost::system::error_code ec)
@@ -110,7 +118,8 @@
     connecting = false;
     connectTimer.cancel();
     if (ec) {
-        failPendingStreams(address + ':' + std::to_string(port) + ": " + ec.message());
+        failPendingStreams("cannot connect to " + address + ':' + std::to_string(port) + ": "
+                           + ec.message());
         return;
     }
     connection = std::make_shared<Http2Connection>(std::move(socket), Http2Connection::Side::Client,
@@ -127,10 +136,20 @@
     }
 }
 
+void WireClient::Private::abandonAttempt()
+{
+    ++attempt;
+    connectTimer.cancel();
+    if (!std::exchange(connecting, false))
+        return;
+    boost::system::error_code ec;
+    socket.close(ec);
+}
+
 void WireClient::Private::failPendingStreams(const std::string &reason)
 {
     for (const auto &stream : std::exchange(pendingStreams, {}))
-        stream->deliverError({ResultCode::NotSent, "cannot connect to " + reason});
+        stream->deliverError({ResultCode::NotSent, reason});
 }
 
 WireClient::WireClient(boost::asio::io_context &io, std::string address, std::uint16_t port,
@@ -155,8 +174,9 @@
     }
     m_d->pendingStreams.push_back(stream);
     if (!m_d->connecting)
-        boost::asio::post(m_d->io, [self = m_d] {
-            if (!self->connecting && !self->connection && !self->pendingStreams.empty())
+        boost::asio::post(m_d->io, [weak = std::weak_ptr(m_d)] {
+            const auto self = weak.lock();
+            if (self && !self->connecting && !self->connection && !self->pendingStreams.empty())
                 self->connect();
         });
     return stream;
@@ -196,11 +216,10 @@
 
 void WireClient::close()
 {
-    boost::system::error_code ec;
-    m_d->connectTimer.cancel();
-    if (m_d->connecting)
-        m_d->socket.close(ec);
-    if (const auto connection = m_d->connection)
+    const auto d = m_d;
+    d->abandonAttempt();
+    d->failPendingStreams("client closed the connection before the stream was sent");
+    if (const auto connection = d->connection)
         connection->close({ResultCode::ConnectionLost, "client closed the connection"});
 }
 
--- a/modules/wire/tests/wiretest.cpp
+++ b/modules/wire/tests/wiretest.cpp
@@ -9,6 +9,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
 #include <optional>
 
 using namespace godwit;
@@ -348,6 +349,53 @@
     }
 }
 
+// Guards against callbacks into a destroyed owner: a client that was destroyed before it had
+// connected connected nevertheless, sent its requests, and called back when they failed or were
+// answered.
+TEST_CASE("A client that is closed before it has connected ends its streams at once")
+{
+    boost::asio::io_context io{1};
+    int requests = 0;
+    auto server = listen(io, [&](const std::shared_ptr<WireStream> &stream) {
+        ++requests;
+        echo(stream);
+    });
+    auto client = std::make_unique<WireClient>(io, "127.0.0.1", server->port());
+    Received received;
+    client->open("/a", {}, received.events())->finish();
+    std::optional<Outcome<std::string>> outcome;
+    client->call("/b", {}, std::chrono::seconds(30),
+                 [&](Outcome<std::string> it) { outcome = std::move(it); });
+    const bool isConnecting = GENERATE(false, true);
+    if (isConnecting)
+        io.poll_one(); // Begins to connect.
+
+    SECTION("when it is destroyed")
+    {
+        client.reset();
+        REQUIRE(received.error);
+        CHECK(received.error->code == ResultCode::NotSent);
+        REQUIRE(outcome);
+        CHECK(std::get<1>(*outcome).code == ResultCode::NotSent);
+        // A later client connects after everything that the first one had begun.
+        WireClient later(io, "127.0.0.1", server->port());
+        Received echoed;
+        later.open("/echo", {}, echoed.events())->finish();
+        REQUIRE(runUntil(io, [&] { return echoed.done(); }));
+        CHECK(requests == 1);
+    }
+    SECTION("and connects again for the next stream")
+    {
+        client->close();
+        REQUIRE(received.error);
+        Received echoed;
+        client->open("/echo", {}, echoed.events())->finish();
+        REQUIRE(runUntil(io, [&] { return echoed.done(); }));
+        CHECK_FALSE(echoed.error);
+        CHECK(requests == 1);
+    }
+}
+
 // Guards against crashes and unbounded memory on input that is not HTTP/2.
 TEST_CASE("A server stays available after input that is not HTTP/2")
 {
