Let a callback of a stream close its connection

What callers saw: a use of freed memory if a callback that runs while nghttp2 sends or receives, such as onDrained, closes the connection or destroys its server or client. Input that had been received already still reached the stream handler of the destroyed server. No such call is known in the programs; it was found by reading, as a relative of the crashes of Http2PeerTransport at SIGTERM.

Cause: nghttp2 held raw pointers to the streams, which close() frees, and the loops over input and output did not stop at a closed connection.

Now nghttp2 finds streams by their id, which also keeps them alive during the call, sending stops when the connection is closed, and a closed connection accepts no new stream.

--- a/modules/wire/src/http2connection.cpp
+++ b/modules/wire/src/http2connection.cpp
@@ -165,6 +165,22 @@
     scheduleFlush();
 }
 
+// Streams are found by their id, because a callback of one stream may close the connection, which
+// frees all streams while nghttp2 still sends.
+nghttp2_data_provider Http2Connection::bodyProvider()
+{
+    nghttp2_data_provider provider{};
+    provider.read_callback = [](nghttp2_session *, std::int32_t id, std::uint8_t *buf,
+                                std::size_t length, std::uint32_t *flags, nghttp2_data_source *,
+                                void *userData) -> ssize_t {
+        const auto stream = connectionOf(userData)->findStream(id);
+        if (!stream)
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+        return stream->read(buf, length, flags);
+    };
+    return provider;
+}
+
 void Http2Connection::submitRequest(const std::shared_ptr<WireStream> &stream)
 {
     const WireHeaders &request = stream->m_request;
@@ -172,13 +188,7 @@
                                  makeField(":path", request.path),
                                  makeField(":authority", "godwit")};
     appendFields(list, request.fields);
-    nghttp2_data_provider provider{};
-    provider.source.ptr = stream.get();
-    provider.read_callback = [](nghttp2_session *, std::int32_t, std::uint8_t *buf,
-                                std::size_t length, std::uint32_t *flags,
-                                nghttp2_data_source *source, void *) -> ssize_t {
-        return static_cast<WireStream *>(source->ptr)->read(buf, length, flags);
-    };
+    const nghttp2_data_provider provider = bodyProvider();
     stream->m_id = nghttp2_submit_request(m_session, nullptr, list.data(), list.size(), &provider,
                                           nullptr);
     if (stream->m_id < 0) {
@@ -194,13 +204,7 @@
     const std::string text = std::to_string(status);
     std::vector<nghttp2_nv> list{makeField(":status", text)};
     appendFields(list, fields);
-    nghttp2_data_provider provider{};
-    provider.source.ptr = &stream;
-    provider.read_callback = [](nghttp2_session *, std::int32_t, std::uint8_t *buf,
-                                std::size_t length, std::uint32_t *flags,
-                                nghttp2_data_source *source, void *) -> ssize_t {
-        return static_cast<WireStream *>(source->ptr)->read(buf, length, flags);
-    };
+    const nghttp2_data_provider provider = bodyProvider();
     nghttp2_submit_response(m_session, stream.m_id, list.data(), list.size(), &provider);
     scheduleFlush();
 }
@@ -299,6 +303,8 @@
     while (m_output.size() < MaxWriteBytes) {
         const std::uint8_t *data = nullptr;
         const auto n = nghttp2_session_mem_send(m_session, &data);
+        if (m_closed)
+            return;
         if (n < 0) {
             close({ResultCode::ConnectionLost, nghttp2_strerror(static_cast<int>(n))});
             return;
@@ -309,7 +315,7 @@
     }
     if (m_output.empty() && m_output.capacity() > MaxIdleOutputBytes)
         m_output = {};
-    if (m_output.empty() || m_closed)
+    if (m_output.empty())
         return;
     m_writing = true;
     boost::asio::async_write(
@@ -351,6 +357,8 @@
 
 int Http2Connection::onBeginHeaders(const nghttp2_frame *frame)
 {
+    if (m_closed)
+        return NGHTTP2_ERR_CALLBACK_FAILURE;
     if (m_side != Side::Server || frame->headers.cat != NGHTTP2_HCAT_REQUEST)
         return 0;
     auto stream = std::make_shared<WireStream>(Side::Server, weak_from_this(), WireHeaders{});
--- a/modules/wire/src/http2connection.h
+++ b/modules/wire/src/http2connection.h
@@ -18,7 +18,8 @@
 namespace godwit {
 
 /// Client or server side of one HTTP/2 connection over TCP. Kept alive by its pending socket
-/// operations; closed by close(), on an error or when the heartbeat timeout expires.
+/// operations; closed by close(), which a callback of a stream may call, on an error or when the
+/// heartbeat timeout expires.
 class Http2Connection : public std::enable_shared_from_this<Http2Connection>
 {
 public:
@@ -52,6 +53,7 @@
 
 private:
     void createSession();
+    static nghttp2_data_provider bodyProvider();
     void waitForInput();
     void readAvailable();
     void processInput(std::span<const std::uint8_t> input);
--- a/modules/wire/tests/wiretest.cpp
+++ b/modules/wire/tests/wiretest.cpp
@@ -9,6 +9,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
 #include <memory>
 #include <optional>
 
@@ -396,6 +398,40 @@
     }
 }
 
+// Guards against a use of freed streams: a connection that was closed by a callback of one of its
+// streams went on to send the others, and to accept the requests that it had already received.
+TEST_CASE("A callback of a stream may close its connection")
+{
+    constexpr int Requests = 3;
+    boost::asio::io_context io{1};
+    int accepted = 0;
+    int drained = 0;
+    std::unique_ptr<WireServer> server;
+    const bool closesOnAccept = GENERATE(false, true);
+    server = listen(io, [&](const std::shared_ptr<WireStream> &stream) {
+        ++accepted;
+        if (closesOnAccept) {
+            server.reset();
+            return;
+        }
+        StreamEvents events;
+        events.onDrained = [&] {
+            ++drained;
+            server.reset();
+        };
+        stream->setEvents(std::move(events));
+        stream->respond(200);
+        stream->write("x");
+    });
+    WireClient client(io, "127.0.0.1", server->port());
+    std::array<Received, Requests> received;
+    for (Received &it : received)
+        client.open("/a", {}, it.events())->finish(); // All in one segment.
+    REQUIRE(runUntil(io, [&] { return std::ranges::all_of(received, &Received::done); }));
+    CHECK(accepted == (closesOnAccept ? 1 : Requests));
+    CHECK(drained == (closesOnAccept ? 0 : 1));
+}
+
 // Guards against crashes and unbounded memory on input that is not HTTP/2.
 TEST_CASE("A server stays available after input that is not HTTP/2")
 {
