Keep callbacks of streams and timers from a destroyed Http2PeerTransport

Cause: callbacks of streams and of the send timer captured `this`. The destructor destroyed the list of uploads before the server; closing the connections reports an error for each open stream, and finishUpload() searched the destroyed list. Ruled out as a fix: another order of the members, because HostProcess destroys the rollout, which the handlers call, before the transport.

Now all state that callbacks use has one owner, the transport, and callbacks hold weak references, which expire before the first member is destroyed. No callback captures `this`. Handlers and completions are not called from the destructor on.

--- a/modules/fleet/src/http2peertransport.cpp
+++ b/modules/fleet/src/http2peertransport.cpp
@@ -1,9 +1,13 @@
 #include "http2peertransport.h"
 
 #include <godwit/base/json.h>
+#include <godwit/wire/wireclient.h>
 #include <godwit/wire/wiremessage.h>
+#include <godwit/wire/wireserver.h>
 
 #include <charconv>
+#include <map>
+#include <utility>
 
 namespace godwit {
 
@@ -53,43 +57,101 @@
 
 } // namespace
 
+/// State that callbacks of streams and timers use. They hold weak references, which expire before
+/// the first member is destroyed: closing the connections reports the end of each open stream.
+struct Http2PeerTransport::Private : std::enable_shared_from_this<Private>
+{
+    struct Connection
+    {
+        std::unique_ptr<WireClient> client;
+        bool idle = false;
+    };
+
+    struct Upload
+    {
+        std::shared_ptr<WireStream> stream;
+        std::function<void(bool)> onFinished; ///< Empty until the upload has started.
+    };
+
+    Private(boost::asio::io_context &context, Scheduler &timers, HostId host,
+            std::uint16_t peerPort, const UploadLinks &links)
+        : io(context)
+        , scheduler(timers)
+        , self(std::move(host))
+        , port(peerPort)
+        , sender(links)
+    {}
+
+    /// Wraps \a function, whose first parameter is this object, in a callback that does nothing
+    /// once the transport has been destroyed. Every callback of a stream or a timer must be wrapped
+    /// by it unless it uses nothing of the transport and of its users.
+    template <typename Function>
+    auto bindWeak(Function function)
+    {
+        return [weak = weak_from_this(), function = std::move(function)](auto &&...arguments) {
+            if (const auto d = weak.lock())
+                function(*d, std::forward<decltype(arguments)>(arguments)...);
+        };
+    }
+
+    WireClient &client(const HostId &peer);
+    void serve(const ServeChunk &chunk, std::function<void(bool)> onFinished);
+    void finishUpload(UploadId upload, bool delivered);
+    void sendUploads();
+    void scheduleUploads();
+    void dispatch(const std::shared_ptr<WireStream> &stream);
+    void handleHaveUpdate(const std::shared_ptr<WireStream> &stream);
+    void handleChunkRequest(const std::shared_ptr<WireStream> &stream);
+    void handleManifestRequest(const std::shared_ptr<WireStream> &stream);
+
+    boost::asio::io_context &io;
+    Scheduler &scheduler;
+    HostId self;
+    std::uint16_t port;
+    Handlers handlers;
+    std::unique_ptr<WireServer> server;
+    std::map<HostId, Connection> connections;
+    UploadId lastUpload = 0;
+    std::map<UploadId, Upload> uploads;
+    UploadSender sender;
+    std::unique_ptr<Timer> sendTimer;
+};
+
 Http2PeerTransport::Http2PeerTransport(boost::asio::io_context &io, Scheduler &scheduler,
                                        HostId self, std::uint16_t port, const UploadLinks &links)
-    : m_io(io)
-    , m_scheduler(scheduler)
-    , m_self(std::move(self))
-    , m_port(port)
-    , m_sender(links)
+    : m_d(std::make_shared<Private>(io, scheduler, std::move(self), port, links))
 {}
 
 Http2PeerTransport::~Http2PeerTransport() = default;
 
 Result<void> Http2PeerTransport::listen(Handlers handlers)
 {
-    m_handlers = std::move(handlers);
-    BOOST_LEAF_ASSIGN(m_server, WireServer::listen(
-                                        m_io, m_self.value(), m_port,
-                                        [this](const std::shared_ptr<WireStream> &stream) {
-                                            dispatch(stream);
-                                        },
-                                        wireOptions()));
+    m_d->handlers = std::move(handlers);
+    BOOST_LEAF_ASSIGN(
+            m_d->server,
+            WireServer::listen(
+                    m_d->io, m_d->self.value(), m_d->port,
+                    m_d->bindWeak([](Private &d, const std::shared_ptr<WireStream> &stream) {
+                        d.dispatch(stream);
+                    }),
+                    wireOptions()));
     return {};
 }
 
 void Http2PeerTransport::closeIdleConnections()
 {
-    for (auto it = m_connections.begin(); it != m_connections.end();) {
+    for (auto it = m_d->connections.begin(); it != m_d->connections.end();) {
         const bool idle = it->second.client->openStreams() == 0;
         const bool wasIdle = std::exchange(it->second.idle, idle);
-        it = idle && wasIdle ? m_connections.erase(it) : std::next(it);
+        it = idle && wasIdle ? m_d->connections.erase(it) : std::next(it);
     }
 }
 
-WireClient &Http2PeerTransport::client(const HostId &peer)
+WireClient &Http2PeerTransport::Private::client(const HostId &peer)
 {
-    Connection &connection = m_connections[peer];
+    Connection &connection = connections[peer];
     if (!connection.client)
-        connection.client = std::make_unique<WireClient>(m_io, peer.value(), m_port, wireOptions());
+        connection.client = std::make_unique<WireClient>(io, peer.value(), port, wireOptions());
     connection.idle = false;
     return *connection.client;
 }
@@ -118,8 +180,8 @@
         else
             done(Error{received->code, "peer refused the chunk"});
     };
-    events.onData = [received, bytes, finish,
-                     onProgress = std::move(onProgress)](std::string_view data) {
+    events.onData = m_d->bindWeak([received, bytes, finish, onProgress = std::move(onProgress)](
+                                          Private &, std::string_view data) {
         if (received->bytes.size() <= bytes)
             received->bytes += data;
         if (received->bytes.size() <= bytes) {
@@ -132,12 +194,12 @@
             return;
         openStream->cancel();
         finish();
-    };
-    events.onEnd = [finish](const WireFields &) { finish(); };
-    events.onError = [done](const Error &error) { done(error); };
-    auto stream = client(peer).open(ChunkPath,
-                                    {{HostHeader, m_self.value()}, {DigestHeader, chunk.toHex()}},
-                                    std::move(events));
+    });
+    events.onEnd = m_d->bindWeak([finish](Private &, const WireFields &) { finish(); });
+    events.onError = m_d->bindWeak([done](Private &, const Error &error) { done(error); });
+    auto stream = m_d->client(peer).open(
+            ChunkPath, {{HostHeader, m_d->self.value()}, {DigestHeader, chunk.toHex()}},
+            std::move(events));
     received->stream = stream;
     stream->finish();
     return std::make_shared<StreamHandle>(std::move(stream));
@@ -146,23 +208,24 @@
 void Http2PeerTransport::fetchManifest(const HostId &peer, const ModelId &model,
                                        std::uint64_t version, Completion<Manifest> done)
 {
-    client(peer).call(ManifestPath, {}, ManifestTimeout,
-                      [done = std::move(done)](const Outcome<std::string> &outcome) {
-                          if (const auto *error = std::get_if<Error>(&outcome))
-                              done(*error);
-                          else
-                              done(capture([&] { return parseManifest(std::get<0>(outcome)); }));
-                      },
-                      {{ModelHeader, model.value()}, {VersionHeader, std::to_string(version)}});
+    m_d->client(peer).call(
+            ManifestPath, {}, ManifestTimeout,
+            m_d->bindWeak([done = std::move(done)](Private &, const Outcome<std::string> &outcome) {
+                if (const auto *error = std::get_if<Error>(&outcome))
+                    done(*error);
+                else
+                    done(capture([&] { return parseManifest(std::get<0>(outcome)); }));
+            }),
+            {{ModelHeader, model.value()}, {VersionHeader, std::to_string(version)}});
 }
 
 void Http2PeerTransport::announce(const HostId &peer, const HaveUpdate &update)
 {
-    client(peer).call(HavePath, toJsonText(update), AnnounceTimeout,
-                      [](const Outcome<std::string> &) {}, {{HostHeader, m_self.value()}});
+    m_d->client(peer).call(HavePath, toJsonText(update), AnnounceTimeout,
+                           [](const Outcome<std::string> &) {}, {{HostHeader, m_d->self.value()}});
 }
 
-void Http2PeerTransport::dispatch(const std::shared_ptr<WireStream> &stream)
+void Http2PeerTransport::Private::dispatch(const std::shared_ptr<WireStream> &stream)
 {
     if (stream->request().path == HavePath) {
         handleHaveUpdate(stream);
@@ -176,7 +239,7 @@
     }
 }
 
-void Http2PeerTransport::handleHaveUpdate(const std::shared_ptr<WireStream> &stream)
+void Http2PeerTransport::Private::handleHaveUpdate(const std::shared_ptr<WireStream> &stream)
 {
     const auto body = std::make_shared<std::string>();
     StreamEvents events;
@@ -184,7 +247,7 @@
         if (body->size() <= MaxAnnouncementBytes)
             *body += data;
     };
-    events.onEnd = [this, body, weak = std::weak_ptr(stream)](const WireFields &) {
+    events.onEnd = bindWeak([body, weak = std::weak_ptr(stream)](Private &d, const WireFields &) {
         const auto stream = weak.lock();
         if (!stream)
             return;
@@ -193,12 +256,12 @@
         const auto update = capture([&] { return parseHaveUpdate(*body); });
         const HostId peer{std::string(fieldValue(stream->request().fields, HostHeader))};
         if (succeeded(update) && !peer.empty())
-            m_handlers.onHaveUpdate(peer, std::get<0>(update));
-    };
+            d.handlers.onHaveUpdate(peer, std::get<0>(update));
+    });
     stream->setEvents(std::move(events));
 }
 
-void Http2PeerTransport::handleChunkRequest(const std::shared_ptr<WireStream> &stream)
+void Http2PeerTransport::Private::handleChunkRequest(const std::shared_ptr<WireStream> &stream)
 {
     const auto &fields = stream->request().fields;
     const HostId peer{std::string(fieldValue(fields, HostHeader))};
@@ -208,15 +271,16 @@
         stream->finish();
         return;
     }
-    const UploadId upload = ++m_lastUpload;
-    m_uploads[upload].stream = stream;
+    const UploadId upload = ++lastUpload;
+    uploads[upload].stream = stream;
     StreamEvents events;
-    events.onError = [this, upload](const Error &) { finishUpload(upload, false); };
+    events.onError =
+            bindWeak([upload](Private &d, const Error &) { d.finishUpload(upload, false); });
     stream->setEvents(std::move(events));
-    m_handlers.onChunkRequested(peer, std::get<0>(digest), upload);
+    handlers.onChunkRequested(peer, std::get<0>(digest), upload);
 }
 
-void Http2PeerTransport::handleManifestRequest(const std::shared_ptr<WireStream> &stream)
+void Http2PeerTransport::Private::handleManifestRequest(const std::shared_ptr<WireStream> &stream)
 {
     const auto &fields = stream->request().fields;
     const std::string_view number = fieldValue(fields, VersionHeader);
@@ -239,52 +303,54 @@
                     requested->write(toJsonText(*manifest));
                 requested->finish();
             };
-    m_handlers.onManifestRequested(std::move(request));
+    handlers.onManifestRequested(std::move(request));
 }
 
-void Http2PeerTransport::serve(const ServeChunk &chunk, std::function<void(bool)> onFinished)
+void Http2PeerTransport::Private::serve(const ServeChunk &chunk,
+                                        std::function<void(bool)> onFinished)
 {
-    const auto it = m_uploads.find(chunk.upload);
-    if (it == m_uploads.end()) {
+    const auto it = uploads.find(chunk.upload);
+    if (it == uploads.end()) {
         onFinished(false);
         return;
     }
     it->second.onFinished = std::move(onFinished);
     StreamEvents events;
-    events.onError = [this, upload = chunk.upload](const Error &) { finishUpload(upload, false); };
-    events.onDrained = [this, upload = chunk.upload] {
-        if (m_sender.pieceSent(upload))
-            scheduleUploads();
+    events.onError = bindWeak(
+            [upload = chunk.upload](Private &d, const Error &) { d.finishUpload(upload, false); });
+    events.onDrained = bindWeak([upload = chunk.upload](Private &d) {
+        if (d.sender.pieceSent(upload))
+            d.scheduleUploads();
         else
-            finishUpload(upload, true);
-    };
+            d.finishUpload(upload, true);
+    });
     it->second.stream->setEvents(std::move(events));
     it->second.stream->respond(200);
-    m_sender.add(m_scheduler.now(),
-                 {chunk.upload, chunk.bytes, chunk.transfer, chunk.weight, chunk.region});
+    sender.add(scheduler.now(),
+               {chunk.upload, chunk.bytes, chunk.transfer, chunk.weight, chunk.region});
     sendUploads();
 }
 
-void Http2PeerTransport::finishUpload(UploadId upload, bool delivered)
+void Http2PeerTransport::Private::finishUpload(UploadId upload, bool delivered)
 {
-    const auto it = m_uploads.find(upload);
-    if (it == m_uploads.end())
+    const auto it = uploads.find(upload);
+    if (it == uploads.end())
         return;
     const auto onFinished = std::move(it->second.onFinished);
-    m_uploads.erase(it);
-    m_sender.remove(m_scheduler.now(), upload);
+    uploads.erase(it);
+    sender.remove(scheduler.now(), upload);
     if (onFinished)
         onFinished(delivered);
     else
-        m_handlers.onUploadFailed(upload);
+        handlers.onUploadFailed(upload);
     scheduleUploads();
 }
 
-void Http2PeerTransport::sendUploads()
+void Http2PeerTransport::Private::sendUploads()
 {
-    for (const UploadPiece &piece : m_sender.send(m_scheduler.now())) {
-        const auto it = m_uploads.find(piece.upload);
-        if (it == m_uploads.end())
+    for (const UploadPiece &piece : sender.send(scheduler.now())) {
+        const auto it = uploads.find(piece.upload);
+        if (it == uploads.end())
             continue;
         const auto stream = it->second.stream;
         stream->write(piece.bytes());
@@ -294,27 +360,32 @@
     scheduleUploads();
 }
 
-void Http2PeerTransport::scheduleUploads()
+void Http2PeerTransport::Private::scheduleUploads()
 {
-    const TimePoint now = m_scheduler.now();
-    const auto due = m_sender.nextSend(now);
+    const TimePoint now = scheduler.now();
+    const auto due = sender.nextSend(now);
     if (!due) {
-        m_sendTimer.reset();
+        sendTimer.reset();
         return;
     }
-    m_sendTimer = m_scheduler.after(*due - now, [this] {
-        const auto timer = std::move(m_sendTimer);
-        sendUploads();
-    });
+    sendTimer = scheduler.after(*due - now, bindWeak([](Private &d) {
+        const auto timer = std::move(d.sendTimer);
+        d.sendUploads();
+    }));
+}
+
+void Http2PeerTransport::serve(const ServeChunk &chunk, std::function<void(bool)> onFinished)
+{
+    m_d->serve(chunk, std::move(onFinished));
 }
 
 void Http2PeerTransport::refuse(UploadId upload, ResultCode code)
 {
-    const auto it = m_uploads.find(upload);
-    if (it == m_uploads.end())
+    const auto it = m_d->uploads.find(upload);
+    if (it == m_d->uploads.end())
         return;
     const auto stream = it->second.stream;
-    m_uploads.erase(it);
+    m_d->uploads.erase(it);
     stream->respond(503, {{std::string(ResultCodeField), std::to_string(static_cast<int>(code))}});
     stream->finish();
 }
--- a/modules/fleet/src/http2peertransport.h
+++ b/modules/fleet/src/http2peertransport.h
@@ -3,13 +3,11 @@
 #include <godwit/ports/scheduler.h>
 #include <godwit/rollout/peertransport.h>
 #include <godwit/weights/uploadsender.h>
-#include <godwit/wire/wireclient.h>
-#include <godwit/wire/wireserver.h>
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 
@@ -29,8 +27,12 @@
         std::function<void(ManifestRequest)> onManifestRequested;
     };
 
+    /// \a io and \a scheduler must outlive the transport.
     Http2PeerTransport(boost::asio::io_context &io, Scheduler &scheduler, HostId self,
                        std::uint16_t port, const UploadLinks &links);
+
+    /// Closes all connections. The transfers in progress end without a call of their callbacks, and
+    /// none of the handlers is called any more, so their targets may already be destroyed.
     ~Http2PeerTransport() override;
 
     /// Fails with PlatformUnreachable.
@@ -49,38 +51,8 @@
     void refuse(UploadId upload, ResultCode code) override;
 
 private:
-    struct Connection
-    {
-        std::unique_ptr<WireClient> client;
-        bool idle = false;
-    };
-
-    struct Upload
-    {
-        std::shared_ptr<WireStream> stream;
-        std::function<void(bool)> onFinished; ///< Empty until the upload has started.
-    };
-
-    WireClient &client(const HostId &peer);
-    void finishUpload(UploadId upload, bool delivered);
-    void sendUploads();
-    void scheduleUploads();
-    void dispatch(const std::shared_ptr<WireStream> &stream);
-    void handleHaveUpdate(const std::shared_ptr<WireStream> &stream);
-    void handleChunkRequest(const std::shared_ptr<WireStream> &stream);
-    void handleManifestRequest(const std::shared_ptr<WireStream> &stream);
-
-    boost::asio::io_context &m_io;
-    Scheduler &m_scheduler;
-    HostId m_self;
-    std::uint16_t m_port;
-    Handlers m_handlers;
-    std::unique_ptr<WireServer> m_server;
-    std::map<HostId, Connection> m_connections;
-    UploadId m_lastUpload = 0;
-    std::map<UploadId, Upload> m_uploads;
-    UploadSender m_sender;
-    std::unique_ptr<Timer> m_sendTimer;
+    struct Private;
+    std::shared_ptr<Private> m_d;
 };
 
 } // namespace godwit
