--- a/modules/wire/tests/wiretest.cpp
+++ b/modules/wire/tests/wiretest.cpp
@@ -9,6 +9,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
+#include <memory>
 #include <optional>
 
 using namespace godwit;
@@ -348,6 +351,87 @@
     }
 }
 
+// Guards against callbacks into a destroyed owner: a client that was destroyed before it had
+// connected connected nevertheless, sent its requests, and called back when they failed or were
+// answered.
+TEST_CASE("A client that is closed before it has connected ends its streams at once")
+{
+    boost::asio::io_context io{1};
+    int requests = 0;
+    auto server = listen(io, [&](const std::shared_ptr<WireStream> &stream) {
+        ++requests;
+        echo(stream);
+    });
+    auto client = std::make_unique<WireClient>(io, "127.0.0.1", server->port());
+    Received received;
+    client->open("/a", {}, received.events())->finish();
+    std::optional<Outcome<std::string>> outcome;
+    client->call("/b", {}, std::chrono::seconds(30),
+                 [&](Outcome<std::string> it) { outcome = std::move(it); });
+    const bool isConnecting = GENERATE(false, true);
+    if (isConnecting)
+        io.poll_one(); // Begins to connect.
+
+    SECTION("when it is destroyed")
+    {
+        client.reset();
+        REQUIRE(received.error);
+        CHECK(received.error->code == ResultCode::NotSent);
+        REQUIRE(outcome);
+        CHECK(std::get<1>(*outcome).code == ResultCode::NotSent);
+        // A later client connects after everything that the first one had begun.
+        WireClient later(io, "127.0.0.1", server->port());
+        Received echoed;
+        later.open("/echo", {}, echoed.events())->finish();
+        REQUIRE(runUntil(io, [&] { return echoed.done(); }));
+        CHECK(requests == 1);
+    }
+    SECTION("and connects again for the next stream")
+    {
+        client->close();
+        REQUIRE(received.error);
+        Received echoed;
+        client->open("/echo", {}, echoed.events())->finish();
+        REQUIRE(runUntil(io, [&] { return echoed.done(); }));
+        CHECK_FALSE(echoed.error);
+        CHECK(requests == 1);
+    }
+}
+
+// Guards against a use of freed streams: a connection that was closed by a callback of one of its
+// streams went on to send the others, and to accept the requests that it had already received.
+TEST_CASE("A callback of a stream may close its connection")
+{
+    constexpr int Requests = 3;
+    boost::asio::io_context io{1};
+    int accepted = 0;
+    int drained = 0;
+    std::unique_ptr<WireServer> server;
+    const bool closesOnAccept = GENERATE(false, true);
+    server = listen(io, [&](const std::shared_ptr<WireStream> &stream) {
+        ++accepted;
+        if (closesOnAccept) {
+            server.reset();
+            return;
+        }
+        StreamEvents events;
+        events.onDrained = [&] {
+            ++drained;
+            server.reset();
+        };
+        stream->setEvents(std::move(events));
+        stream->respond(200);
+        stream->write("x");
+    });
+    WireClient client(io, "127.0.0.1", server->port());
+    std::array<Received, Requests> received;
+    for (Received &it : received)
+        client.open("/a", {}, it.events())->finish(); // All in one segment.
+    REQUIRE(runUntil(io, [&] { return std::ranges::all_of(received, &Received::done); }));
+    CHECK(accepted == (closesOnAccept ? 1 : Requests));
+    CHECK(drained == (closesOnAccept ? 0 : 1));
+}
+
 // Guards against crashes and unbounded memory on input that is not HTTP/2.
 TEST_CASE("A server stays available after input that is not HTTP/2")
 {
