Use an engine again that rejected requests while it was being loaded

What callers saw: nothing yet. An engine rejects requests with 421 while it holds only some of its layers, which it now does for a moment in each load, and an entry process whose record of it is older took that for another process at the address: the engine was not used any more by this entry process until it restarted.

Fix: a record that is written again shows that its process runs, and a 421 to an attempt that was based on another record, of an earlier process or with other weights, counts as a rejection.

Evidence: "an engine that rejected requests during a load is used when its record says so" failed before (0 of 30 requests, 1 after).

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -20,14 +20,15 @@
 /// Outcome of an attempt at a backend server.
 enum class AttemptOutcome {
     Complete,
-    Failed,       ///< The backend server returned an error response.
-    Rejected,     ///< It reported that it did not execute the request, usually because it is full.
-    OtherProcess, ///< Another process now listens at the address; not executed.
-    Unreachable,  ///< The connection could not be established; not executed.
-    Broken,       ///< The connection was lost, or the response was malformed.
-    Silent,       ///< Timed out without data.
-    Abandoned,    ///< Cancelled; says nothing about the backend server.
-    Withdrawn,    ///< Cancelled before any byte was sent; not executed.
+    Failed,   ///< The backend server returned an error response.
+    Rejected, ///< It reported that it did not execute the request, usually because it is full.
+    /// Another process now listens at the address, or the engine has other weights; not executed.
+    OtherProcess,
+    Unreachable, ///< The connection could not be established; not executed.
+    Broken,      ///< The connection was lost, or the response was malformed.
+    Silent,      ///< Timed out without data.
+    Abandoned,   ///< Cancelled; says nothing about the backend server.
+    Withdrawn,   ///< Cancelled before any byte was sent; not executed.
 };
 
 /// Whether the response can start within the latency objective of its route.
@@ -135,6 +136,10 @@
     /// that says otherwise nor its removal and return make one eligible again.
     AvailabilityTracker &availability() { return m_availability; }
 
+    /// Whether the record of \a instance is known and states that it serves \a version of \a model.
+    bool isCurrent(const BackendInstance &instance, const ModelId &model,
+                   std::optional<std::uint64_t> version) const;
+
     /// An attempt was sent to \a id.
     void onAttemptStarted(const BackendId &id, RequestUrgency urgency);
     /// The first event of its response arrived.
@@ -188,7 +193,7 @@
         TimePoint startLatenessAt;
         double failureRate = 0; ///< Moving average over the attempts.
         TimePoint backoffUntil; ///< After failures and rejections.
-        bool replaced = false;  ///< Another process listens at its address.
+        bool replaced = false; ///< Another process listens at its address, or it has other weights.
     };
     struct Service
     {
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -123,6 +123,8 @@
                               || backend.record.endpoint != record.endpoint;
     const bool modelsChanged = backend.record.models != record.models;
     backend.record = record;
+    // Its process has written the record again, so that it listens there.
+    backend.replaced = false;
     m_enginesChanged = true;
     if (modelsChanged && backend.consecutiveRejections > 0) {
         backend.consecutiveRejections = 0;
@@ -133,7 +135,6 @@
     backend.consecutiveFailures = 0;
     backend.failureRate = 0;
     backend.backoffUntil = now;
-    backend.replaced = false;
     backend.loadReportedAt.reset();
     backend.remoteRequests = 0;
 }
@@ -474,6 +475,14 @@
     return isFull ? (ahead + std::min(1.0, load + 1 - slots)) * hold / slots : 0;
 }
 
+bool BackendPool::isCurrent(const BackendInstance &instance, const ModelId &model,
+                            std::optional<std::uint64_t> version) const
+{
+    const auto it = m_backends.find(instance.id);
+    return it != m_backends.end() && instanceOf(it->second.record) == instance
+           && servedVersion(it->second.record, model) == version;
+}
+
 void BackendPool::onAttemptStarted(const BackendId &id, RequestUrgency urgency)
 {
     Backend *backend = find(id);
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -210,8 +210,11 @@
     switch (m_bodyMode) {
     case BodyMode::Rejection: {
         // It may be the same process with weights other than those that produced the start of the
-        // stream.
-        const bool isOther = m_responseHead.otherProcess && !m_weightsVersion;
+        // stream. If its record has changed since, the rejection says nothing of the present one.
+        const PastAttempt &attempt = currentAttempt();
+        const bool isOther = m_responseHead.otherProcess && !m_weightsVersion
+                             && m_gateway.m_backends.isCurrent(attempt.instance, m_request.model,
+                                                               attempt.recordedVersion);
         fail(isOther ? AttemptOutcome::OtherProcess : AttemptOutcome::Rejected,
              "status " + std::to_string(m_responseHead.status));
         return;
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -169,6 +169,24 @@
         it.pool.update(restarted, it.now);
         CHECK(it.send(30).count("e1") == 1);
     }
+    // Guards against a sound engine that is never used again: it rejects requests while it holds
+    // only some of its layers, and the record from before says that it holds all.
+    SECTION("an engine that rejected requests during a load is used when its record says so")
+    {
+        it.pool.onAttemptFinished(BackendId("e1"), AttemptOutcome::OtherProcess, 0ms, it.now);
+        it.pool.update(engine(1, "here", 2), it.now);
+        CHECK(it.send(30).count("e1") == 1);
+    }
+    SECTION("knows whether a record is the one on which an attempt was based")
+    {
+        const BackendInstance instance{BackendId("e1"), 1};
+        CHECK(it.pool.isCurrent(instance, Model, 1));
+        CHECK_FALSE(it.pool.isCurrent({BackendId("e1"), 2}, Model, 1));
+        CHECK_FALSE(it.pool.isCurrent({BackendId("e9"), 1}, Model, 1));
+        it.pool.update(engine(1, "here", 2), it.now);
+        CHECK_FALSE(it.pool.isCurrent(instance, Model, 1));
+        CHECK(it.pool.isCurrent(instance, Model, 2));
+    }
     SECTION("a draining engine gets no new requests")
     {
         auto leaving = engine(1, "here");
