Let the engines of the soak hold layers, fall silent and keep corrupt pieces

The engine stand-in of the fleet loaded all pieces of a version at once, so that the soak could not find a load of a piece that had turned corrupt after its verification. Staged pieces can turn corrupt, and each run states the wrong pieces that its layers were taken with and since when they were corrupt. An engine can fall silent, also as its next load order arrives: it answers and accepts nothing, then handles what has arrived.

Piece contents and their corruption are kept apart, so that the check of orders without all pieces of one version is as strict as before for the pieces that the order needs; corrupt ones are left to the runs.

--- a/bench/src/soakfleet.cpp
+++ b/bench/src/soakfleet.cpp
@@ -130,7 +130,7 @@
     if (isModel) {
         engine.version = m_version;
         for (std::uint32_t piece = 0; piece < standin::FleetPieceCount; ++piece)
-            engine.staged[piece] = standin::pieceBytes(m_version, piece);
+            engine.staged[piece] = {standin::pieceBytes(m_version, piece), std::nullopt};
     }
     return startEngine(m_engines.size() - 1);
 }
@@ -289,8 +289,7 @@
 {
     return std::ranges::all_of(m_engines, [this](const Engine &it) {
         return it.process
-               && (it.service != standin::ModelService
-                   || it.process->options().version == m_version);
+               && (it.service != standin::ModelService || it.process->servedVersion() == m_version);
     });
 }
 
--- a/bench/src/soakfleet.h
+++ b/bench/src/soakfleet.h
@@ -108,7 +108,7 @@
         bool isDraining = false;
         bool hasLinkFault = false;
         std::uint64_t version = 0;
-        std::map<std::uint32_t, std::string> staged;
+        standin::FleetStagedPieces staged;
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
 
--- a/standins/include/godwit/standin/fleetenginestandin.h
+++ b/standins/include/godwit/standin/fleetenginestandin.h
@@ -5,7 +5,9 @@
 #include <godwit/standin/fleetwire.h>
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
@@ -16,6 +18,33 @@
 
 namespace godwit::standin {
 
+/// A piece of weights in the staging area of an engine.
+struct FleetStagedPiece
+{
+    std::string bytes;                     ///< As staged.
+    std::optional<TimePoint> corruptSince; ///< Time at which a byte of it changed, if any.
+
+    /// Returns the bytes that the engine reads: those staged, or corrupt ones.
+    std::string content() const;
+};
+
+using FleetStagedPieces = std::map<std::uint32_t, FleetStagedPiece>;
+
+/// Changes a byte of each of \a pieces that is staged and not corrupt yet.
+void corruptPieces(FleetStagedPieces &staged, const std::vector<std::uint32_t> &pieces);
+
+/// A wrong piece that an engine took for a layer when it accepted a load order.
+struct FleetWrongPiece
+{
+    enum class Fault { Missing, OtherVersion, Corrupt };
+
+    std::uint32_t layer = 0;
+    std::uint32_t piece = 0;
+    Fault fault = Fault::Missing;
+    TimePoint takenAt;
+    TimePoint corruptSince; ///< Set for Fault::Corrupt.
+};
+
 /// A request that an engine has started.
 struct FleetRun
 {
@@ -27,6 +56,7 @@
     std::uint64_t version = 0;     ///< Version of the weights.
     bool hasAuthorization = false; ///< The request contained the client's Authorization header.
     TimePoint at;
+    std::vector<FleetWrongPiece> wrongPieces; ///< Of the layers that it runs on.
 };
 
 /// A request of a client that has reached the engine that it was meant for, whether or not it ran.
@@ -36,6 +66,8 @@
     std::string engine;
     TimePoint at;
     std::string retryAfter; ///< The retry time with which it was turned away, if any.
+    /// Later than the arrival if the engine was silent in between.
+    TimePoint answeredAt = at;
 };
 
 /// Requests and orders handled by all engines of a fleet, including stopped engines.
@@ -43,15 +75,25 @@
 {
     std::vector<FleetRun> runs;
     std::vector<FleetArrival> arrivals;
-    std::vector<std::string> invalidLoads; ///< Load orders without all pieces of one version.
+    /// Load orders without all pieces of one version that they need. Corrupt pieces do not count.
+    std::vector<std::string> invalidLoads;
     std::size_t orders = 0;
 };
 
 /// Simulates one backend server process of the external platform. A server of the model service
-/// also accepts pieces of weights and orders to load them.
+/// also accepts pieces of weights and orders to load them. It serves requests while it holds all
+/// layers.
 class FleetEngineStandin
 {
 public:
+    /// The engine falls silent when a load order arrives, before it accepts the order, and some of
+    /// its staged pieces turn corrupt at the same time.
+    struct OrderFault
+    {
+        Duration silence{0};
+        std::vector<std::uint32_t> corruptPieces;
+    };
+
     struct Options
     {
         std::string id;
@@ -60,8 +102,9 @@
         HttpEndpoint listen;  ///< Port 0 lets the kernel choose.
         HttpEndpoint address; ///< Advertised address.
         std::uint64_t startTimeMs = 0;
-        std::uint64_t version = 0; ///< Version of the served weights; 0 for none.
-        std::map<std::uint32_t, std::string> stagedPieces;
+        std::uint64_t version = 0; ///< Of the layers that it holds at its start; 0 for none.
+        FleetStagedPieces stagedPieces;
+        std::optional<OrderFault> orderFault; ///< Applies to the next load order.
     };
 
     /// Calls \a onChanged when the result of recordJson() has changed. \a io must be run by a
@@ -90,6 +133,21 @@
         m_retryAfter = std::move(retryAfter);
     }
 
+    /// The engine answers and accepts nothing for \a length, then handles what has arrived
+    /// meanwhile. Does not shorten a silence in progress.
+    void fallSilent(Duration length);
+    void endSilence();
+
+    void corrupt(const std::vector<std::uint32_t> &pieces)
+    {
+        corruptPieces(m_options.stagedPieces, pieces);
+    }
+    void setOrderFault(std::optional<OrderFault> fault) { m_options.orderFault = std::move(fault); }
+
+    /// Returns the version of which the engine holds all layers, and 0 if there is none or while it
+    /// loads.
+    std::uint64_t servedVersion() const;
+
     /// Number of requests of clients received so far, including those turned away.
     std::size_t receivedRequests() const { return m_receivedRequests; }
 
@@ -103,15 +161,28 @@
         std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     };
     using Reply = std::shared_ptr<HttpReply>;
-
-    void handle(const HttpRequest &request, const Reply &reply);
+    /// Layers with the wrong pieces that they were taken with.
+    using Layers = std::map<std::uint32_t, std::vector<FleetWrongPiece>>;
+
+    void receive(const HttpRequest &request, const Reply &reply);
+    void handle(const HttpRequest &request, const Reply &reply, TimePoint arrivedAt);
+    /// Runs \a step now, or at the end of the silence in progress.
+    void runWhenResponsive(std::function<void()> step);
+    bool holdsAllLayers() const { return m_layers.size() == FleetLayerCount; }
+    boost::json::object layersJson() const;
+    std::vector<FleetWrongPiece> findWrongPieces(std::uint32_t layer, std::uint64_t version) const;
+    /// Returns the layers from \a from to \a to as they will be after an order to load them.
+    Layers takeLayers(std::uint32_t from, std::uint32_t to, std::uint64_t version);
     void sendReport(HttpReply &reply) const;
     void storePiece(const HttpRequest &request, HttpReply &reply);
     void sendStagedPieces(const HttpRequest &request, HttpReply &reply) const;
     void handleOrder(const HttpRequest &request, HttpReply &reply);
-    void waitForLoad();
-    void serve(const HttpRequest &request, const Reply &reply);
-    bool rejectIfUnavailable(const HttpRequest &request, HttpReply &reply);
+    void waitForRuns();
+    void load();
+    void finishLoad();
+    void scheduleLoadStep(Duration delay, void (FleetEngineStandin::*step)());
+    void serve(const HttpRequest &request, const Reply &reply, TimePoint arrivedAt);
+    bool rejectIfUnavailable(const HttpRequest &request, HttpReply &reply, TimePoint arrivedAt);
     void sendNextEvent(std::list<Run>::iterator run);
     void sendReply(std::list<Run>::iterator run);
     void schedule(std::list<Run>::iterator run, Duration delay,
@@ -128,9 +199,15 @@
     std::size_t m_receivedRequests = 0;
     bool m_isLeaving = false;
     std::optional<std::string> m_retryAfter;
-    std::map<std::uint32_t, std::string> m_loading;
+    Layers m_layers; ///< Held now.
+    std::uint64_t m_version = 0;
+    Layers m_nextLayers; ///< Held after the load order in progress.
+    std::uint64_t m_nextVersion = 0;
+    Duration m_loadDuration{0};
     std::unique_ptr<boost::asio::steady_timer>
             m_loadTimer; ///< Set while a load order is in progress.
+    std::unique_ptr<boost::asio::steady_timer> m_silence; ///< Set while the engine is silent.
+    std::vector<std::function<void()>> m_deferredSteps;   ///< To run after the silence.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/standins/include/godwit/standin/fleetwire.h
+++ b/standins/include/godwit/standin/fleetwire.h
@@ -73,6 +73,8 @@
 
 constexpr std::uint32_t FleetPieceCount = 24;
 constexpr std::uint32_t FleetPieceSize = 8192;
+/// Does not divide FleetPieceCount, so that neighbouring layers share a piece.
+constexpr std::uint32_t FleetLayerCount = 5;
 
 /// Returns the content of piece \a number of weight version \a version.
 std::string pieceBytes(std::uint64_t version, std::uint32_t number);
--- a/standins/src/fleetwire.cpp
+++ b/standins/src/fleetwire.cpp
@@ -60,10 +60,14 @@
 
 json::array services(const std::string &origin)
 {
-    const json::object engine{{"slots", 8},        {"kv_capacity", 1'000'000},
-                              {"stride", 1},       {"step_ms", 6.7},
-                              {"per_seq_ms", 0.2}, {"read_per_s", 30'000},
-                              {"layers", 1},       {"models", {{{"name", FleetModel}}}}};
+    const json::object engine{{"slots", 8},
+                              {"kv_capacity", 1'000'000},
+                              {"stride", 1},
+                              {"step_ms", 6.7},
+                              {"per_seq_ms", 0.2},
+                              {"read_per_s", 30'000},
+                              {"layers", FleetLayerCount},
+                              {"models", {{{"name", FleetModel}}}}};
     return {json::object{{"name", ModelService},
                          {"max_conns", 200},
                          {"engine", engine},
@@ -164,7 +168,7 @@
     return HttpResponse::json(200, json::serialize(json::object{{"model", FleetModel},
                                                                 {"version", version},
                                                                 {"chunk_bytes", FleetPieceSize},
-                                                                {"layers", 1},
+                                                                {"layers", FleetLayerCount},
                                                                 {"hashes", hashes}}));
 }
 
