Check in the soak that no request runs on corrupt weights

A request that runs while a layer was taken with a piece that was missing, of another version, or had been corrupt for more than 3 s when the engine accepted the order is a broken rule ("ran on corrupt weights"). Since engines can be silent, requests that they turned away with a retry time count by their arrival, and the retry time runs from the answer.

--- a/bench/src/soakrecord.h
+++ b/bench/src/soakrecord.h
@@ -53,7 +53,8 @@
 
 /// Returns one line for each violated guarantee in \a record: wrong or incomplete responses that
 /// appear valid, valid requests that were denied, requests that ran too often, although refused,
-/// without a route or a valid key, for another customer or with two versions of the weights,
+/// without a route or a valid key, for another customer, with two versions of the weights or with
+/// corrupt ones,
 /// requests at a backend server that an entry process must know to leave or to want none, and loads
 /// of pieces that do not belong together.
 std::vector<std::string> findViolations(const SoakRecord &record);
--- a/bench/tests/soakrecordtest.cpp
+++ b/bench/tests/soakrecordtest.cpp
@@ -5,6 +5,7 @@
 using namespace godwit;
 using namespace std::chrono_literals;
 using standin::FleetRequestKind;
+using standin::FleetWrongPiece;
 
 namespace {
 
@@ -125,6 +126,15 @@
             record.ledger.arrivals.front().retryAfter = "1, 2";
             CHECK(findViolations(record).empty());
         }
+        SECTION("nor if the server was silent when it was turned away, until half a second later")
+        {
+            record.ledger.arrivals.front().answeredAt = Start + 700ms;
+            CHECK(findViolations(record).empty());
+            record.ledger.arrivals.front().retryAfter = "1.9";
+            for (std::size_t i = 1; i <= 3; ++i)
+                record.ledger.arrivals[i].at = Start + 1300ms;
+            CHECK(findViolations(record).size() == 1);
+        }
         SECTION("nor if the entry process was restarted or paused, or its connections failed")
         {
             record.entryStarts = {{0, Start + 300ms}};
@@ -223,6 +233,45 @@
             CHECK(findViolations(record).size() == 1);
         }
     }
+    SECTION("on corrupt weights")
+    {
+        using Fault = FleetWrongPiece::Fault;
+        record.outcomes = {served(FleetRequestKind::Stream)};
+        auto &pieces = record.ledger.runs.front().wrongPieces;
+
+        SECTION("taken with a piece that had been corrupt for more than 3 s")
+        {
+            pieces = {{2, 9, Fault::Corrupt, Start, Start - 3001ms}};
+            const auto broken = findViolations(record);
+            REQUIRE(broken.size() == 1);
+            CHECK_THAT(broken.front(), Catch::Contains("a1: ran on corrupt weights"));
+            CHECK_THAT(broken.front(), Catch::Contains("layer 2 was taken with piece 9"));
+        }
+        SECTION("but not if it turned corrupt in the last 3 s, even if it has aged since")
+        {
+            pieces = {{2, 9, Fault::Corrupt, Start - 10s, Start - 13s}};
+            CHECK(findViolations(record).empty());
+        }
+        SECTION("with one wrong piece behind others that are tolerated")
+        {
+            pieces = {{2, 9, Fault::Corrupt, Start, Start - 1s},
+                      {3, 14, Fault::Corrupt, Start, Start - 4s}};
+            CHECK(findViolations(record).size() == 1);
+        }
+        SECTION("taken with a piece that was missing or of another version")
+        {
+            pieces = {{2, 9, Fault::Missing, Start, {}}};
+            CHECK(findViolations(record).size() == 1);
+            pieces = {{2, 9, Fault::OtherVersion, Start, {}}};
+            CHECK(findViolations(record).size() == 1);
+        }
+        SECTION("by a later run of the same request")
+        {
+            record.ledger.runs.push_back(run());
+            record.ledger.runs.back().wrongPieces = {{2, 9, Fault::Missing, Start, {}}};
+            CHECK(findViolations(record).size() == 1);
+        }
+    }
     SECTION("with a load of pieces that do not belong together")
     {
         record.ledger.runs.clear();
