Add silent engines and corrupt pieces to the faults of the soak

Five faults: staged pieces of an engine turn corrupt (also while it is down); an engine falls silent for 0.5 to 4.5 s, at once, as its next load order arrives, as it arrives with pieces that turn corrupt at that moment, and the latter after a crash. A fault that waits for an order outlasts restarts of the engine and ends with the faults of the run.

--- a/bench/src/soak.cpp
+++ b/bench/src/soak.cpp
@@ -38,6 +38,12 @@
 constexpr int BurstLoadFactor = 8;
 constexpr Duration SlowLink = std::chrono::milliseconds(150);
 
+constexpr Duration MinSilence = std::chrono::milliseconds(500);
+/// Added for each unit of the target, a number below MaxTarget.
+constexpr Duration SilenceStep = std::chrono::milliseconds(4);
+constexpr std::size_t MaxTarget = 1000;
+constexpr std::size_t MaxCorruptPieces = 3; ///< By one fault.
+
 constexpr std::array<std::string_view, 7> RetryAfterValues{"1",    "0.4", "6",   "0",
                                                            "1, 2", "-1",  "soon"};
 
@@ -125,6 +131,32 @@
     {
         m_fleet.setRetryAfter(i % m_fleet.engineCount(), std::nullopt);
     }
+    static Duration silence(std::size_t i)
+    {
+        return MinSilence + static_cast<int>(i) * SilenceStep;
+    }
+    static std::vector<std::uint32_t> somePieces(std::size_t i);
+    void corruptEngine(std::size_t i)
+    {
+        m_fleet.corruptEngine(i % m_fleet.modelEngineCount(), somePieces(i));
+    }
+    void silenceEngine(std::size_t i)
+    {
+        m_fleet.silenceEngine(i % m_fleet.engineCount(), silence(i));
+    }
+    void silenceAtOrder(std::size_t i)
+    {
+        m_fleet.setOrderFault(i % m_fleet.modelEngineCount(), {silence(i), {}});
+    }
+    void corruptAtOrder(std::size_t i)
+    {
+        m_fleet.setOrderFault(i % m_fleet.modelEngineCount(), {silence(i), somePieces(i)});
+    }
+    void crashAndCorruptAtOrder(std::size_t i)
+    {
+        corruptAtOrder(i);
+        m_fleet.crashEngine(i % m_fleet.modelEngineCount());
+    }
     void holdOrigin(std::size_t) { m_fleet.setOriginFault({.holdReplies = true}); }
     void clearOriginFault(std::size_t) { m_fleet.setOriginFault({}); }
     void publishVersion(std::size_t) { m_fleet.publishVersion(); }
@@ -178,6 +210,16 @@
             {"let a backend server leave, stated only in its responses", &Soak::leaveEngine,
              nullptr},
             {"let a backend server want no requests", &Soak::pauseEngine, &Soak::resumeEngine},
+            {"let staged pieces turn corrupt", &Soak::corruptEngine, nullptr},
+            {"let a backend server fall silent", &Soak::silenceEngine, nullptr},
+            {"let a backend server fall silent at its next load order", &Soak::silenceAtOrder,
+             nullptr},
+            {"let a backend server fall silent and staged pieces turn corrupt at its next load"
+             " order",
+             &Soak::corruptAtOrder, nullptr},
+            {"crash a backend server, let it fall silent and staged pieces turn corrupt at its"
+             " next load order",
+             &Soak::crashAndCorruptAtOrder, nullptr},
             {"hold replies of the origin", &Soak::holdOrigin, &Soak::clearOriginFault},
             {"publish a version", &Soak::publishVersion, nullptr},
             {"change the configuration", &Soak::changeConfiguration, nullptr},
@@ -192,6 +234,14 @@
         killProcess(i + 2 * n);
 }
 
+std::vector<std::uint32_t> Soak::somePieces(std::size_t i)
+{
+    std::vector<std::uint32_t> pieces;
+    for (std::size_t n = 0; n <= i % MaxCorruptPieces; ++n)
+        pieces.push_back((i + 7 * n) % standin::FleetPieceCount);
+    return pieces;
+}
+
 void Soak::pauseEngine(std::size_t i)
 {
     m_fleet.setRetryAfter(i % m_fleet.engineCount(),
@@ -246,7 +296,7 @@
         return;
     }
     const FaultKind &kind = faultKinds()[m_random.below(faultKinds().size())];
-    const std::size_t target = m_random.below(1000);
+    const std::size_t target = m_random.below(MaxTarget);
     const auto length =
             std::chrono::milliseconds(MinFaultMs + m_random.below(MaxFaultMs - MinFaultMs));
     std::cerr << toSeconds(Clock::now() - m_start) << " s: " << kind.name << " (" << target << ", "
--- a/bench/src/soakfleet.cpp
+++ b/bench/src/soakfleet.cpp
@@ -149,6 +149,7 @@
     options.startTimeMs = wallMs();
     options.version = engine.version;
     options.stagedPieces = engine.staged;
+    options.orderFault = engine.orderFault;
     engine.process = std::make_unique<FleetEngineStandin>(m_io, std::move(options), m_record.ledger,
                                                           [this, index] { publishRecord(index); });
     BOOST_LEAF_CHECK(engine.process->start());
@@ -208,6 +209,7 @@
     Engine &engine = m_engines[index];
     const std::string key = engine.process->recordKey();
     engine.staged = engine.process->options().stagedPieces;
+    engine.orderFault = engine.process->options().orderFault;
     // The next process keeps the staged pieces but serves no version until it has loaded them.
     engine.version = 0;
     engine.process.reset();
@@ -266,6 +268,30 @@
         m_engines[engine].process->setRetryAfter(retryAfter);
 }
 
+void SoakFleet::corruptEngine(std::size_t index, const std::vector<std::uint32_t> &pieces)
+{
+    Engine &engine = m_engines[index];
+    if (engine.process)
+        engine.process->corrupt(pieces);
+    else
+        standin::corruptPieces(engine.staged, pieces);
+}
+
+void SoakFleet::silenceEngine(std::size_t engine, Duration length)
+{
+    if (m_engines[engine].process)
+        m_engines[engine].process->fallSilent(length);
+}
+
+void SoakFleet::setOrderFault(std::size_t index, const FleetEngineStandin::OrderFault &fault)
+{
+    Engine &engine = m_engines[index];
+    if (engine.process)
+        engine.process->setOrderFault(fault);
+    else
+        engine.orderFault = fault;
+}
+
 void SoakFleet::setEngineFault(std::size_t engine, const LinkFault &fault)
 {
     m_engines[engine].proxy->setFault(fault);
@@ -477,6 +503,11 @@
     for (std::size_t i = 0; i < m_engines.size(); ++i) {
         setEngineFault(i, {});
         setRetryAfter(i, std::nullopt);
+        m_engines[i].orderFault.reset();
+        if (m_engines[i].process) {
+            m_engines[i].process->setOrderFault(std::nullopt);
+            m_engines[i].process->endSilence();
+        }
     }
     m_originProxy.setFault({});
     m_store.rejectNextCalls = 0;
--- a/bench/src/soakfleet.h
+++ b/bench/src/soakfleet.h
@@ -45,6 +45,7 @@
 
     std::size_t processCount() const { return m_members.size(); }
     std::size_t engineCount() const { return m_engines.size(); }
+    std::size_t modelEngineCount() const { return m_options.hosts; } ///< The first of all engines.
     HttpEndpoint entry(std::size_t index) const;
     HttpEndpoint readiness(std::size_t index) const;
     const standin::FleetConfiguration &configuration() const { return m_configuration; }
@@ -69,6 +70,11 @@
     void leaveEngine(std::size_t engine);
     /// Turns requests at \a engine away with \a retryAfter until it is reset or replaced.
     void setRetryAfter(std::size_t engine, const std::optional<std::string> &retryAfter);
+    /// Changes a byte of some staged pieces, also while the engine is down.
+    void corruptEngine(std::size_t engine, const std::vector<std::uint32_t> &pieces);
+    void silenceEngine(std::size_t engine, Duration length);
+    /// Applies \a fault to the next load order, also if the engine restarts before.
+    void setOrderFault(std::size_t engine, const standin::FleetEngineStandin::OrderFault &fault);
     void setOriginFault(const LinkFault &fault) { m_originProxy.setFault(fault); }
     void publishVersion();
     void changeConfiguration(); ///< Adds or removes a route and may revoke a key.
@@ -108,7 +114,8 @@
         bool isDraining = false;
         bool hasLinkFault = false;
         std::uint64_t version = 0;
-        standin::FleetStagedPieces staged;
+        standin::FleetStagedPieces staged; ///< While it is down, as is orderFault.
+        std::optional<standin::FleetEngineStandin::OrderFault> orderFault;
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
 
