Give up a superseded version that has lost a chunk

The time for which an order without a response may still be accepted ends after 30 s, so that it cannot block newer versions for good either.

--- a/modules/rollout/include/godwit/rollout/loadconfirmation.h
+++ b/modules/rollout/include/godwit/rollout/loadconfirmation.h
@@ -24,6 +24,9 @@
     /// Operators tolerate bytes that turned corrupt up to this long before the engine takes them.
     static constexpr Duration ToleratedCorruption = std::chrono::milliseconds(3000);
 
+    /// An order that has not been accepted for this long was lost with its connection.
+    static constexpr Duration MaxOrderDelay = std::chrono::seconds(30);
+
     explicit LoadConfirmation(const LayerLayout &layout)
         : m_layout(layout)
     {}
@@ -49,9 +52,9 @@
     /// There was no response to that order; the engine may have accepted it, or still do so.
     void onOrderUncertain();
 
-    /// Whether the engine may still accept an order, so that the staged chunks must not be replaced
-    /// by those of another version.
-    bool mayOrderBeAccepted() const { return m_isOrderInFlight || m_hasUncertainOrder; }
+    /// Whether the engine may still accept an order at \a now, so that the staged chunks must not
+    /// be replaced by those of another version.
+    bool mayOrderBeAccepted(TimePoint now) const;
 
     /// The staged \a chunk is corrupt or missing.
     void onChunkCorrupt(ChunkIndex chunk) { m_corrupt.insert(chunk); }
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -156,6 +156,9 @@
     void releaseStagingArea(Rollout &rollout);
     /// Ends \a rollout in favor of the next version of its model.
     void finishRollout(Rollout &rollout);
+    /// Whether a newer version of its model is wanted.
+    bool isSuperseded(const Rollout &rollout) const;
+    /// Obtains the chunks of \a rollout again, or gives it up if it is superseded.
     void restartTransfer(Rollout &rollout);
     void onServing(const Key &key);
     void onChunkMissing(const Key &key);
--- a/modules/rollout/src/loadconfirmation.cpp
+++ b/modules/rollout/src/loadconfirmation.cpp
@@ -54,6 +54,11 @@
     m_sound = held;
 }
 
+bool LoadConfirmation::mayOrderBeAccepted(TimePoint now) const
+{
+    return m_isOrderInFlight || (m_hasUncertainOrder && now < m_verifiedSince + MaxOrderDelay);
+}
+
 void LoadConfirmation::onOrderSent(const LayerRange &layers, TimePoint verifiedSince)
 {
     m_ordered = layers;
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -122,7 +122,7 @@
     Rollout &front = rollouts.front();
     // After a restart of the engine, or while a lost chunk is fetched, there may be an order
     // although the rollout is not waiting for one.
-    if (front.confirmation && front.confirmation->mayOrderBeAccepted())
+    if (front.confirmation && front.confirmation->mayOrderBeAccepted(now()))
         front.awaitingOrder = true;
     if (!front.awaitingOrder || isFrontOutdated)
         endOlderRollouts(rollout);
@@ -179,6 +179,8 @@
             isListed && holdsAllLayers(report.layers, rollout.version, layerCount(rollout.model));
     const LayerRange held =
             heldLayers(report, rollout.model, rollout.version, layerCount(rollout.model));
+    if (rollout.confirmation && !report.busy)
+        rollout.confirmation->onReport(report.startTimeMs, report.acceptedOrders, held);
     const bool isConfirmed = !rollout.confirmation || rollout.confirmation->isConfirmed(held);
     if (serving && isConfirmed && !rollout.isServing && !rollout.stager) {
         // The engine already served the version when this process started.
@@ -253,7 +255,8 @@
         ++rollout->manifestFailures;
         const bool isPeer = error->code == ResultCode::NotSent;
         scheduleStep(*rollout, isPeer ? PeerManifestRetryInterval : ManifestRetryInterval,
-                     &VersionRollout::startIfNeeded);
+                     isSuperseded(*rollout) ? &VersionRollout::restartTransfer
+                                            : &VersionRollout::startIfNeeded);
         if (!isPeer && m_environment.onOriginUnreachable)
             m_environment.onOriginUnreachable();
         return;
@@ -433,7 +436,7 @@
 void VersionRollout::releaseStagingArea(Rollout &rollout)
 {
     rollout.awaitingOrder = false;
-    if (m_rollouts.at(rollout.model).back().version == rollout.version)
+    if (!isSuperseded(rollout))
         return;
     // Deferred, because the stager must not be destroyed during its own callback.
     scheduleStep(rollout, Duration::zero(), &VersionRollout::finishRollout);
@@ -471,8 +474,21 @@
         scheduleStep(*rollout, Duration::zero(), &VersionRollout::restartTransfer);
 }
 
+bool VersionRollout::isSuperseded(const Rollout &rollout) const
+{
+    return m_rollouts.at(rollout.model).back().version != rollout.version;
+}
+
 void VersionRollout::restartTransfer(Rollout &rollout)
 {
+    // The origin may no longer provide a superseded version, which must not block the newer one.
+    if (isSuperseded(rollout)) {
+        if (rollout.confirmation->mayOrderBeAccepted(now()))
+            scheduleStep(rollout, ManifestRetryInterval, &VersionRollout::restartTransfer);
+        else
+            finishRollout(rollout);
+        return;
+    }
     resetTransfer(rollout);
     startIfNeeded(rollout);
 }
--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -272,11 +272,14 @@
     std::set<ChunkIndex> corruptOnce;
     int chunkReads = 0;
     int manifestFailures = 0;
+    std::uint64_t oldestVersion = 0; ///< Older ones are no longer provided.
 
     void readManifest(const ModelId &, std::uint64_t version, Completion<Manifest> done) override
     {
         respondLater([this, version, done] {
-            if (manifestFailures-- > 0)
+            if (version < oldestVersion)
+                done(Error{ResultCode::NotFound, "too old"});
+            else if (manifestFailures-- > 0)
                 done(Error{ResultCode::PlatformUnreachable, "down"});
             else
                 done(testManifest(version));
--- a/modules/rollout/tests/loadconfirmationtest.cpp
+++ b/modules/rollout/tests/loadconfirmationtest.cpp
@@ -98,13 +98,13 @@
     {
         confirmation.onOrderSent(layers(0, 3), verifiedSince);
         confirmation.onOrderUncertain();
-        CHECK(confirmation.mayOrderBeAccepted());
+        CHECK(confirmation.mayOrderBeAccepted(verifiedSince + 3s));
         // By the verification before a second order, which the engine refuses.
         confirmation.onChunkCorrupt(0);
         confirmation.onOrderSent(layers(0, 3), verifiedSince + 1s);
         confirmation.onOrderWithoutEffect();
         confirmation.onReport(StartTimeMs, 1, layers(0, 3));
-        CHECK_FALSE(confirmation.mayOrderBeAccepted());
+        CHECK_FALSE(confirmation.mayOrderBeAccepted(verifiedSince + 3s));
         confirmation.onAllRead(layers(0, 3));
         CHECK_FALSE(confirmation.isConfirmed(layers(0, 3)));
         CHECK(confirmation.intactLayers(layers(0, 3)) == layers(1, 3));
@@ -127,10 +127,10 @@
     SECTION("waits for an order without a response until the engine has accepted one or restarted")
     {
         confirmation.onOrderSent(layers(0, 3), verifiedSince);
-        CHECK(confirmation.mayOrderBeAccepted());
+        CHECK(confirmation.mayOrderBeAccepted(verifiedSince + 3s));
         confirmation.onOrderUncertain();
         confirmation.onReport(StartTimeMs, 0, none);
-        CHECK(confirmation.mayOrderBeAccepted());
+        CHECK(confirmation.mayOrderBeAccepted(verifiedSince + 3s));
 
         SECTION("one")
         {
@@ -145,7 +145,13 @@
             confirmation.onOrderSent(layers(0, 3), verifiedSince + 1s);
             CHECK(confirmation.onOrderBegun(verifiedSince + 2s));
         }
-        CHECK_FALSE(confirmation.mayOrderBeAccepted());
+        SECTION("or it must have been lost")
+        {
+            CHECK_FALSE(confirmation.mayOrderBeAccepted(verifiedSince
+                                                        + LoadConfirmation::MaxOrderDelay));
+            return;
+        }
+        CHECK_FALSE(confirmation.mayOrderBeAccepted(verifiedSince + 3s));
     }
     SECTION("forgets chunks that were corrupt before an order that had an effect")
     {
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -357,6 +357,59 @@
     }
 }
 
+// Guards against a version that blocks all newer ones: it is loaded first because its chunks were
+// staged when they were named, then loses a chunk, and the origin provides it no longer.
+TEST_CASE("VersionRollout gives up a superseded version that it cannot complete")
+{
+    constexpr std::uint32_t LayerCount = 3;
+    Fixture it;
+    it.engine.layerCount = LayerCount;
+    it.engine.serve(1);
+    it.engine.report.layers = LayerRange{0, LayerCount, 1};
+    it.rollout.setLayerCount(TestModel, LayerCount);
+    it.rollout.setWantedVersion(TestModel, 2, it.window());
+    const auto nameNewer = [&] {
+        it.rollout.setWantedVersion(TestModel, 3, it.window());
+        it.rollout.setWantedVersion(TestModel, 4, it.window());
+        it.origin->oldestVersion = 3;
+    };
+
+    SECTION("while it is being transferred")
+    {
+        it.scheduler.advance(10ms);
+        nameNewer();
+    }
+    SECTION("while it waits for its order")
+    {
+        it.scheduler.advance(1500ms);
+        REQUIRE(it.engine.orders.empty());
+        nameNewer();
+        it.engine.corrupt(0);
+    }
+    SECTION("after the order for all layers but the last")
+    {
+        it.scheduler.advance(1500ms);
+        it.engine.onOrder = [&] {
+            nameNewer();
+            it.engine.staged.erase(4);
+            it.engine.staged.erase(5);
+        };
+    }
+    SECTION("after an order without a response")
+    {
+        it.scheduler.advance(1500ms);
+        it.engine.silenceOnOrder = 2s;
+        it.engine.onOrder = [&] {
+            nameNewer();
+            it.engine.corrupt(0);
+        };
+    }
+    it.scheduler.advance(30s);
+    CHECK(it.isServing(4));
+    CHECK(it.engine.report.layers == LayerRange{0, LayerCount, 4});
+    CHECK_FALSE(it.engine.loadedOtherVersion);
+}
+
 TEST_CASE("EngineStager")
 {
     VirtualScheduler scheduler;
