Read layers again if the engine has lost some while others were read

By reading: since reports that are not the stager's own change what counts as sound, so that a recheck that had begun with fewer layers could confirm layers whose chunks it had not read. The range is fixed when a recheck begins, and one that no longer fits begins again. 301 assertions of the module pass; no test reproduces the race of the two reports.

--- a/modules/rollout/include/godwit/rollout/enginestager.h
+++ b/modules/rollout/include/godwit/rollout/enginestager.h
@@ -149,8 +149,9 @@
     TimePoint m_readAt;                     ///< Before the last read.
     std::uint32_t m_repetitions = 0;        ///< Outdated verifications of this number of layers.
     std::shared_ptr<LoadConfirmation> m_confirmation;
-    LayerRange m_recheckedLayers;
-    bool m_loadsAgain = false; ///< The order is for layers that the engine may hold corrupt.
+    LayerRange m_recheckedLayers; ///< Held by the engine when the recheck began.
+    LayerRange m_rereadLayers;    ///< Those of them whose chunks are read again.
+    bool m_loadsAgain = false;    ///< The order is for layers that the engine may hold corrupt.
     /// The engine has accepted to drop layers, and should not hold them from this time on.
     std::optional<TimePoint> m_droppedFrom;
     std::optional<ChunkIndex> m_unreadableChunk; ///< Whose last read had an unreadable response.
--- a/modules/rollout/src/enginestager.cpp
+++ b/modules/rollout/src/enginestager.cpp
@@ -173,8 +173,8 @@
 
 ChunkIndex EngineStager::endChunk() const
 {
-    // The chunks of the last layer are verified with the others, so that one
-    // that must be fetched again is found while the engine still serves the earlier version.
+    // The chunks of the last layer are verified with the others, so that one that must be fetched
+    // again is found while the engine still serves the earlier version.
     if (m_heldLayers == 0 && m_orderedFirst == 0 && m_orderedEnd + 1 == m_layerCount)
         return m_manifest->chunkCount();
     return layout().endChunk(m_orderedEnd);
--- a/modules/rollout/src/enginestagerrecheck.cpp
+++ b/modules/rollout/src/enginestagerrecheck.cpp
@@ -15,12 +15,13 @@
     if (std::exchange(m_droppedFrom, std::nullopt))
         stopSplitting("layers_not_dropped");
     m_recheckedLayers = held;
-    recheck(layout().firstChunk(m_confirmation->unconfirmed(held).first));
+    m_rereadLayers = m_confirmation->unconfirmed(held);
+    recheck(layout().firstChunk(m_rereadLayers.first));
 }
 
 void EngineStager::recheck(ChunkIndex chunk)
 {
-    if (chunk >= layout().endChunk(m_confirmation->unconfirmed(m_recheckedLayers).end)) {
+    if (chunk >= layout().endChunk(m_rereadLayers.end)) {
         finishRecheck();
         return;
     }
@@ -47,14 +48,18 @@
 
 void EngineStager::finishRecheck()
 {
-    const LayerRange layers = m_confirmation->unconfirmed(m_recheckedLayers);
+    // Another report may have shown meanwhile that the engine has lost layers.
+    if (m_confirmation->unconfirmed(m_recheckedLayers) != m_rereadLayers) {
+        pollAfterOrder();
+        return;
+    }
     m_confirmation->onAllRead(m_recheckedLayers);
     const bool isConfirmed = m_confirmation->isConfirmed(m_recheckedLayers);
     logStateChange(isConfirmed ? "load_confirmed" : "load_maybe_corrupt",
                    {{"model", m_manifest->model.value()},
                     {"version", m_version},
-                    {"layers_before", layers.first},
-                    {"layers", layers.end},
+                    {"layers_before", m_rereadLayers.first},
+                    {"layers", m_rereadLayers.end},
                     {"engine_born_ms", m_engineStartTimeMs}},
                    isConfirmed ? LogLevel::Info : LogLevel::Warning);
     if (isConfirmed)
