--- a/modules/rollout/tests/loadconfirmationtest.cpp
+++ b/modules/rollout/tests/loadconfirmationtest.cpp
@@ -153,6 +153,17 @@
         }
         CHECK_FALSE(confirmation.mayOrderBeAccepted(verifiedSince + 3s));
     }
+    // Guards against sound layers that are dropped because the chunks of an earlier version were
+    // staged before the order.
+    SECTION("forgets chunks that were corrupt while no layer was in doubt")
+    {
+        confirmation.onChunkCorrupt(0);
+        confirmation.onOrderSent(layers(0, 3), verifiedSince);
+        confirmation.onOrderUncertain();
+        confirmation.onReport(StartTimeMs, 1, layers(0, 3));
+        confirmation.onAllRead(layers(0, 3));
+        CHECK(confirmation.isConfirmed(layers(0, 3)));
+    }
     SECTION("forgets chunks that were corrupt before an order that had an effect")
     {
         confirmation.onChunkCorrupt(0);
