Log by which response an attempt was rejected

A request that runs twice has been sent again on the strength of something, and the log did not say of what: the line of a request named the backend servers of its attempts and how they ended. It now has for each attempt the address, how many requests its connection had carried before, and the status and time of the response and whether the response states the id of the request. That tells a late copy of another rejection (not identified), a copy of an earlier rejection of the same request (one address twice, on a connection used before) and a response of which parts belong to another one (a status that the backend server did not send) apart.

No decision changes.

--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -3,7 +3,6 @@
 #include "availabilityobserver.h"
 #include "errorresponse.h"
 #include "passedover.h"
-#include "requestlog.h"
 #include "retryafter.h"
 
 #include <algorithm>
@@ -222,6 +221,7 @@
                           .predictedStartDelay = choice.predictedStartDelay,
                           .foundFreeSlot = choice.hasFreeSlot,
                           .recordedVersion = choice.weightsVersion,
+                          .endpoint = choice.endpoint,
                           .sentAt = now()});
     m_currentAttempt = m_attempts.size() - 1;
     m_attemptSerial = ++m_lastSerial;
@@ -323,6 +323,10 @@
                        : nullptr;
     };
     HttpStreamHandlers handlers;
+    handlers.onSending = [current](std::size_t earlierCalls) {
+        if (const auto self = current())
+            self->currentAttempt().earlierCalls = earlierCalls;
+    };
     handlers.onHeader = [current](int status, const HttpHeaders &headers) {
         if (const auto self = current())
             self->onHead(status, headers);
@@ -499,42 +503,7 @@
         m_gateway.m_environment.metrics.recordResponse(status, elapsed);
     else
         m_gateway.m_environment.metrics.recordRefusal(code);
-    boost::json::array attempts;
-    for (const PastAttempt &it : m_attempts) {
-        boost::json::object attempt{
-                {"backend", it.backend.value()},
-                {"after_ms", toMilliseconds(it.sentAt - m_arrivedAt)},
-                {"predicted_start_ms", toMilliseconds(it.predictedStartDelay)},
-                {"end", std::string(it.outcome ? toString(*it.outcome) : "none")}};
-        if (it.firstEventsAt)
-            attempt["start_ms"] = toMilliseconds(*it.firstEventsAt - it.sentAt);
-        if (it.weightsVersion)
-            attempt["weights"] = *it.weightsVersion;
-        if (it.outdatedFor)
-            attempt["outdated_ms"] = toMilliseconds(*it.outdatedFor);
-        if (it.silences > 0)
-            attempt["silences"] = it.silences;
-        if (it.cancelledAfterGrace)
-            attempt["cancelled_after_grace_ms"] = toMilliseconds(*it.cancelledAfterGrace);
-        attempts.push_back(std::move(attempt));
-    }
-    const bool isFailure = code != ResultCode::Ok || m_attempts.size() > 1
-                           || std::ranges::any_of(m_attempts, [](const PastAttempt &it) {
-                                  return it.outdatedFor.has_value();
-                              });
-    logRequest(isFailure ? RequestLogKind::Failure : RequestLogKind::Answer,
-               {{"request", m_request.id.value()},
-                {"route", m_admission.route->name},
-                {"service", m_admission.service},
-                {"configuration", m_admission.table->version()},
-                {"attempts", std::move(attempts)},
-                {"passed_over", describePassedOver(m_passedOver, m_arrivedAt)},
-                {"status", status},
-                {"code", static_cast<int>(code)},
-                {"detail", detail},
-                {"earlier_wait_ms", toMilliseconds(m_earlierWait)},
-                {"ms", toMilliseconds(elapsed)}},
-               now());
+    logEnd(status, code, detail);
     m_deadlineTimer.reset();
     m_call.reset();
     m_gateway.m_requests.erase(shared_from_this());
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -3,6 +3,8 @@
 #include <godwit/gateway/eventsplitter.h>
 #include <godwit/gateway/gateway.h>
 
+#include <boost/json/object.hpp>
+
 #include <memory>
 #include <optional>
 #include <string>
@@ -70,7 +72,13 @@
         bool foundFreeSlot = true;
         /// Of the weights, by the record of the backend server.
         std::optional<std::uint64_t> recordedVersion = {};
+        HttpEndpoint endpoint;
         TimePoint sentAt;
+        /// Calls that its connection had carried before; empty if the request was not sent.
+        std::optional<std::size_t> earlierCalls = {};
+        std::optional<int> status = {}; ///< Of the response.
+        std::optional<TimePoint> headAt = {};
+        bool isIdentified = false; ///< The response states the id of the request.
         std::optional<TimePoint> firstEventsAt = {};
         std::optional<TimePoint> lastEventsAt = {};
         std::optional<std::uint64_t> weightsVersion = {}; ///< Stated by the response.
@@ -181,6 +189,8 @@
     void refuse(ResultCode code, const std::string &detail, Duration retryAfter);
     void sendBufferedResponse();
     void finishRequest(int status, ResultCode code, const std::string &detail);
+    void logEnd(int status, ResultCode code, const std::string &detail) const;
+    boost::json::object describe(const PastAttempt &attempt) const;
     TimePoint now() const;
 
     Gateway &m_gateway;
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -45,6 +45,10 @@
     m_responseHead = m_gateway.m_environment.protocol.readResponse(status, headers);
     if (m_responseHead.load)
         m_gateway.m_backends.recordLoad(currentAttempt().backend, *m_responseHead.load, now());
+    const bool isIdentified = identifiesRequest(headers);
+    currentAttempt().status = status;
+    currentAttempt().headAt = now();
+    currentAttempt().isIdentified = isIdentified;
     // A stream can be resumed neither by an error response nor by other weights.
     const bool cannotContinue =
             m_streaming
@@ -52,7 +56,7 @@
     const bool isContradictory =
             m_responseHead.notExecuted ? isSuccess(status) : m_responseHead.impliesNotExecuted;
     const bool isUntrusted =
-            !identifiesRequest(headers) || isContradictory
+            !isIdentified || isContradictory
             || (isSuccess(status) && (!m_responseHead.sealed || m_responseHead.isEncoded));
     m_hasDeclaredLength = headers.find("Content-Length") != nullptr;
     m_endsWithConnection = !m_hasDeclaredLength && !headers.find("Transfer-Encoding");
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -364,15 +364,34 @@
     }
 }
 
-// Guards against a late cancellation that cannot be told from a version that was dated too late.
-TEST_CASE("The request log says when an attempt was cancelled because of its weights")
+namespace {
+
+/// Collects the log, and advances the clock of \a fixture, because the limit on log lines is shared
+/// with the other tests.
+std::ostringstream &collectLog(Fixture &fixture, Duration advance)
 {
     static std::ostringstream out;
     out.str({});
     setUpLogging(out);
+    fixture.scheduler.advance(advance);
+    return out;
+}
+
+std::string failureLine(const std::ostringstream &out)
+{
+    const std::string lines = out.str();
+    const std::size_t start = lines.find(R"("event":"request_failed")");
+    REQUIRE(start != std::string::npos);
+    return lines.substr(start, lines.find('\n', start) - start);
+}
+
+} // namespace
+
+// Guards against a late cancellation that cannot be told from a version that was dated too late.
+TEST_CASE("The request log says when an attempt was cancelled because of its weights")
+{
     VersionFixture it;
-    // The limit on log lines is shared with the other tests, whose clocks have advanced less.
-    it.scheduler.advance(24h);
+    const std::ostringstream &out = collectLog(it, 24h);
     it.gateway.onConfigurationConfirmed(it.scheduler.now());
     const VersionWindow window{it.scheduler.now() - 7s, 8s};
     it.gateway.requireVersion(it.model, 2, window.startDeadline());
@@ -380,14 +399,38 @@
     it.gateway.handle(it.request, view);
     it.scheduler.advance(1s);
     CHECK(view->status == 502);
-    const std::string lines = out.str();
-    const std::size_t start = lines.find(R"("event":"request_failed")");
-    REQUIRE(start != std::string::npos);
-    const std::string line = lines.substr(start, lines.find('\n', start) - start);
+    const std::string line = failureLine(out);
     CAPTURE(line);
     CHECK(line.find(R"("cancelled_after_grace_ms":-250)") != std::string::npos);
 }
 
+// Guards against a request that ran twice of which nobody can tell why it was sent again: the
+// rejection may be that of another request, or of an earlier sending of this one.
+TEST_CASE("The request log says by which response an attempt was rejected")
+{
+    Fixture it;
+    it.protocol.identifiesRequests = true;
+    const std::ostringstream &out = collectLog(it, 48h);
+    it.configure();
+    it.sendRequest("/book/x");
+    it.backendCalls[0]->handlers.onSending(7);
+    it.scheduler.advance(30ms);
+    it.backendCalls[0]->head(503, {{"not-run", "1"}, {"echo", "r1"}});
+    it.backendCalls[0]->complete();
+    REQUIRE(it.backendCalls.size() == 2);
+    it.backendCalls[1]->head(503, {{"not-run", "1"}});
+    it.backendCalls[1]->complete();
+    const std::string line = failureLine(out);
+    CAPTURE(line);
+    const auto address = [&it](std::size_t i) {
+        return R"("address":")" + toString(it.backendCalls[i]->call.endpoint) + '"';
+    };
+    CHECK(line.find(address(0)) < line.find(address(1)));
+    CHECK(line.find(R"("earlier_calls":7,"status":503,"head_ms":30,"identified":true)")
+          != std::string::npos);
+    CHECK(line.find(R"("status":503,"head_ms":0,"identified":false)") != std::string::npos);
+}
+
 // Refused clients retry while other requests can still be on time.
 TEST_CASE("Gateway queues retries of clients behind requests that can be on time")
 {
--- a/modules/ports/include/godwit/ports/httpstreamhandlers.h
+++ b/modules/ports/include/godwit/ports/httpstreamhandlers.h
@@ -3,6 +3,7 @@
 #include <godwit/base/result.h>
 #include <godwit/ports/httpheaders.h>
 
+#include <cstddef>
 #include <functional>
 #include <string_view>
 #include <variant>
@@ -14,6 +15,9 @@
 /// onOtherHeader any number of times.
 struct HttpStreamHandlers
 {
+    /// Before the first byte of the request is written, also when it is written again on another
+    /// connection. \a earlierCalls is the number of calls that the connection has carried before.
+    std::function<void(std::size_t earlierCalls)> onSending;
     std::function<void(int status, const HttpHeaders &headers)> onHeader;
     /// Header of an interim (1xx) response, or of a late response to an earlier call on the same
     /// connection. Their bodies are discarded.
--- a/modules/ports/src/clientconnection.cpp
+++ b/modules/ports/src/clientconnection.cpp
@@ -117,7 +117,7 @@
 
 void ClientConnection::distrustIdleConnections()
 {
-    if (m_reused)
+    if (isReused())
         m_pool.closeIdle(m_endpoint);
 }
 
@@ -183,6 +183,8 @@
         cancel();
         return;
     }
+    if (m_call->handlers.onSending)
+        m_call->handlers.onSending(m_completedCalls);
     m_idle = false;
     m_receivedBytes = false;
     m_bodyStarted = false;
@@ -270,7 +272,7 @@
         // The server may already have replied; onRead() determines the outcome.
         return;
     }
-    if (m_reused && !call->retried) {
+    if (isReused() && !call->retried) {
         call->sendState = ClientCall::SendState::Unsent;
         retry();
     } else {
@@ -338,7 +340,7 @@
             return;
         }
     }
-    if (!m_receivedBytes && m_reused && m_call->request.retryable && !m_call->retried)
+    if (!m_receivedBytes && isReused() && m_call->request.retryable && !m_call->retried)
         retry();
     else
         failCall(ResultCode::PlatformReplyLost, ec.message());
@@ -394,7 +396,7 @@
     const CallPointer call = m_call;
     if (reusable) {
         m_call = nullptr;
-        m_reused = true;
+        ++m_completedCalls;
         m_timer.clear();
         m_pool.returnToPool(shared_from_this());
         read();
--- a/modules/ports/src/clientconnection.h
+++ b/modules/ports/src/clientconnection.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <atomic>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -143,6 +144,7 @@
 
     /// Closes the connection and returns its call.
     CallPointer closeConnection();
+    bool isReused() const { return m_completedCalls > 0; }
 
     boost::asio::io_context &m_io;
     boost::asio::ip::tcp::socket m_socket;
@@ -161,7 +163,7 @@
     bool m_isStaleResponse = false; ///< The current response belongs to an earlier call.
     bool m_idle = false;
     bool m_connecting = false;
-    bool m_reused = false; ///< Has already completed a call.
+    std::size_t m_completedCalls = 0;
     bool m_bodyStarted = false;
     bool m_receivedBytes = false;
     bool m_writing = false;
--- a/modules/ports/tests/httptest.cpp
+++ b/modules/ports/tests/httptest.cpp
@@ -99,6 +99,20 @@
         CHECK(f.server->openConnections() == 1);
         CHECK(f.client.idleConnections() == 1);
     }
+    // Guards against a log that does not tell the first call of a connection from the later ones.
+    SECTION("a call is told how many its connection has carried before")
+    {
+        std::vector<std::size_t> earlierCalls;
+        for (int i = 0; i < 3; ++i) {
+            bool ended = false;
+            HttpStreamHandlers handlers;
+            handlers.onSending = [&](std::size_t n) { earlierCalls.push_back(n); };
+            handlers.onEnd = [&](const auto &) { ended = true; };
+            f.client.stream(f.request("POST", "a"), handlers);
+            runUntil(f.io, [&] { return ended; });
+        }
+        CHECK(earlierCalls == std::vector<std::size_t>{0, 1, 2});
+    }
 
     // Guards against a reply that is delivered to another call.
     SECTION("concurrent calls get their own replies")
