Let the soak repeat, cut and lose responses and replace servers at their addresses

The soak counted how often a booking runs, but none of its faults could make an entry process send one again for a wrong reason: no backend server repeated an earlier response, rejected requests without a retry time, lost a response after the run, reset a connection that is used again, or came back at its address under a new id while its earlier record was still there. The proxies of the backend servers now do the first three and the reset to responses that arrive whole, and an engine may reject each second or third request and be replaced at once.

--- a/bench/src/main.cpp
+++ b/bench/src/main.cpp
@@ -28,6 +28,10 @@
 DEFINE_double(paced_tokens, 50'000, "Tokens per second at which latency is always measured");
 DEFINE_bool(memory, true, "Measure the memory of open streams");
 DEFINE_uint64(open_streams, 2000, "Largest number of open streams at which memory is measured");
+DEFINE_uint64(booking_servers, 0,
+              "soak: backend servers of the booking service; 0 for the default");
+DEFINE_double(booking_share, 0.25, "soak: share of the bookings in the requests");
+DEFINE_string(faults, "", "soak: only kinds of faults whose names contain this; all if empty");
 DEFINE_bool(timed, false, "soak: also check the time that the fleet takes to recover");
 DEFINE_uint64(standin_threads, 4, "Threads of the engine stand-ins of streams");
 
@@ -89,6 +93,9 @@
     soakOptions.entries = valueOrDefault(FLAGS_entries, soakOptions.entries);
     soakOptions.hosts = valueOrDefault(FLAGS_hosts, soakOptions.hosts);
     soakOptions.callers = valueOrDefault(FLAGS_callers, soakOptions.callers);
+    soakOptions.bookingServers = valueOrDefault(FLAGS_booking_servers, soakOptions.bookingServers);
+    soakOptions.bookingShare = FLAGS_booking_share;
+    soakOptions.faults = FLAGS_faults;
     soakOptions.seconds = FLAGS_seconds;
     soakOptions.seed = FLAGS_seed;
     soakOptions.timed = FLAGS_timed;
--- a/bench/src/soak.cpp
+++ b/bench/src/soak.cpp
@@ -53,6 +53,7 @@
     explicit Soak(SoakOptions options)
         : m_options(std::move(options))
         , m_random(m_options.seed)
+        , m_kinds(selectKinds(m_options.faults))
         , m_fleet(m_io, m_options, m_record)
         , m_callers(m_io, m_fleet, m_options, m_record)
         , m_timer(m_io)
@@ -70,6 +71,8 @@
         void (Soak::*end)(std::size_t target); ///< Null for faults that need no end.
     };
     static const std::vector<FaultKind> &faultKinds();
+    /// The kinds that the options select.
+    static std::vector<FaultKind> selectKinds(const std::string &part);
 
     void schedule(boost::asio::steady_timer &timer, Duration delay, void (Soak::*step)());
     void poll();
@@ -157,6 +160,38 @@
         corruptAtOrder(i);
         m_fleet.crashEngine(i % m_fleet.modelEngineCount());
     }
+    void responseFault(std::size_t i, ResponseFault::Kind kind)
+    {
+        engineFault(i, {.responses = {kind}});
+    }
+    void copyResponses(std::size_t i) { responseFault(i, ResponseFault::Kind::Copy); }
+    void copyWithoutIds(std::size_t i) { responseFault(i, ResponseFault::Kind::CopyWithoutId); }
+    void cutCopies(std::size_t i) { responseFault(i, ResponseFault::Kind::CutCopy); }
+    void loseResponses(std::size_t i) { responseFault(i, ResponseFault::Kind::Loss); }
+    void resetReused(std::size_t i) { engineFault(i, {.resetReused = true}); }
+    void rejectRequests(std::size_t i)
+    {
+        m_fleet.setRejectInterval(i % m_fleet.engineCount(), 2 + i % 2);
+    }
+    void endRejections(std::size_t i) { m_fleet.setRejectInterval(i % m_fleet.engineCount(), 0); }
+    void replaceEngine(std::size_t i) { m_fleet.replaceEngine(i % m_fleet.engineCount()); }
+    void copyRejections(std::size_t i, ResponseFault::Kind kind)
+    {
+        responseFault(i, kind);
+        rejectRequests(i);
+        replaceEngine(i);
+    }
+    void copyOwnRejections(std::size_t i) { copyRejections(i, ResponseFault::Kind::Copy); }
+    void copyUnidentifiedRejections(std::size_t i)
+    {
+        copyRejections(i, ResponseFault::Kind::CopyWithoutId);
+    }
+    void cutOwnRejections(std::size_t i) { copyRejections(i, ResponseFault::Kind::CutCopy); }
+    void endCopiedRejections(std::size_t i)
+    {
+        clearEngineFault(i);
+        endRejections(i);
+    }
     void holdOrigin(std::size_t) { m_fleet.setOriginFault({.holdReplies = true}); }
     void clearOriginFault(std::size_t) { m_fleet.setOriginFault({}); }
     void publishVersion(std::size_t) { m_fleet.publishVersion(); }
@@ -166,6 +201,7 @@
 
     SoakOptions m_options;
     Random m_random;
+    std::vector<FaultKind> m_kinds;
     boost::asio::io_context m_io;
     SoakRecord m_record;
     SoakFleet m_fleet;
@@ -220,6 +256,25 @@
             {"crash a backend server, let it fall silent and staged pieces turn corrupt at its"
              " next load order",
              &Soak::crashAndCorruptAtOrder, nullptr},
+            {"repeat responses of a backend server", &Soak::copyResponses, &Soak::clearEngineFault},
+            {"repeat responses of a backend server without their ids", &Soak::copyWithoutIds,
+             &Soak::clearEngineFault},
+            {"repeat parts of responses of a backend server", &Soak::cutCopies,
+             &Soak::clearEngineFault},
+            {"lose responses of a backend server", &Soak::loseResponses, &Soak::clearEngineFault},
+            {"reset connections of a backend server that are used again", &Soak::resetReused,
+             &Soak::clearEngineFault},
+            {"let a backend server reject requests", &Soak::rejectRequests, &Soak::endRejections},
+            {"replace a backend server at its address", &Soak::replaceEngine, nullptr},
+            {"replace a backend server at its address, let it reject requests and repeat its"
+             " responses",
+             &Soak::copyOwnRejections, &Soak::endCopiedRejections},
+            {"replace a backend server at its address, let it reject requests and repeat its"
+             " responses without their ids",
+             &Soak::copyUnidentifiedRejections, &Soak::endCopiedRejections},
+            {"replace a backend server at its address, let it reject requests and repeat parts of"
+             " its responses",
+             &Soak::cutOwnRejections, &Soak::endCopiedRejections},
             {"hold replies of the origin", &Soak::holdOrigin, &Soak::clearOriginFault},
             {"publish a version", &Soak::publishVersion, nullptr},
             {"change the configuration", &Soak::changeConfiguration, nullptr},
@@ -228,6 +283,15 @@
     return all;
 }
 
+std::vector<Soak::FaultKind> Soak::selectKinds(const std::string &part)
+{
+    std::vector<FaultKind> selected = faultKinds();
+    std::erase_if(selected, [&part](const FaultKind &it) {
+        return std::string_view(it.name).find(part) == std::string_view::npos;
+    });
+    return selected;
+}
+
 void Soak::killHalf(std::size_t i)
 {
     for (std::size_t n = 0; n < m_fleet.processCount() / 2; ++n)
@@ -273,6 +337,10 @@
         std::cerr << "godwit-bench: " << toString(*error) << '\n';
         return 1;
     }
+    if (m_kinds.empty()) {
+        std::cerr << "godwit-bench: no kind of fault contains \"" << m_options.faults << "\"\n";
+        return 1;
+    }
     m_plot << "second,requests,served,refused,other,runs\n";
     m_callers.start();
     poll();
@@ -295,7 +363,7 @@
         recover();
         return;
     }
-    const FaultKind &kind = faultKinds()[m_random.below(faultKinds().size())];
+    const FaultKind &kind = m_kinds[m_random.below(m_kinds.size())];
     const std::size_t target = m_random.below(MaxTarget);
     const auto length =
             std::chrono::milliseconds(MinFaultMs + m_random.below(MaxFaultMs - MinFaultMs));
--- a/bench/src/soakcallers.cpp
+++ b/bench/src/soakcallers.cpp
@@ -11,6 +11,7 @@
 constexpr std::uint64_t DeadlineMs = 3000;
 constexpr Duration DefaultPause = std::chrono::milliseconds(40);
 constexpr Duration MaxPause = std::chrono::milliseconds(1000);
+constexpr double StreamShare = 2.0 / 3; ///< Of the requests other than bookings.
 constexpr double CancelShare = 0.05;
 constexpr double UnknownKeyShare = 0.02;
 constexpr double UnknownRouteShare = 0.02;
@@ -68,9 +69,9 @@
     standin::FleetAttempt &attempt = outcome.attempt;
     attempt.id = "a" + std::to_string(caller.number) + '-' + std::to_string(++caller.sent);
     attempt.deadlineMs = DeadlineMs;
-    attempt.kind = random.chance(0.5)   ? FleetRequestKind::Stream
-                   : random.chance(0.5) ? FleetRequestKind::Booking
-                                        : FleetRequestKind::Lookup;
+    attempt.kind = random.chance(m_options.bookingShare) ? FleetRequestKind::Booking
+                   : random.chance(StreamShare)          ? FleetRequestKind::Stream
+                                                         : FleetRequestKind::Lookup;
     attempt.key = "key-0";
     outcome.customer = "customer-0";
     if (random.chance(SecondCustomerShare)) {
--- a/bench/src/soakfleet.cpp
+++ b/bench/src/soakfleet.cpp
@@ -35,6 +35,7 @@
 /// Time for which the record of a crashed backend server stays in the store.
 constexpr Duration RecordExpiry = std::chrono::milliseconds(1000);
 constexpr std::size_t MaxAddedRoutes = 3;
+constexpr std::uint64_t MaxEngines = 1000; ///< Keeps the seeds of their proxies apart.
 
 std::string zoneOf(std::size_t index)
 {
@@ -125,7 +126,8 @@
     engine.listen = {address(isModel ? HostRole : BookingRole, index), 0};
     engine.service = service;
     engine.zone = zoneOf(index);
-    engine.proxy = std::make_unique<TcpProxy>(m_io, HttpEndpoint());
+    engine.proxy = std::make_unique<TcpProxy>(m_io, HttpEndpoint(),
+                                              m_options.seed * MaxEngines + m_engines.size());
     BOOST_LEAF_CHECK(engine.proxy->listen(engine.listen));
     if (isModel) {
         engine.version = m_version;
@@ -208,10 +210,7 @@
 {
     Engine &engine = m_engines[index];
     const std::string key = engine.process->recordKey();
-    engine.staged = engine.process->options().stagedPieces;
-    engine.orderFault = engine.process->options().orderFault;
-    // The next process keeps the staged pieces but serves no version until it has loaded them.
-    engine.version = 0;
+    keepStaged(engine);
     engine.process.reset();
     if (!isRecordKept) {
         m_store.remove(key);
@@ -224,6 +223,14 @@
     });
 }
 
+void SoakFleet::keepStaged(Engine &engine)
+{
+    engine.staged = engine.process->options().stagedPieces;
+    engine.orderFault = engine.process->options().orderFault;
+    // The next process keeps the staged pieces but serves no version until it has loaded them.
+    engine.version = 0;
+}
+
 void SoakFleet::restartEngine(std::size_t index)
 {
     const auto started = capture([&]() -> Result<bool> {
@@ -262,6 +269,25 @@
     schedule(engine.timer, DrainTime, [this, index] { removeEngine(index, false); });
 }
 
+void SoakFleet::replaceEngine(std::size_t index)
+{
+    Engine &engine = m_engines[index];
+    // A timer of the engine is set while it is down or drains.
+    if (!engine.process || engine.timer || engine.expiry)
+        return;
+    const std::string key = engine.process->recordKey();
+    keepStaged(engine);
+    engine.process.reset();
+    restartEngine(index);
+    schedule(engine.expiry, RecordExpiry, [this, key] { m_store.remove(key); });
+}
+
+void SoakFleet::setRejectInterval(std::size_t engine, std::size_t interval)
+{
+    if (m_engines[engine].process)
+        m_engines[engine].process->setRejectInterval(interval);
+}
+
 void SoakFleet::setRetryAfter(std::size_t engine, const std::optional<std::string> &retryAfter)
 {
     if (m_engines[engine].process)
@@ -295,8 +321,7 @@
 void SoakFleet::setEngineFault(std::size_t engine, const LinkFault &fault)
 {
     m_engines[engine].proxy->setFault(fault);
-    m_engines[engine].hasLinkFault = fault.delay > Duration::zero() || fault.holdRequests
-                                     || fault.holdReplies || fault.refuse;
+    m_engines[engine].hasLinkFault = fault != LinkFault();
     recordLinkFault(m_engines[engine]);
 }
 
@@ -503,6 +528,7 @@
     for (std::size_t i = 0; i < m_engines.size(); ++i) {
         setEngineFault(i, {});
         setRetryAfter(i, std::nullopt);
+        setRejectInterval(i, 0);
         m_engines[i].orderFault.reset();
         if (m_engines[i].process) {
             m_engines[i].process->setOrderFault(std::nullopt);
--- a/bench/src/soakfleet.h
+++ b/bench/src/soakfleet.h
@@ -26,8 +26,10 @@
     std::size_t hosts = 4;
     std::size_t bookingServers = 2; ///< Backend servers of the booking service.
     std::size_t callers = 16;
-    double seconds = 30; ///< Period in which faults are started.
+    double bookingShare = 0.25; ///< Of the requests of the callers.
+    double seconds = 30;        ///< Period in which faults are started.
     std::uint64_t seed = 1;
+    std::string faults; ///< Only kinds of faults whose names contain this; all if empty.
     bool timed = false; ///< Whether the recovery time is checked as well.
 };
 
@@ -68,6 +70,10 @@
     void drainEngine(std::size_t engine); ///< Announces its end first, then is replaced.
     /// Like drainEngine(), but only its responses state it; its record stays as it is.
     void leaveEngine(std::size_t engine);
+    /// Another process listens at the address of the engine at once. The record of the earlier one
+    /// stays for a while.
+    void replaceEngine(std::size_t engine);
+    void setRejectInterval(std::size_t engine, std::size_t interval);
     /// Turns requests at \a engine away with \a retryAfter until it is reset or replaced.
     void setRetryAfter(std::size_t engine, const std::optional<std::string> &retryAfter);
     /// Changes a byte of some staged pieces, also while the engine is down.
@@ -117,6 +123,7 @@
         standin::FleetStagedPieces staged; ///< While it is down, as is orderFault.
         std::optional<standin::FleetEngineStandin::OrderFault> orderFault;
         std::unique_ptr<boost::asio::steady_timer> timer;
+        std::unique_ptr<boost::asio::steady_timer> expiry; ///< Of the record of a replaced process.
     };
 
     std::string address(int role, std::size_t index) const;
@@ -130,6 +137,8 @@
     void endPause(const Member &member);
     void handleMemberExit(std::size_t index);
     void removeEngine(std::size_t index, bool isRecordKept);
+    /// Keeps what the next process of \a engine takes over.
+    static void keepStaged(Engine &engine);
     /// Records that a fault of the connections to \a engine has begun or ended.
     void recordLinkFault(const Engine &engine);
     void restartEngine(std::size_t index);
--- a/bench/src/tcpproxy.cpp
+++ b/bench/src/tcpproxy.cpp
@@ -4,6 +4,9 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <charconv>
+#include <string>
+#include <string_view>
 
 namespace godwit {
 
@@ -14,6 +17,8 @@
 
 /// Interval at which a held direction checks whether the hold has ended.
 constexpr Duration HoldPollInterval = std::chrono::milliseconds(20);
+constexpr std::size_t MaxCopyDelayMs = 12;
+constexpr std::string_view HeadEnd = "\r\n\r\n";
 
 tcp::endpoint toTcp(const HttpEndpoint &endpoint)
 {
@@ -27,16 +32,44 @@
     socket.close(ec);
 }
 
+/// Returns the size of the head of \a bytes if they are one response with a declared length, and 0
+/// otherwise.
+std::size_t headSize(std::string_view bytes)
+{
+    constexpr std::string_view LengthHeader = "Content-Length: ";
+    const auto end = bytes.find(HeadEnd);
+    const auto length = bytes.find(LengthHeader);
+    if (!bytes.starts_with("HTTP/1.1 ") || end == std::string_view::npos || length > end)
+        return 0;
+    const std::size_t size = end + HeadEnd.size();
+    const std::string_view digits = bytes.substr(length + LengthHeader.size());
+    std::size_t body = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), body);
+    return size + body == bytes.size() ? size : 0;
+}
+
+/// Returns \a response without its first header named \a name, if it has one.
+std::string withoutHeader(std::string response, std::string_view name)
+{
+    const auto at = response.find("\r\n" + std::string(name) + ": ");
+    if (at != std::string::npos)
+        response.erase(at, response.find("\r\n", at + 2) - at);
+    return response;
+}
+
 } // namespace
 
 /// A client and a target socket, with a forwarding loop in each direction.
 class TcpProxy::Connection : public std::enable_shared_from_this<TcpProxy::Connection>
 {
 public:
-    Connection(asio::io_context &io, tcp::socket clientSocket, const LinkFault &fault)
+    Connection(asio::io_context &io, tcp::socket clientSocket, const LinkFault &fault,
+               Random random)
         : m_clientSocket(std::move(clientSocket))
         , m_targetSocket(io)
         , m_fault(fault)
+        , m_random(random)
+        , m_copyTimer(io)
         , m_requests(io, m_clientSocket, m_targetSocket, &LinkFault::holdRequests)
         , m_replies(io, m_targetSocket, m_clientSocket, &LinkFault::holdReplies)
     {}
@@ -77,6 +110,7 @@
         bool LinkFault::*held;
         asio::steady_timer timer;
         std::array<char, 16UL * 1024> bytes{};
+        bool isWriting = false;
     };
 
     void read(Direction &direction)
@@ -87,11 +121,50 @@
                                                               std::size_t n) {
                     if (ec)
                         end(direction, ec);
+                    else if (isResetBy(direction, n))
+                        abort();
                     else
                         forward(direction, n, m_fault.delay);
                 });
     }
 
+    /// Whether the \a n bytes that have been read reset the connection. Schedules the copy of a
+    /// response.
+    bool isResetBy(Direction &direction, std::size_t n)
+    {
+        using Kind = ResponseFault::Kind;
+        if (&direction == &m_requests)
+            return m_fault.resetReused && m_responses > 0;
+        ++m_responses;
+        const std::string_view bytes(direction.bytes.data(), n);
+        const std::size_t head = headSize(bytes);
+        const ResponseFault &fault = m_fault.responses;
+        if (fault.kind == Kind::None || head == 0 || !m_random.chance(fault.share))
+            return false;
+        if (fault.kind == Kind::Loss)
+            return true;
+        std::string copy(bytes);
+        if (fault.kind == Kind::CopyWithoutId)
+            copy = withoutHeader(std::move(copy), "X-Attempt-Id");
+        else if (fault.kind == Kind::CutCopy)
+            copy.resize(1 + m_random.below(head - 1));
+        scheduleCopy(std::move(copy));
+        return false;
+    }
+
+    void scheduleCopy(std::string copy)
+    {
+        m_copyTimer.expires_after(std::chrono::milliseconds(m_random.below(MaxCopyDelayMs + 1)));
+        m_copyTimer.async_wait([self = shared_from_this(), copy = std::move(copy),
+                                n = m_responses](const boost::system::error_code &ec) {
+            // Only where the next response is expected, and not within one.
+            if (ec || self->m_responses != n || self->m_replies.isWriting)
+                return;
+            boost::system::error_code unused;
+            asio::write(self->m_clientSocket, asio::buffer(copy), unused);
+        });
+    }
+
     void forward(Direction &direction, std::size_t n, Duration delay)
     {
         if (delay <= Duration::zero() && !(m_fault.*direction.held)) {
@@ -108,9 +181,11 @@
 
     void write(Direction &direction, std::size_t n)
     {
+        direction.isWriting = true;
         asio::async_write(direction.sink, asio::buffer(direction.bytes.data(), n),
                           [this, self = shared_from_this(),
                            &direction](const boost::system::error_code &ec, std::size_t) {
+                              direction.isWriting = false;
                               if (ec)
                                   abort();
                               else
@@ -130,14 +205,18 @@
     tcp::socket m_clientSocket;
     tcp::socket m_targetSocket;
     LinkFault m_fault;
+    Random m_random;
+    asio::steady_timer m_copyTimer;
+    std::size_t m_responses = 0; ///< Reads from the target.
     Direction m_requests;
     Direction m_replies;
 };
 
-TcpProxy::TcpProxy(asio::io_context &io, HttpEndpoint target)
+TcpProxy::TcpProxy(asio::io_context &io, HttpEndpoint target, std::uint64_t seed)
     : m_io(io)
     , m_acceptor(io)
     , m_target(std::move(target))
+    , m_random(seed)
 {}
 
 TcpProxy::~TcpProxy()
@@ -171,7 +250,8 @@
         if (m_fault.refuse) {
             reset(socket);
         } else {
-            const auto connection = std::make_shared<Connection>(m_io, std::move(socket), m_fault);
+            const auto connection = std::make_shared<Connection>(m_io, std::move(socket), m_fault,
+                                                                 Random(m_random()));
             std::erase_if(m_connections, [](const auto &it) { return it.expired(); });
             m_connections.push_back(connection);
             connection->start(m_target);
--- a/bench/src/tcpproxy.h
+++ b/bench/src/tcpproxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/base/random.h>
 #include <godwit/base/result.h>
 #include <godwit/base/time.h>
 #include <godwit/ports/httpendpoint.h>
@@ -7,11 +8,29 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <list>
 #include <memory>
 
 namespace godwit {
 
+/// Faults that a TcpProxy injects into responses that it reads whole, which streams are not.
+struct ResponseFault
+{
+    enum class Kind {
+        None,
+        Copy,          ///< Sent again a few milliseconds later, unless more has arrived by then.
+        CopyWithoutId, ///< The same without the header that identifies the request.
+        CutCopy,       ///< The same, but the copy ends within its head.
+        Loss,          ///< The connection is reset in place of the response.
+    };
+
+    Kind kind = Kind::None;
+    double share = 0.5; ///< Of the responses.
+
+    friend bool operator==(const ResponseFault &, const ResponseFault &) = default;
+};
+
 /// Faults that a TcpProxy injects into its connections.
 struct LinkFault
 {
@@ -19,6 +38,10 @@
     bool holdRequests = false; ///< Bytes to the target are held until cleared, as on a cut link.
     bool holdReplies = false;  ///< Bytes from the target are held until cleared.
     bool refuse = false;       ///< New connections are reset.
+    bool resetReused = false;  ///< A request resets the connection if it has carried a response.
+    ResponseFault responses = {};
+
+    friend bool operator==(const LinkFault &, const LinkFault &) = default;
 };
 
 /// Forwards TCP connections to one target and injects faults. The io_context must be run by a
@@ -26,7 +49,8 @@
 class TcpProxy
 {
 public:
-    TcpProxy(boost::asio::io_context &io, HttpEndpoint target);
+    /// \a seed determines which responses a ResponseFault affects.
+    TcpProxy(boost::asio::io_context &io, HttpEndpoint target, std::uint64_t seed = 0);
     ~TcpProxy();
 
     /// Starts to accept connections on \a address. Fails with ListenFailed.
@@ -51,6 +75,7 @@
     HttpEndpoint m_target;
     HttpEndpoint m_endpoint;
     LinkFault m_fault;
+    Random m_random;
     std::list<std::weak_ptr<Connection>> m_connections;
 };
 
--- a/standins/include/godwit/standin/fleetenginestandin.h
+++ b/standins/include/godwit/standin/fleetenginestandin.h
@@ -133,6 +133,9 @@
         m_retryAfter = std::move(retryAfter);
     }
 
+    /// Turns each \a interval-th request away as not executed, as a full engine does; 0: none.
+    void setRejectInterval(std::size_t interval) { m_rejectInterval = interval; }
+
     /// The engine answers and accepts nothing for \a length, then handles what has arrived
     /// meanwhile. Does not shorten a silence in progress.
     void fallSilent(Duration length);
@@ -199,6 +202,7 @@
     std::size_t m_receivedRequests = 0;
     bool m_isLeaving = false;
     std::optional<std::string> m_retryAfter;
+    std::size_t m_rejectInterval = 0;
     Layers m_layers; ///< Held now.
     std::uint64_t m_version = 0;
     Layers m_nextLayers; ///< Held after the load order in progress.
--- a/standins/src/fleetenginestandin.cpp
+++ b/standins/src/fleetenginestandin.cpp
@@ -33,9 +33,14 @@
     return std::string(path.substr(0, path.find('/')));
 }
 
+/// The id comes last, so that a copy may break off with the other headers but without it.
 HttpResponse notExecuted(int status, const HttpRequest &request)
 {
-    return {status, {{"X-Attempt-Id", attemptIdOf(request)}, {"X-Not-Executed", "1"}}, {}};
+    return {status,
+            {{"X-Not-Executed", "1"},
+             {"Content-Type", "text/plain"},
+             {"X-Attempt-Id", attemptIdOf(request)}},
+            {}};
 }
 
 std::uint32_t layerField(const json::object &order, std::string_view name, std::uint32_t otherwise)
@@ -346,7 +351,8 @@
         reply.send(notExecuted(421, request));
         return true;
     }
-    if (m_loadTimer || m_runs.size() >= Slots) {
+    const bool isRejected = m_rejectInterval > 0 && m_receivedRequests % m_rejectInterval == 0;
+    if (m_loadTimer || m_runs.size() >= Slots || isRejected) {
         reply.send(notExecuted(503, request));
         return true;
     }
