Use a new connection for a later attempt at the same address

What callers saw: a booking ran twice, or was refused with 503 although it ran.

Cause: a response counts as the one to an attempt if it states the id of the request. The id is that of the request, not of the attempt, so this proves something only if the connection has carried the request once. A server that starts again at its address under a new id has two records until the earlier one expires; the request goes to the earlier id, is rejected, and goes to the new one, at the same address and on the connection that has just become idle. A late copy of the rejection then counts as the second response, and the request goes to a third place while the second one runs it.

Now an attempt at an address where an earlier one has ended opens a new connection, on which no copy of an earlier response can arrive.

Evidence: 'Gateway takes no copy of a rejection' fails before (the booking runs twice, or is answered 503) and passes.

--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -301,6 +301,12 @@
     parameters.lastEventId =
             m_eventSplitter.lastId() ? m_eventSplitter.lastId() : m_request.lastEventId;
     HttpCall call = m_gateway.m_environment.protocol.forward(m_request, parameters);
+    // Servers with other ids may have been reached at this address: one that has started again
+    // there, or one whose record is outdated. The id of the request does not tell their responses
+    // apart.
+    call.needsNewConnection = std::ranges::any_of(m_attempts, [&](const PastAttempt &it) {
+        return it.endpoint == choice.endpoint && it.outcome;
+    });
     call.connectTimeout = std::min(ConnectTimeout, remaining / ConnectTimeoutDivisor);
     call.idleTimeout = remaining + DeadlineGrace;
     return call;
--- a/modules/ports/include/godwit/ports/httpcall.h
+++ b/modules/ports/include/godwit/ports/httpcall.h
@@ -41,6 +41,9 @@
     /// Header that the server copies into the response. A response with another value belongs to an
     /// earlier call on the connection and is discarded; one without the header is accepted.
     std::optional<HttpCorrelation> correlation;
+    /// Uses no idle connection. Needed if an earlier call to the endpoint had the same correlation,
+    /// because a copy of its response may follow on its connection.
+    bool needsNewConnection = false;
     /// Time of AsioScheduler after which the call fails with NotSent if no byte of it has been
     /// sent.
     std::optional<TimePoint> sendBefore;
--- a/modules/ports/src/httpclient.cpp
+++ b/modules/ports/src/httpclient.cpp
@@ -147,7 +147,8 @@
         call->fail(ResultCode::CallCancelled, "cancelled before it was sent");
         return;
     }
-    const auto connection = takeIdle(call->request.endpoint);
+    const auto connection =
+            call->request.needsNewConnection ? nullptr : takeIdle(call->request.endpoint);
     if (!connection) {
         startOnNewConnection(call);
         return;
