Fail a call if the head of its response contains a second status line

What callers saw: a booking ran twice, or was refused although it ran.

Cause: a server may send bytes that belong to no request on a connection that it keeps, such as the beginning of a copy of an earlier response. If it ends within the value of a header, or within the status line, the response that follows completes that line, and both read as one head: the status of the copy, and maybe its X-Not-Executed, with the id of the true response. A 421 needs no X-Not-Executed to count as a rejection. The request is sent again while the server runs it.

Such a head now fails the call with PlatformBadReply, which counts as a response that may hide a run. A header that only names the protocol, as Via may, is accepted.

--- a/modules/ports/src/httpparser.h
+++ b/modules/ports/src/httpparser.h
@@ -6,14 +6,33 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <string_view>
 
 namespace godwit {
 
+/// Whether \a text contains the beginning of a status line, such as "HTTP/1.1 200".
+inline bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view Version = "HTTP/1.";
+    const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+    for (auto at = text.find(Version); at != std::string_view::npos;
+         at = text.find(Version, at + 1)) {
+        // The minor version, a space and the status.
+        const std::string_view rest = text.substr(at + Version.size(), 5);
+        if (rest.size() == 5 && rest[1] == ' ' && isDigit(rest[0])
+            && std::ranges::all_of(rest.substr(2), isDigit))
+            return true;
+    }
+    return false;
+}
+
 /// Incremental parser of one HTTP message. Collects the start line and the headers, and delivers
 /// the body in parts. Trailers are ignored. Fails if the body has an encoding other than chunked.
+/// Fails if the head of a response contains a second status line: it has run together with a
+/// response of which only a part was sent, and its headers may be those of either one.
 template <bool IsRequest>
 class HttpParser : public boost::beast::http::basic_parser<IsRequest>
 {
@@ -38,7 +57,12 @@
         method = std::string(view(methodText));
         target = std::string(view(targetText));
     }
-    void on_response_impl(int code, View, int, Code &) override { status = code; }
+    void on_response_impl(int code, View reason, int, Code &ec) override
+    {
+        status = code;
+        if (containsStatusLine(view(reason)))
+            ec = boost::beast::http::error::bad_reason;
+    }
     void on_field_impl(boost::beast::http::field field, View name, View value, Code &ec) override
     {
         if (m_isHeaderComplete)
@@ -48,6 +72,8 @@
         if (field == boost::beast::http::field::transfer_encoding
             && !boost::beast::iequals(value, "chunked"))
             ec = boost::beast::http::error::bad_transfer_encoding;
+        if (!IsRequest && containsStatusLine(view(value)))
+            ec = boost::beast::http::error::bad_value;
         headers.add(view(name), view(value));
     }
     void on_header_impl(Code &) override
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -190,6 +190,35 @@
     }
 }
 
+// Guards against a response that reads as one with the beginning of a copy that broke off, and
+// against the loss of a sound response that only names the protocol.
+TEST_CASE("A call fails if the head of its response contains a second status line")
+{
+    struct Row
+    {
+        std::string head;
+        bool isSound;
+    };
+    const Row row = GENERATE(Row{"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 desk\r\n", true},
+                             Row{"HTTP/1.1 200 Not HTTP/1.0\r\n", true},
+                             Row{"HTTP/1.1 200 OK\r\nServer: desk HTTP/1.1 20\r\n", true},
+                             Row{"HTTP/1.1 200 OK\r\nServer: HTTP/1.HTTP/1.1 503 Busy\r\n", false},
+                             Row{"HTTP/1.1 503 Busy\r\nServer: desHTTP/1.1 200 OK\r\n", false},
+                             Row{"HTTP/1.1 421 MisHTTP/1.0 200\r\n", false});
+    CAPTURE(row.head);
+    boost::asio::io_context io;
+    ClosingServer server(io, row.head + "Content-Length: 0\r\n\r\n", ClosingServer::Close::Fin);
+    HttpClient client(io);
+    HttpCall call;
+    call.endpoint = server.endpoint();
+    std::optional<Outcome<HttpResponse>> result;
+    client.call(call, [&](Outcome<HttpResponse> outcome) { result = std::move(outcome); });
+    runUntil(io, [&] { return result.has_value(); });
+    CHECK(succeeded(*result) == row.isSound);
+    if (!row.isSound)
+        CHECK(std::get<Error>(*result).code == ResultCode::PlatformBadReply);
+}
+
 // Guards against an order that reaches its server long after the facts that it is based on.
 TEST_CASE("A call is not sent after the time by which it has to be")
 {
