Take an error response of an engine for that of its request only if it can be no other

Callers of the product's own interface could see a request run twice: HttpEngine drops a response that states the id of another request, but believed a refusal without an id. On a connection that has carried requests before, it may be a late copy of another refusal; the request then counted as not run, and was run again elsewhere while the engine ran it.

A refusal is now believed if it states the id, or if its connection has carried no other request. Any other one ends the attempt as a response that may hide a run. The engine stand-in states the id in its refusals, as it already had to in its events.

No run with real processes.

--- a/modules/ports/src/httpengine.cpp
+++ b/modules/ports/src/httpengine.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t ErrorBodyLimit = 16UL * 1024;
+constexpr std::string_view RequestIdHeader = "X-Request-Id";
 constexpr std::uint64_t StreamLimit = std::uint64_t(1) << 32; ///< Maximum bytes of one response.
 
 /// Origin of an event, sent as a member of each chunk.
@@ -131,8 +132,12 @@
     HttpStreamHandlers handlers()
     {
         HttpStreamHandlers result;
-        result.onHeader = [self = shared_from_this()](int status, const HttpHeaders &) {
+        result.onSending = [self = shared_from_this()](std::size_t earlierCalls) {
+            self->m_isFirstCall = earlierCalls == 0;
+        };
+        result.onHeader = [self = shared_from_this()](int status, const HttpHeaders &headers) {
             self->m_status = status;
+            self->m_isIdentified = headers.value(RequestIdHeader) == self->m_request.value();
         };
         result.onData = [self = shared_from_this()](std::string_view data) { self->onData(data); };
         result.onEnd = [self = shared_from_this()](const Outcome<std::monostate> &outcome) {
@@ -224,6 +229,10 @@
     {
         if (const auto *error = std::get_if<Error>(&outcome))
             finish(*error);
+        else if (m_status != 200 && !m_isIdentified && !m_isFirstCall)
+            finish(Error{ResultCode::PlatformBadReply,
+                         "HTTP status " + std::to_string(m_status)
+                                 + " of a response that may belong to an earlier request"});
         else if (m_status != 200)
             finish(errorFromResponse({m_status, {}, m_errorBody})
                            .value_or(Error{ResultCode::PlatformBadReply,
@@ -254,6 +263,10 @@
     EngineUsage m_usage;
     std::string m_errorBody;
     int m_status = 0;
+    /// The connection has carried no request before, so that the response cannot be a copy of the
+    /// response to another one. Events identify their request, error responses may not.
+    bool m_isFirstCall = false;
+    bool m_isIdentified = false; ///< The response states the id of the request.
     bool m_doneReceived = false; ///< The end marker [DONE] has arrived.
     bool m_ended = false;
 };
@@ -275,7 +288,7 @@
                         {"Accept", "text/event-stream"},
                         {"X-Model", call.pin.model.value()},
                         {"X-Model-Version", call.pin.version.value()},
-                        {"X-Request-Id", call.request.value()},
+                        {std::string(RequestIdHeader), call.request.value()},
                         {"X-Attempt", std::to_string(call.attempt.value)},
                         {"X-Priority", std::to_string(call.priority)},
                         {"X-Resume-Position", std::to_string(call.resumePosition)}};
@@ -307,7 +320,7 @@
     call.stallTimeout = engineCall.stallTimeout;
     call.bodyLimit = StreamLimit;
     // Drops a late response to an earlier request whose id it states.
-    call.correlation = HttpCorrelation{"X-Request-Id", engineCall.request.value()};
+    call.correlation = HttpCorrelation{std::string(RequestIdHeader), engineCall.request.value()};
     const auto stream = std::make_shared<EngineStream>(engineCall, std::move(handlers));
     auto handle = m_client.stream(std::move(call), stream->handlers());
     boost::asio::post(m_client.context(), [stream, handle] { stream->setHandle(handle); });
--- a/standins/include/godwit/standin/enginestandin.h
+++ b/standins/include/godwit/standin/enginestandin.h
@@ -53,6 +53,9 @@
     struct WeightLoad;
     using RunPointer = std::shared_ptr<Run>;
 
+    /// Refuses a request that does not run. States its id, as engines do in their responses.
+    static void refuseCompletion(const HttpRequest &request, const ReplyPointer &reply, int status,
+                                 std::string_view code, std::string_view message);
     void handleCompletion(const HttpRequest &request, const ReplyPointer &reply);
     /// Reads the options in the member `standin` of a completion body.
     void readRequestOptions(const boost::json::object &body, Run &run) const;
--- a/standins/include/godwit/standin/standin.h
+++ b/standins/include/godwit/standin/standin.h
@@ -83,6 +83,7 @@
     void restartServer();
 
     static void sendJson(const ReplyPointer &reply, int status, const boost::json::value &body);
+    static HttpResponse errorResponse(int status, std::string_view code, std::string_view message);
     static void sendError(const ReplyPointer &reply, int status, std::string_view code,
                           std::string_view message);
 
--- a/standins/src/enginestandin.cpp
+++ b/standins/src/enginestandin.cpp
@@ -187,17 +187,26 @@
     return run;
 }
 
+void EngineStandin::refuseCompletion(const HttpRequest &request, const ReplyPointer &reply,
+                                     int status, std::string_view code, std::string_view message)
+{
+    HttpResponse response = errorResponse(status, code, message);
+    response.headers.add("X-Request-Id", request.headers.value("X-Request-Id"));
+    reply->send(std::move(response));
+}
+
 void EngineStandin::handleCompletion(const HttpRequest &request, const ReplyPointer &reply)
 {
     const RunPointer run = createRun(request, reply);
     if (!run) {
-        sendError(reply, 400, "invalid", "the body is not a valid completion request");
+        refuseCompletion(request, reply, 400, "invalid",
+                         "the body is not a valid completion request");
     } else if (run->pin.model.empty()) {
         ledgerEntry(*run).outcome = RunOutcome::Dropped;
-        sendError(reply, 404, "not_loaded", "the requested weights are not loaded");
+        refuseCompletion(request, reply, 404, "not_loaded", "the requested weights are not loaded");
     } else if (m_queue.size() >= m_config.queueLimit) {
         ledgerEntry(*run).outcome = RunOutcome::Dropped;
-        sendError(reply, 503, "busy", "the request queue is full");
+        refuseCompletion(request, reply, 503, "busy", "the request queue is full");
     } else {
         enqueue(run);
     }
--- a/standins/src/standin.cpp
+++ b/standins/src/standin.cpp
@@ -128,9 +128,15 @@
 
 void Standin::sendError(const ReplyPointer &reply, int status, std::string_view code,
                         std::string_view message)
+{
+    reply->send(errorResponse(status, code, message));
+}
+
+HttpResponse Standin::errorResponse(int status, std::string_view code, std::string_view message)
 {
     const boost::json::object error{{"code", std::string(code)}, {"message", std::string(message)}};
-    sendJson(reply, status, boost::json::object{{"error", error}});
+    return HttpResponse::json(status,
+                              boost::json::serialize(boost::json::object{{"error", error}}));
 }
 
 HttpServer::Handler Standin::handler()
