Confirm nothing that a copy of the store may lack in a process that starts after its return

What callers saw: after the store had come back from a copy, an entry process that started then ran requests with a key that had been revoked 6 s before, and whose revocation the copy lacked.

Cause: the first list in an era above 0 counted as complete up to 2.5 s before it. That is the time within which lost writes are written again, not the age of the copy. The configuration therefore counted as young enough to accept keys.

Until those 2.5 s are over, the list now confirms only what is older than any copy, and an entry process that checks keys against their revocation is not ready before it may accept them. The refresh in the middle of the period is gone: it could confirm nothing more.

The test of the mirror fails with the earlier time (2 of 129 assertions).

Tests changed: 'The first confirmation ... is backdated' expected the wrong time; it now expects that nothing younger than a copy can be is confirmed to the millisecond before the end of the period. 'PrefixMirror asks for a confirmation' bounded the age in that period by the same wrong time; it now asks for exactly one list, at its end.

--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -76,9 +76,9 @@
     /// by then.
     void beginShutdown(const ShutdownTimes &times);
 
-    /// Whether requests can be served: a configuration is known, and for each of its models an
-    /// eligible backend server. Remains true once reached: a lack of backend servers is no reason
-    /// to send clients to another entry process.
+    /// Whether requests can be served: a configuration is known, recently enough for requests with
+    /// keys, and for each of its models an eligible backend server. Remains true once reached: a
+    /// lack of backend servers is no reason to send clients to another entry process.
     bool isReady();
 
     std::size_t inProgress() const { return m_requests.size(); }
@@ -91,6 +91,8 @@
 
     /// Time since the configuration was last confirmed to be the newest.
     Duration configurationAge() const;
+    /// Whether the configuration shows that a key has not been revoked for too long.
+    bool isRecentEnoughForKeys() const;
     /// Time from the arrival of \a request to its deadline.
     Duration timeout(const ClientRequest &request, const Route &route) const;
     /// Whether \a request arrives late in the shutdown and may not be complete before its end.
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -94,11 +94,17 @@
 
 bool Gateway::isReady()
 {
-    if (!m_wasReady && m_routeTable && m_configurationConfirmedAt)
+    if (!m_wasReady && m_routeTable && m_configurationConfirmedAt
+        && (!m_routeTable->requiresKeys() || isRecentEnoughForKeys()))
         m_wasReady = m_backends.servesAllModels(m_environment.scheduler.now());
     return m_wasReady;
 }
 
+bool Gateway::isRecentEnoughForKeys() const
+{
+    return m_options.maxKeyAge <= Duration::zero() || configurationAge() <= m_options.maxKeyAge;
+}
+
 Duration Gateway::configurationAge() const
 {
     return m_configurationConfirmedAt ? m_environment.scheduler.now() - *m_configurationConfirmedAt
@@ -188,7 +194,7 @@
     const CustomerAccess *access = m_routeTable->findCustomer(request.key);
     if (!access)
         return Error{ResultCode::CustomerDenied, "unknown API key"};
-    if (m_options.maxKeyAge > Duration::zero() && configurationAge() > m_options.maxKeyAge)
+    if (!isRecentEnoughForKeys())
         return Error{ResultCode::ConfigurationStale,
                      "configuration too old to verify that the API key is still valid"};
     customer = access->customer;
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -55,6 +55,18 @@
         CHECK(it.sendRequest("/safe/x")->status == 503);
         CHECK(it.backendCalls.empty());
     }
+    // Guards against a process that takes clients which it refuses for the first seconds.
+    SECTION("a process is ready once it can accept keys, and stays so")
+    {
+        Fixture started;
+        started.configure();
+        started.scheduler.advance(4100ms);
+        CHECK_FALSE(started.gateway.isReady());
+        started.gateway.onConfigurationConfirmed(started.scheduler.now());
+        CHECK(started.gateway.isReady());
+        started.scheduler.advance(1h);
+        CHECK(started.gateway.isReady());
+    }
     SECTION("an older configuration does not replace a newer one")
     {
         auto newer = Fixture::configuration(9);
--- a/modules/mirror/include/godwit/mirror/prefixmirror.h
+++ b/modules/mirror/include/godwit/mirror/prefixmirror.h
@@ -74,8 +74,8 @@
     /// Writes that a restored service has lost are written again within this time after its return.
     static constexpr Duration RewritePeriod = std::chrono::milliseconds(2500);
 
-    /// Interval of refreshes in that period, see refreshUntilRewritten().
-    static constexpr Duration RefreshInterval = RewritePeriod / 2;
+    /// Upper bound of the age of the copy from which a service comes back.
+    static constexpr Duration MaxCopyAge = std::chrono::hours(1);
 
     PrefixMirror(KeyValuePort &store, Scheduler &scheduler, Random random, std::string prefix,
                  MirrorHandlers handlers);
@@ -90,9 +90,9 @@
     /// progress.
     void refresh();
 
-    /// Refreshes from now on in and at the end of each period in which lost writes may still be
-    /// missing, for users that need recent confirmations: in it they are late by its length, and
-    /// the next response of the watch may come long after it.
+    /// Refreshes from now on at the end of each period in which lost writes may still be missing,
+    /// for users that need recent confirmations: in it they do not advance, and the next response
+    /// of the watch may come long after it.
     void refreshUntilRewritten() { m_refreshesUntilRewritten = true; }
 
     /// The most recent of the failed calls; none if no call has failed yet.
--- a/modules/mirror/src/prefixmirror.cpp
+++ b/modules/mirror/src/prefixmirror.cpp
@@ -81,10 +81,8 @@
     const TimePoint now = m_scheduler.now();
     if (!m_refreshesUntilRewritten || now >= m_rewriteEnd)
         return;
-    const Duration left = m_rewriteEnd - now;
-    // After a return nothing more is confirmed before the end of the period.
-    const Duration delay = m_wasRestored ? left : std::min(left, RefreshInterval);
-    m_refreshTimer = m_scheduler.after(delay, [this] {
+    // Nothing more is confirmed before the end of the period.
+    m_refreshTimer = m_scheduler.after(m_rewriteEnd - now, [this] {
         refresh();
         scheduleRefresh();
     });
@@ -283,7 +281,8 @@
 {
     if (std::max(requestTime, m_quietUntil) >= m_rewriteEnd)
         return requestTime;
-    return m_wasRestored ? *m_confirmedAt : requestTime - RewritePeriod;
+    // A mirror that was started after the return does not know how old the copy is.
+    return m_wasRestored ? *m_confirmedAt : requestTime - MaxCopyAge;
 }
 
 void PrefixMirror::onWatchEnd(const Outcome<Done> &outcome)
--- a/modules/mirror/tests/prefixmirrortest.cpp
+++ b/modules/mirror/tests/prefixmirrortest.cpp
@@ -411,8 +411,9 @@
 }
 
 // Guards against a process that starts right after the store has come back, and denies what a lost
-// change allows.
-TEST_CASE("The first confirmation of a store that may have come back from a copy is backdated")
+// change allows, or accepts a key whose lost revocation is older than the period in which it is
+// written again.
+TEST_CASE("A store that may have come back from a copy confirms nothing that the copy may lack")
 {
     Fixture it;
     PrefixMirror mirror(it.store, it.scheduler, Random(1), "p/", it.handlers());
@@ -422,10 +423,15 @@
     SECTION("if it states an era")
     {
         it.listed(10, {}, StoreEra{3});
-        CHECK(it.confirmedAt == asked - PrefixMirror::RewritePeriod);
-        it.scheduler.advance(PrefixMirror::RewritePeriod);
-        it.store.watches.back().second.onConfirmed(StoreRevision{10}, it.scheduler.now());
-        CHECK(it.confirmedAt == it.scheduler.now());
+        const TimePoint start = it.scheduler.now();
+        CHECK(it.confirmedAt == asked - PrefixMirror::MaxCopyAge);
+        it.scheduler.advance(PrefixMirror::RewritePeriod - 1ms);
+        const auto &watch = it.store.watches.back().second;
+        watch.onConfirmed(StoreRevision{10}, it.scheduler.now());
+        CHECK(it.confirmedAt < start - PrefixMirror::MaxCopyAge + PrefixMirror::RewritePeriod);
+        it.scheduler.advance(1ms);
+        watch.onConfirmed(StoreRevision{10}, it.scheduler.now());
+        CHECK(it.confirmedAt == start + PrefixMirror::RewritePeriod);
     }
     SECTION("and not otherwise")
     {
@@ -447,16 +453,14 @@
     SECTION("after the start")
     {
         it.listed(10, {}, StoreEra{3});
-        const TimePoint start = it.scheduler.now();
-        while (it.scheduler.now() < start + 2 * PrefixMirror::RewritePeriod) {
-            const std::size_t lists = it.store.lists.size();
-            it.scheduler.advance(50ms);
-            CHECK(age() <= PrefixMirror::RewritePeriod + PrefixMirror::RefreshInterval + 50ms);
-            if (it.store.lists.size() > lists)
-                it.listed(10, {}, StoreEra{3});
-        }
-        CHECK(it.store.lists.size() == 3);
-        CHECK(it.confirmedAt == start + PrefixMirror::RewritePeriod);
+        it.scheduler.advance(PrefixMirror::RewritePeriod - 1ms);
+        CHECK(it.store.lists.size() == 1);
+        it.scheduler.advance(1ms);
+        REQUIRE(it.store.lists.size() == 2);
+        it.listed(10, {}, StoreEra{3});
+        CHECK(age() == Duration::zero());
+        it.scheduler.advance(10s);
+        CHECK(it.store.lists.size() == 2);
     }
     SECTION("after a return")
     {
