Let the soak send streams that may run once, and long bodies

A stream that may not be resumed is the second kind of request that may run once, and no run of the soak had one; nor had any a body of more than a few bytes, which may still be on its way when it is rejected. The check on runs covers both.

--- a/bench/src/soakcallers.cpp
+++ b/bench/src/soakcallers.cpp
@@ -12,6 +12,9 @@
 constexpr Duration DefaultPause = std::chrono::milliseconds(40);
 constexpr Duration MaxPause = std::chrono::milliseconds(1000);
 constexpr double StreamShare = 2.0 / 3; ///< Of the requests other than bookings.
+constexpr double LiveStreamShare = 0.3; ///< Of the rest.
+constexpr double LongBodyShare = 0.1;
+constexpr std::size_t MaxBodyBytes = 40'000;
 constexpr double CancelShare = 0.05;
 constexpr double UnknownKeyShare = 0.02;
 constexpr double UnknownRouteShare = 0.02;
@@ -71,7 +74,10 @@
     attempt.deadlineMs = DeadlineMs;
     attempt.kind = random.chance(m_options.bookingShare) ? FleetRequestKind::Booking
                    : random.chance(StreamShare)          ? FleetRequestKind::Stream
+                   : random.chance(LiveStreamShare)      ? FleetRequestKind::LiveStream
                                                          : FleetRequestKind::Lookup;
+    if (random.chance(LongBodyShare))
+        attempt.bodyBytes = random.below(MaxBodyBytes);
     attempt.key = "key-0";
     outcome.customer = "customer-0";
     if (random.chance(SecondCustomerShare)) {
--- a/bench/src/soakrecord.cpp
+++ b/bench/src/soakrecord.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 using standin::FleetArrival;
-using standin::FleetRequestKind;
 using standin::FleetRun;
 using standin::FleetWrongPiece;
 
@@ -18,7 +17,6 @@
 /// The platform tolerates pieces that turned corrupt at most this long before an engine took them.
 constexpr Duration ToleratedCorruption = std::chrono::milliseconds(3000);
 constexpr std::size_t MaxAttempts = 3;
-constexpr std::size_t MaxBookingAttempts = 2;
 /// Requests that are on their way when a server states a retry time may still arrive for this long.
 constexpr Duration RetryAfterGrace = std::chrono::milliseconds(500);
 constexpr std::ptrdiff_t MaxEarlyArrivals = 2;
@@ -38,7 +36,7 @@
 {
     if (outcome.status != 200)
         return {};
-    if (outcome.attempt.kind != FleetRequestKind::Stream) {
+    if (!isStream(outcome.attempt.kind)) {
         const bool isIntact =
                 standin::isSealedReply(outcome.headers, outcome.body, outcome.attempt.id);
         return outcome.isComplete && !isIntact
@@ -65,12 +63,12 @@
 {
     if (runs.empty())
         return {};
-    const bool isBooking = outcome.attempt.kind == FleetRequestKind::Booking;
-    if (isBooking && runs.size() > 1)
+    const bool isOnce = runsAtMostOnce(outcome.attempt.kind);
+    if (isOnce && runs.size() > 1)
         return "ran " + std::to_string(runs.size()) + " times";
-    if (isBooking && isRefusal(outcome.status))
+    if (isOnce && isRefusal(outcome.status))
         return "ran although it was refused with " + std::to_string(outcome.status);
-    if (runs.size() > (isBooking ? MaxBookingAttempts : MaxAttempts))
+    if (runs.size() > MaxAttempts)
         return "ran more often than its route allows";
     if (outcome.customer.empty())
         return "ran with a key that was never configured";
--- a/bench/tests/soakrecordtest.cpp
+++ b/bench/tests/soakrecordtest.cpp
@@ -21,7 +21,7 @@
     it.status = 200;
     it.isComplete = true;
     it.sent = Start;
-    if (kind == FleetRequestKind::Stream) {
+    if (isStream(kind)) {
         for (std::uint64_t number = 1; number <= standin::FleetStreamEventCount; ++number)
             it.body += standin::streamEvent("a1", number);
     } else {
@@ -150,6 +150,22 @@
             CHECK(findViolations(record).empty());
         }
     }
+    SECTION("of a stream that may run once")
+    {
+        record.outcomes = {served(FleetRequestKind::LiveStream)};
+        CHECK(findViolations(record).empty());
+
+        SECTION("that ran twice")
+        {
+            record.ledger.runs.push_back(run());
+            CHECK(findViolations(record).size() == 1);
+        }
+        SECTION("that ran although it was refused")
+        {
+            record.outcomes.front().status = 503;
+            CHECK(findViolations(record).size() == 1);
+        }
+    }
     SECTION("of a plain request")
     {
         record.outcomes = {served(FleetRequestKind::Booking)};
--- a/standins/include/godwit/standin/fleetwire.h
+++ b/standins/include/godwit/standin/fleetwire.h
@@ -16,11 +16,22 @@
 
 /// Kinds of requests served by the simulated fleet.
 enum class FleetRequestKind {
-    Stream,  ///< Streamed model response; can be resumed on another engine.
-    Booking, ///< Must not be executed twice.
-    Lookup,  ///< Idempotent; can be retried.
+    Stream,     ///< Streamed model response; can be resumed on another engine.
+    Booking,    ///< Must not be executed twice.
+    Lookup,     ///< Idempotent; can be retried.
+    LiveStream, ///< Streamed model response that must not be executed twice, nor resumed.
 };
 
+constexpr bool isStream(FleetRequestKind kind)
+{
+    return kind == FleetRequestKind::Stream || kind == FleetRequestKind::LiveStream;
+}
+
+constexpr bool runsAtMostOnce(FleetRequestKind kind)
+{
+    return kind == FleetRequestKind::Booking || kind == FleetRequestKind::LiveStream;
+}
+
 /// One attempt of a client to run a request.
 struct FleetAttempt
 {
@@ -28,7 +39,8 @@
     FleetRequestKind kind = FleetRequestKind::Lookup;
     std::string key;
     std::uint64_t deadlineMs = 0;
-    std::string route; ///< First path segment; empty for the default of the kind.
+    std::string route;         ///< First path segment; empty for the default of the kind.
+    std::size_t bodyBytes = 0; ///< At least; for kinds that have a body.
 };
 
 constexpr std::uint64_t FleetStreamEventCount = 12;
--- a/standins/src/fleetwire.cpp
+++ b/standins/src/fleetwire.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace godwit::standin {
@@ -28,6 +29,7 @@
         {FleetRequestKind::Stream, "draft", "streaming", ModelService, 3},
         {FleetRequestKind::Booking, "book", "unsafe", BookingService, 2},
         {FleetRequestKind::Lookup, "look", "safe", BookingService, 3},
+        {FleetRequestKind::LiveStream, "live", "streaming", ModelService, 2},
 };
 
 const KindInfo &infoOf(FleetRequestKind kind)
@@ -90,12 +92,14 @@
     call.headers = {{"X-Attempt-Id", attempt.id},
                     {"X-Deadline-Ms", std::to_string(attempt.deadlineMs)},
                     {"Authorization", "Token " + attempt.key}};
-    if (attempt.kind == FleetRequestKind::Stream) {
+    if (isStream(attempt.kind)) {
         call.headers.add("X-Model", FleetModel);
         call.headers.add("X-Token-Usage", "400,72");
     }
     if (attempt.kind != FleetRequestKind::Lookup)
         call.body = "order of " + attempt.id;
+    if (!call.body.empty())
+        call.body.resize(std::max(call.body.size(), attempt.bodyBytes), '.');
     call.idleTimeout = std::chrono::milliseconds(attempt.deadlineMs);
     return call;
 }
