--- a/bench/src/tcpproxy.cpp
+++ b/bench/src/tcpproxy.cpp
@@ -1,5 +1,7 @@
 #include "tcpproxy.h"
 
+#include <godwit/standin/fleetwire.h>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -145,7 +147,7 @@
             return true;
         std::string copy(bytes);
         if (fault.kind == Kind::CopyWithoutId)
-            copy = withoutHeader(std::move(copy), "X-Attempt-Id");
+            copy = withoutHeader(std::move(copy), standin::AttemptIdHeader);
         else if (fault.kind == Kind::CutCopy)
             copy.resize(1 + m_random.below(head - 1));
         scheduleCopy(std::move(copy));
--- a/standins/include/godwit/standin/fleetwire.h
+++ b/standins/include/godwit/standin/fleetwire.h
@@ -76,6 +76,8 @@
 
 std::string versionJson(std::uint64_t version);
 
+/// Identifies the request that a response belongs to.
+constexpr std::string_view AttemptIdHeader = "X-Attempt-Id";
 constexpr std::string_view FleetModel = "soak-model";
 constexpr std::string_view ModelService = "models";
 constexpr std::string_view BookingService = "bookings";
