--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -235,6 +235,7 @@
     /// Time until \a backend with \a load requests has a free slot for a request of \a urgency.
     static double waitSeconds(const Backend &backend, RequestUrgency urgency, double load,
                               double slots, double hold);
+    void recordOutputTokens(const BackendQuery &query);
     static void recordFailure(Backend &backend, TimePoint now);
     static void removeFromQueue(Backend &backend, RequestUrgency urgency);
     /// Weight, from 0 to 1, of the last load report of \a backend; decays with its age.
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -9,22 +9,6 @@
 
 /// Slot holding time assumed until a request has completed, in seconds.
 constexpr double DefaultHoldSeconds = 0.5;
-/// Weight of the newest sample in the moving averages of holding time and output tokens.
-constexpr double HoldWeight = 0.05;
-/// Weight of the newest attempt in the failure rate.
-constexpr double FailureWeight = 0.1;
-/// Weight of the newest sample in the moving average of the start delay.
-constexpr double StartDelayWeight = 0.03;
-/// Lateness beyond the usual start delay of the service that is ignored. A congested link or a slow
-/// machine adds more.
-constexpr double ToleratedLatenessSeconds = 0.1;
-constexpr double LatenessWeight = 0.3;
-constexpr double MaxLatenessSeconds = 1.0;
-/// Time constant with which a measured lateness decays, so that a backend server that was late is
-/// tried again.
-constexpr double LatenessDecaySeconds = 2.0;
-/// Longer delays are caused by unknown load rather than by the prefill pass of the engine.
-constexpr double MaxStartDelaySeconds = 0.25;
 /// Assumed if neither the record, nor a response, nor the configuration of the service states the
 /// number.
 constexpr std::uint32_t DefaultSlots = 4;
@@ -44,8 +28,6 @@
 /// Range of the random term of the cost, in seconds. Keeps entry processes with the same view from
 /// all selecting the same backend server.
 constexpr double JitterSeconds = 0.005;
-/// Weight of the newest gap in the moving average of a backend server.
-constexpr double EventGapWeight = 0.03;
 /// Average gap, in multiples of the median of all backend servers, up to which there is no penalty.
 constexpr double ToleratedEventGapRatio = 1.5;
 /// Penalty per median of excess gap, in seconds.
@@ -54,13 +36,6 @@
 /// Time constant with which a measured gap decays, so that a backend server that was slow is tried
 /// again.
 constexpr double EventGapDecaySeconds = 3.0;
-constexpr Duration MinFailureBackoff = std::chrono::milliseconds(300);
-constexpr Duration MaxFailureBackoff = std::chrono::seconds(4);
-/// Doubles with each consecutive rejection. An engine that loads weights rejects requests for up to
-/// 2.5 s, and each attempt costs a part of the retry budget.
-constexpr Duration MinRejectionBackoff = std::chrono::milliseconds(200);
-constexpr Duration MaxRejectionBackoff = std::chrono::milliseconds(1200);
-constexpr int MaxBackoffDoublings = 8;
 
 /// An engine that is about to load new weights waits for its longest request with most of its slots
 /// empty. A request that would still be running then is penalised by this much per second of that
@@ -71,18 +46,6 @@
 /// Upper bound of the predicted wait for a slot.
 constexpr double MaxWaitSeconds = 60;
 
-Duration failureBackoff(int consecutiveFailures)
-{
-    const int doublings = std::min(consecutiveFailures - 1, MaxBackoffDoublings);
-    return std::min(MinFailureBackoff * (1 << doublings), MaxFailureBackoff);
-}
-
-Duration rejectionBackoff(int consecutiveRejections)
-{
-    const int doublings = std::min(consecutiveRejections - 1, MaxBackoffDoublings);
-    return std::min(MinRejectionBackoff * (1 << doublings), MaxRejectionBackoff);
-}
-
 BackendInstance instanceOf(const BackendRecord &record)
 {
     return {record.id, record.startTimeMs};
@@ -258,26 +221,6 @@
     return weight * std::min(MaxEventGapPenaltySeconds, excess * EventGapPenaltySeconds);
 }
 
-void BackendPool::recordEventGap(const BackendId &id, Duration gap, TimePoint now)
-{
-    Backend *backend = find(id);
-    if (!backend)
-        return;
-    const double seconds = toSeconds(gap);
-    backend->eventGapSeconds =
-            backend->eventGapSeconds > 0
-                    ? backend->eventGapSeconds
-                              + EventGapWeight * (seconds - backend->eventGapSeconds)
-                    : seconds;
-    backend->eventGapAt = now;
-}
-
-Duration BackendPool::eventGap(const BackendId &id) const
-{
-    const auto it = m_backends.find(id);
-    return it == m_backends.end() ? Duration::zero() : fromSeconds(it->second.eventGapSeconds);
-}
-
 double BackendPool::estimateRequests(const Backend &backend, double meanRemote, TimePoint now) const
 {
     if (!backend.loadReportedAt)
@@ -376,10 +319,7 @@
 std::variant<BackendChoice, NoBackend> BackendPool::choose(const BackendQuery &query, TimePoint now)
 {
     updateSchedules();
-    if (query.outputTokens > 0) {
-        double &mean = m_services[query.service].outputTokens;
-        mean = mean > 0 ? mean + HoldWeight * (query.outputTokens - mean) : query.outputTokens;
-    }
+    recordOutputTokens(query);
     const Service *service = findService(query.service);
     std::vector<const Backend *> serving;
     std::vector<PassedOverBackend> passedOver;
@@ -483,132 +423,6 @@
            && servedVersion(it->second.record, model) == version;
 }
 
-void BackendPool::onAttemptStarted(const BackendId &id, RequestUrgency urgency)
-{
-    Backend *backend = find(id);
-    if (!backend)
-        return;
-    ++backend->localRequests;
-    ++backend->queuedRequests;
-    backend->queuedLateRequests += urgency == RequestUrgency::Late;
-}
-
-void BackendPool::removeFromQueue(Backend &backend, RequestUrgency urgency)
-{
-    if (backend.queuedRequests > 0)
-        --backend.queuedRequests;
-    if (urgency == RequestUrgency::Late && backend.queuedLateRequests > 0)
-        --backend.queuedLateRequests;
-}
-
-void BackendPool::onResponseStarted(const BackendId &id, RequestUrgency urgency)
-{
-    if (Backend *backend = find(id))
-        removeFromQueue(*backend, urgency);
-}
-
-double BackendPool::expectedStartLateness(const Backend &backend, TimePoint now)
-{
-    const double age = toSeconds(now - backend.startLatenessAt);
-    return std::min(MaxLatenessSeconds,
-                    backend.startLatenessSeconds * std::exp(-age / LatenessDecaySeconds));
-}
-
-void BackendPool::recordStartDelay(const BackendId &id, Duration delay, TimePoint now)
-{
-    Backend *backend = find(id);
-    if (!backend)
-        return;
-    Service &service = m_services[backend->record.service];
-    const double late =
-            std::max(0.0, toSeconds(delay) - service.startDelaySeconds - ToleratedLatenessSeconds);
-    backend->startLatenessSeconds += LatenessWeight * (late - backend->startLatenessSeconds);
-    backend->startLatenessAt = now;
-    const double seconds = std::clamp(toSeconds(delay), 0.0, MaxStartDelaySeconds);
-    service.startDelaySeconds += StartDelayWeight * (seconds - service.startDelaySeconds);
-}
-
-void BackendPool::onFinishedBeforeResponse(const BackendId &id, RequestUrgency urgency)
-{
-    if (Backend *backend = find(id))
-        removeFromQueue(*backend, urgency);
-}
-
-void BackendPool::onSilence(const BackendId &id, TimePoint now)
-{
-    if (Backend *backend = find(id))
-        recordFailure(*backend, now);
-}
-
-void BackendPool::onSilenceEnded(const BackendId &id, TimePoint now)
-{
-    Backend *backend = find(id);
-    if (!backend)
-        return;
-    backend->consecutiveFailures = 0;
-    if (backend->consecutiveRejections == 0)
-        backend->backoffUntil = std::min(backend->backoffUntil, now);
-}
-
-void BackendPool::recordFailure(Backend &backend, TimePoint now)
-{
-    ++backend.consecutiveFailures;
-    backend.failureRate += FailureWeight * (1 - backend.failureRate);
-    backend.backoffUntil = now + failureBackoff(backend.consecutiveFailures);
-}
-
-void BackendPool::onAttemptFinished(const BackendId &id, AttemptOutcome outcome, Duration held,
-                                    TimePoint now)
-{
-    Backend *backend = find(id);
-    if (!backend)
-        return;
-    if (backend->localRequests > 0)
-        --backend->localRequests;
-    switch (outcome) {
-    case AttemptOutcome::Abandoned:
-    case AttemptOutcome::Withdrawn:
-        return;
-    case AttemptOutcome::Complete: {
-        Service &service = m_services[backend->record.service];
-        const double seconds = toSeconds(held) + service.startDelaySeconds;
-        service.holdSeconds =
-                service.holdSeconds > 0
-                        ? service.holdSeconds + HoldWeight * (seconds - service.holdSeconds)
-                        : seconds;
-        backend->consecutiveFailures = 0;
-        backend->consecutiveRejections = 0;
-        backend->failureRate *= 1 - FailureWeight;
-        return;
-    }
-    case AttemptOutcome::Failed:
-        backend->failureRate += FailureWeight * (1 - backend->failureRate);
-        return;
-    case AttemptOutcome::Rejected:
-        backend->backoffUntil = now + rejectionBackoff(++backend->consecutiveRejections);
-        return;
-    case AttemptOutcome::OtherProcess:
-        backend->replaced = true;
-        return;
-    case AttemptOutcome::Unreachable:
-    case AttemptOutcome::Broken:
-    case AttemptOutcome::Silent:
-        recordFailure(*backend, now);
-        return;
-    }
-}
-
-void BackendPool::recordLoad(const BackendId &id, const BackendLoad &load, TimePoint now)
-{
-    Backend *backend = find(id);
-    if (!backend)
-        return;
-    backend->reportedSlots = load.slots;
-    backend->remoteRequests = std::max(0.0, static_cast<double>(load.running) + load.waiting
-                                                    - static_cast<double>(backend->localRequests));
-    backend->loadReportedAt = now;
-}
-
 std::uint32_t BackendPool::inProgress(const BackendId &id) const
 {
     const auto it = m_backends.find(id);
