Let a replaced server of the soak reject requests

The combined faults set the rejections before the server was replaced, and the new process did not have them, so that only the 421 of requests to the earlier id were repeated.

--- a/bench/src/soak.cpp
+++ b/bench/src/soak.cpp
@@ -178,8 +178,8 @@
     void copyRejections(std::size_t i, ResponseFault::Kind kind)
     {
         responseFault(i, kind);
-        rejectRequests(i);
         replaceEngine(i);
+        rejectRequests(i);
     }
     void copyOwnRejections(std::size_t i) { copyRejections(i, ResponseFault::Kind::Copy); }
     void copyUnidentifiedRejections(std::size_t i)
