--- a/bench/src/tcpproxy.cpp
+++ b/bench/src/tcpproxy.cpp
@@ -123,16 +123,16 @@
                                                               std::size_t n) {
                     if (ec)
                         end(direction, ec);
-                    else if (isResetBy(direction, n))
+                    else if (applyFaults(direction, n))
                         abort();
                     else
                         forward(direction, n, m_fault.delay);
                 });
     }
 
-    /// Whether the \a n bytes that have been read reset the connection. Schedules the copy of a
-    /// response.
-    bool isResetBy(Direction &direction, std::size_t n)
+    /// Applies the faults to the \a n bytes that have been read. Returns whether they reset the
+    /// connection.
+    bool applyFaults(Direction &direction, std::size_t n)
     {
         using Kind = ResponseFault::Kind;
         if (&direction == &m_requests)
