Log how long an engine had been quiet when a request at it became outdated

A request that begins late on an older version may have waited at an engine that is slow, or at one that is silent and has not read the cancellation either. The log of the entry process could not tell them apart: both show a cancellation in time. The new field quiet_ms states how long nothing had arrived from the engine on any connection. The test shows 750 ms for a silent engine and 50 ms for one that goes on with another request.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -165,6 +165,12 @@
     /// \a gap passed between two deliveries of events in a stream from \a id.
     void recordEventGap(const BackendId &id, Duration gap, TimePoint now);
 
+    /// Something of a response of \a id has arrived.
+    void onActivity(const BackendId &id, TimePoint now);
+
+    /// When something of a response of \a id arrived last; TimePoint() if nothing has.
+    TimePoint lastActivity(const BackendId &id) const;
+
     /// Usual time between two deliveries of events in the streams of \a id; 0 if unknown.
     Duration eventGap(const BackendId &id) const;
 
@@ -188,6 +194,7 @@
         /// Moving average of the event gaps of its streams; 0 if unknown.
         double eventGapSeconds = 0;
         TimePoint eventGapAt;
+        TimePoint activeAt; ///< Arrival of the last part of a response.
         /// Moving average of the delay beyond the predicted start of responses.
         double startLatenessSeconds = 0;
         TimePoint startLatenessAt;
--- a/modules/gateway/src/backendmeasurements.cpp
+++ b/modules/gateway/src/backendmeasurements.cpp
@@ -71,6 +71,18 @@
     backend->eventGapAt = now;
 }
 
+void BackendPool::onActivity(const BackendId &id, TimePoint now)
+{
+    if (Backend *backend = find(id))
+        backend->activeAt = now;
+}
+
+TimePoint BackendPool::lastActivity(const BackendId &id) const
+{
+    const auto it = m_backends.find(id);
+    return it == m_backends.end() ? TimePoint() : it->second.activeAt;
+}
+
 Duration BackendPool::eventGap(const BackendId &id) const
 {
     const auto it = m_backends.find(id);
--- a/modules/gateway/src/forwardedlog.cpp
+++ b/modules/gateway/src/forwardedlog.cpp
@@ -57,6 +57,9 @@
         fields["silences"] = attempt.silences;
     if (attempt.cancelledAfterGrace)
         fields["cancelled_after_grace_ms"] = toMilliseconds(*attempt.cancelledAfterGrace);
+    // Tells a server that was silent from one that was slow.
+    if (attempt.outdatedFor || attempt.cancelledAfterGrace)
+        fields["quiet_ms"] = toMilliseconds(attempt.quietFor);
     return fields;
 }
 
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -280,6 +280,7 @@
 {
     if (!mayStartOutdated())
         return;
+    recordQuietTime();
     currentAttempt().cancelledAfterGrace = now() - expiry - VersionWindow::StartMargin;
     if (m_call)
         m_call->cancel();
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -87,6 +87,10 @@
         /// Time from the end of the grace period of its weights to the cancellation because of
         /// them; negative if it was cancelled before, as it should be.
         std::optional<Duration> cancelledAfterGrace = {};
+        /// Time, since it was sent, in which nothing of any response of the backend server had
+        /// arrived when its response started (the longer one of head and first event) or when it
+        /// was cancelled.
+        Duration quietFor{0};
         std::uint32_t silences = 0; ///< Silence timeouts that have passed.
         bool isSilent = false;      ///< One has passed since the last events.
         std::optional<AttemptOutcome> outcome = {};
@@ -166,6 +170,8 @@
     void recordEventTiming();
     void recordResponseStart(PastAttempt &attempt, TimePoint at);
     void recordWeights(PastAttempt &attempt, TimePoint at);
+    /// Updates the quiet time of the current attempt, which has not started yet.
+    void recordQuietTime();
     /// Whether a safe request that failed at its backend server is retried at another one. Consumes
     /// a retry if so.
     bool mayRetryAfterFailure();
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -43,6 +43,8 @@
 void ForwardedRequest::onHead(int status, const HttpHeaders &headers)
 {
     m_responseHead = m_gateway.m_environment.protocol.readResponse(status, headers);
+    recordQuietTime();
+    m_gateway.m_backends.onActivity(currentAttempt().backend, now());
     if (m_responseHead.load)
         m_gateway.m_backends.recordLoad(currentAttempt().backend, *m_responseHead.load, now());
     const bool isIdentified = identifiesRequest(headers);
@@ -156,11 +158,13 @@
                                             arrived);
     else
         recordResponseStart(attempt, arrived);
+    m_gateway.m_backends.onActivity(attempt.backend, arrived);
     attempt.lastEventsAt = arrived;
 }
 
 void ForwardedRequest::recordResponseStart(PastAttempt &attempt, TimePoint at)
 {
+    recordQuietTime();
     attempt.firstEventsAt = at;
     recordWeights(attempt, at);
     m_gateway.m_backends.onResponseStarted(attempt.backend, m_urgency);
@@ -185,6 +189,14 @@
     m_gateway.m_environment.metrics.recordOutdatedStart();
 }
 
+void ForwardedRequest::recordQuietTime()
+{
+    PastAttempt &attempt = currentAttempt();
+    const TimePoint since =
+            std::max(attempt.sentAt, m_gateway.m_backends.lastActivity(attempt.backend));
+    attempt.quietFor = std::max(attempt.quietFor, now() - since);
+}
+
 void ForwardedRequest::onEnd(const Outcome<std::monostate> &outcome)
 {
     const auto *error = std::get_if<Error>(&outcome);
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -407,13 +407,35 @@
     it.gateway.onConfigurationConfirmed(it.scheduler.now());
     const VersionWindow window{it.scheduler.now() - 7s, 8s};
     it.gateway.requireVersion(it.model, 2, window.startDeadline());
+    const auto first = std::make_shared<ClientView>();
+    it.gateway.handle(it.request, first);
+    REQUIRE(it.backendCalls.size() == 1);
     const auto view = std::make_shared<ClientView>();
     it.gateway.handle(it.request, view);
-    it.scheduler.advance(1s);
-    CHECK(view->status == 502);
-    const std::string line = failureLine(out);
-    CAPTURE(line);
-    CHECK(line.find(R"("cancelled_after_grace_ms":-250)") != std::string::npos);
+
+    const std::string cancelled = R"("cancelled_after_grace_ms":-250)";
+    SECTION("at a server that was silent since it was sent")
+    {
+        it.scheduler.advance(1s);
+        CHECK(view->status == 502);
+        const std::string line = failureLine(out);
+        CAPTURE(line);
+        CHECK(line.find(cancelled + R"(,"quiet_ms":750)") != std::string::npos);
+    }
+    // Guards against a slow server that cannot be told from a silent one.
+    SECTION("at a server that went on with another request")
+    {
+        const auto other = it.backendCalls[0];
+        other->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+        for (int n = 0; n < 10; ++n) {
+            it.scheduler.advance(100ms);
+            other->data("id: " + std::to_string(n) + "\ndata: x\n\n");
+        }
+        CHECK(view->status == 502);
+        const std::string line = failureLine(out);
+        CAPTURE(line);
+        CHECK(line.find(cancelled + R"(,"quiet_ms":50)") != std::string::npos);
+    }
 }
 
 // Guards against a request that ran twice of which nobody can tell why it was sent again: the
