Let servers of the soak fall silent before older versions end, and judge late begins

A new fault of the soak publishes a version that no host can fetch until its predecessors have ended; each engine falls silent for 1.0 to 1.5 s as it starts a request in the last seconds. A silent engine notices a closed connection only after it has gone on with its requests. The check compares the first event of each stream with the acknowledgement of the next version; only disturbances that the operators' rules know excuse it.

--- a/bench/src/soak.cpp
+++ b/bench/src/soak.cpp
@@ -41,6 +41,9 @@
 constexpr Duration MinSilence = std::chrono::milliseconds(500);
 /// Added for each unit of the target, a number below MaxTarget.
 constexpr Duration SilenceStep = std::chrono::milliseconds(4);
+/// Of the servers that fall silent as an older version ends: a second or so.
+constexpr Duration MinVersionEndSilence = std::chrono::milliseconds(1000);
+constexpr Duration HalfMillisecond = std::chrono::microseconds(500); ///< As SilenceStep.
 constexpr std::size_t MaxTarget = 1000;
 constexpr std::size_t MaxCorruptPieces = 3; ///< By one fault.
 
@@ -147,6 +150,11 @@
     {
         m_fleet.silenceEngine(i % m_fleet.engineCount(), silence(i));
     }
+    void silenceAtVersionEnd(std::size_t i)
+    {
+        m_fleet.silenceAtVersionEnd(i,
+                                    MinVersionEndSilence + static_cast<int>(i) * HalfMillisecond);
+    }
     void silenceAtOrder(std::size_t i)
     {
         m_fleet.setOrderFault(i % m_fleet.modelEngineCount(), {silence(i), {}});
@@ -245,6 +253,8 @@
             {"let a backend server want no requests", &Soak::pauseEngine, &Soak::resumeEngine},
             {"let staged pieces turn corrupt", &Soak::corruptEngine, nullptr},
             {"let a backend server fall silent", &Soak::silenceEngine, nullptr},
+            {"let backend servers fall silent before older versions end",
+             &Soak::silenceAtVersionEnd, nullptr},
             {"let a backend server fall silent at its next load order", &Soak::silenceAtOrder,
              nullptr},
             {"let a backend server fall silent and staged pieces turn corrupt at its next load"
--- a/bench/src/soakfleet.cpp
+++ b/bench/src/soakfleet.cpp
@@ -25,7 +25,6 @@
 constexpr std::uint16_t MetricsPort = 7004;
 constexpr std::size_t Zones = 2;
 constexpr int LeaveSeconds = 8;
-constexpr int VersionChangeMs = 4000;
 constexpr Duration RestartDelay = std::chrono::milliseconds(400);
 constexpr Duration EngineDowntime = std::chrono::milliseconds(1500);
 /// Time for which a draining backend server keeps serving after it has announced its end.
@@ -34,6 +33,12 @@
 constexpr Duration RewriteDelay = std::chrono::milliseconds(1500);
 /// Time for which the record of a crashed backend server stays in the store.
 constexpr Duration RecordExpiry = std::chrono::milliseconds(1000);
+/// Times before the end of the older versions, in silenceAtVersionEnd().
+constexpr Duration FirstSilence = std::chrono::milliseconds(3000);
+constexpr std::size_t SilenceSpreadMs = 2500;
+/// Time after that end at which hosts can fetch the version, and from then on to the next call.
+constexpr Duration FetchDelay = std::chrono::seconds(1);
+constexpr Duration LoadTime = std::chrono::seconds(4);
 constexpr std::size_t MaxAddedRoutes = 3;
 constexpr std::uint64_t MaxEngines = 1000; ///< Keeps the seeds of their proxies apart.
 
@@ -183,8 +188,27 @@
         m_store.put(engine.process->recordKey(), engine.process->recordJson(engine.isDraining));
 }
 
+void SoakFleet::recordStoreFault()
+{
+    const TimePoint now = MonotonicClock::now();
+    m_record.storeFaults.push_back({now, now});
+}
+
+void SoakFleet::refuseStoreCalls(int calls)
+{
+    recordStoreFault();
+    m_store.rejectNextCalls += calls;
+}
+
+void SoakFleet::compactStore()
+{
+    recordStoreFault();
+    m_store.compact();
+}
+
 void SoakFleet::restoreStore()
 {
+    recordStoreFault();
     m_store.restore();
     schedule(m_rewriteTimer, RewriteDelay, [this] { rewriteStore(); });
 }
@@ -347,6 +371,28 @@
 void SoakFleet::publishVersion()
 {
     m_store.put(standin::VersionKey, standin::versionJson(++m_version));
+    m_record.versionTimes.try_emplace(m_version, MonotonicClock::now());
+}
+
+void SoakFleet::silenceAtVersionEnd(std::size_t target, Duration length)
+{
+    if (m_versionTimer)
+        return;
+    publishVersion();
+    setOriginFault({.holdReplies = true});
+    for (std::size_t i = 0; i < modelEngineCount(); ++i) {
+        const std::size_t spread = target * (i + 1) % SilenceSpreadMs;
+        schedule(m_engines[i].versionEnd,
+                 VersionChangeLimit - FirstSilence + std::chrono::milliseconds(spread),
+                 [this, i, length] {
+                     if (m_engines[i].process)
+                         m_engines[i].process->silenceAtNextRun(length);
+                 });
+    }
+    schedule(m_versionTimer, VersionChangeLimit + FetchDelay, [this] {
+        setOriginFault({});
+        schedule(m_versionTimer, LoadTime, [] {});
+    });
 }
 
 void SoakFleet::publishConfiguration()
@@ -387,7 +433,8 @@
     if (member.isEntry)
         text << "callers = \"" << own << ':' << CallerPort << "\"\nreadiness = \"" << own << ':'
              << ReadinessPort << "\"\n";
-    text << "[bounds]\nleave_s = " << LeaveSeconds << "\nversion_change_ms = " << VersionChangeMs
+    text << "[bounds]\nleave_s = " << LeaveSeconds
+         << "\nversion_change_ms = " << toMilliseconds(VersionChangeLimit)
          << "\nretry_slack = 100\n";
     if (!member.isEntry)
         text << "[engine]\nendpoint = \"" << toString(m_engines[member.index].listen)
@@ -480,11 +527,14 @@
 
 void SoakFleet::setStoreFault(std::size_t process, const LinkFault &fault)
 {
+    // Both ends of a fault count.
+    recordStoreFault();
     m_members[process].store->setFault(fault);
 }
 
 void SoakFleet::resetStore(std::size_t process)
 {
+    recordStoreFault();
     m_members[process].store->resetConnections();
 }
 
--- a/bench/src/soakfleet.h
+++ b/bench/src/soakfleet.h
@@ -59,8 +59,8 @@
     void reloadProcess(std::size_t index);
     void setStoreFault(std::size_t process, const LinkFault &fault);
     void resetStore(std::size_t process);
-    void refuseStoreCalls(int calls) { m_store.rejectNextCalls += calls; }
-    void compactStore() { m_store.compact(); }
+    void refuseStoreCalls(int calls);
+    void compactStore();
     void copyStore() { m_store.copy(); }
     /// The store comes back from the last copy. What it lacks is written again after RewriteDelay.
     void restoreStore();
@@ -83,6 +83,10 @@
     void setOrderFault(std::size_t engine, const standin::FleetEngineStandin::OrderFault &fault);
     void setOriginFault(const LinkFault &fault) { m_originProxy.setFault(fault); }
     void publishVersion();
+    /// Publishes a version that no host can fetch until its predecessors have ended. Each engine
+    /// falls silent for \a length as it starts a request in the last seconds before that, at a time
+    /// that depends on \a target. Does nothing while an earlier call is in effect.
+    void silenceAtVersionEnd(std::size_t target, Duration length);
     void changeConfiguration(); ///< Adds or removes a route and may revoke a key.
 
     /// Ends all faults and resumes paused processes. Processes and engines that are down restart by
@@ -124,6 +128,7 @@
         std::optional<standin::FleetEngineStandin::OrderFault> orderFault;
         std::unique_ptr<boost::asio::steady_timer> timer;
         std::unique_ptr<boost::asio::steady_timer> expiry; ///< Of the record of a replaced process.
+        std::unique_ptr<boost::asio::steady_timer> versionEnd; ///< To silenceAtNextRun().
     };
 
     std::string address(int role, std::size_t index) const;
@@ -139,6 +144,7 @@
     void removeEngine(std::size_t index, bool isRecordKept);
     /// Keeps what the next process of \a engine takes over.
     static void keepStaged(Engine &engine);
+    void recordStoreFault();
     /// Records that a fault of the connections to \a engine has begun or ended.
     void recordLinkFault(const Engine &engine);
     void restartEngine(std::size_t index);
@@ -154,6 +160,7 @@
     ProcessGroup m_processes;
     FleetStoreStandin m_store;
     std::unique_ptr<boost::asio::steady_timer> m_rewriteTimer;
+    std::unique_ptr<boost::asio::steady_timer> m_versionTimer; ///< Of silenceAtVersionEnd().
     std::unique_ptr<HttpServer> m_origin;
     TcpProxy m_originProxy;
     std::vector<Member> m_members;
--- a/bench/src/soakrecord.cpp
+++ b/bench/src/soakrecord.cpp
@@ -190,6 +190,14 @@
     });
 }
 
+template <typename Key>
+std::vector<SoakDisturbance>
+disturbancesOf(const std::map<Key, std::vector<SoakDisturbance>> &disturbances, const Key &key)
+{
+    const auto it = disturbances.find(key);
+    return it == disturbances.end() ? std::vector<SoakDisturbance>() : it->second;
+}
+
 /// Finds more than MaxEarlyArrivals requests of an entry process at a backend server between
 /// RetryAfterGrace after it has turned the process away with a retry time and the end of that time.
 /// A restart or a pause of the process, or a fault of the connections to the server, excuses those
@@ -205,15 +213,11 @@
         if (entry != entryOf.end())
             arrivals[{entry->second, it.engine}].push_back(&it);
     }
-    const auto find = [](const auto &map, const auto &key) {
-        const auto it = map.find(key);
-        return it == map.end() ? std::vector<SoakDisturbance>() : it->second;
-    };
     for (const auto &it : arrivals) {
         const auto &key = it.first;
         const auto &list = it.second;
-        const auto pauses = find(record.entryPauses, key.first);
-        const auto linkFaults = find(record.serverLinkFaults, key.second);
+        const auto pauses = disturbancesOf(record.entryPauses, key.first);
+        const auto linkFaults = disturbancesOf(record.serverLinkFaults, key.second);
         const auto isEarly = [&](const FleetArrival &stated, const FleetArrival &arrival) {
             return arrival.at > stated.answeredAt + RetryAfterGrace
                    && arrival.at < stated.answeredAt + retryTime(stated.retryAfter)
@@ -232,6 +236,37 @@
     }
 }
 
+/// Finds requests that began on weights of which a newer version had been acknowledged more than
+/// VersionChangeLimit before. Faults of the store, of the connections to the server and of the
+/// entry process since the acknowledgement excuse it; a silence of the server does not.
+void findOutdatedRuns(const SoakRecord &record, std::vector<std::string> &broken)
+{
+    std::map<std::string, std::size_t> entryOf;
+    for (const SoakOutcome &it : record.outcomes)
+        entryOf[it.attempt.id] = it.entry;
+    for (const FleetRun &run : record.ledger.runs) {
+        const auto entry = entryOf.find(run.attempt);
+        if (!run.begunAt || entry == entryOf.end())
+            continue;
+        const auto newer = record.versionTimes.upper_bound(run.version);
+        if (newer == record.versionTimes.end()
+            || *run.begunAt <= newer->second + VersionChangeLimit)
+            continue;
+        const TimePoint named = newer->second;
+        const bool isExcused = isDisturbed(record.storeFaults, named, *run.begunAt)
+                               || isDisturbed(disturbancesOf(record.serverLinkFaults, run.engine),
+                                              named, *run.begunAt)
+                               || isDisturbed(disturbancesOf(record.entryPauses, entry->second),
+                                              named, *run.begunAt)
+                               || hasRestarted(record, entry->second, named);
+        if (!isExcused)
+            broken.push_back(
+                    run.attempt + ": began on version " + std::to_string(run.version) + " at "
+                    + run.engine + ' ' + std::to_string(toMilliseconds(*run.begunAt - named))
+                    + " ms after version " + std::to_string(newer->first) + " was acknowledged");
+    }
+}
+
 } // namespace
 
 bool isRefusal(int status)
@@ -249,6 +284,7 @@
         runs[it.attempt].push_back(&it);
     findRunsAtLeavingServers(record, runs, broken);
     findEarlyArrivals(record, broken);
+    findOutdatedRuns(record, broken);
     for (const SoakOutcome &outcome : record.outcomes) {
         for (const Check check : Checks) {
             const std::string problem = check(record, outcome, runs[outcome.attempt.id]);
--- a/bench/src/soakrecord.h
+++ b/bench/src/soakrecord.h
@@ -10,6 +10,9 @@
 
 namespace godwit {
 
+/// Time after the acknowledgement of a version in which requests may begin on older ones.
+constexpr Duration VersionChangeLimit = std::chrono::milliseconds(4000);
+
 /// Outcome of one attempt as its client observed it.
 struct SoakOutcome
 {
@@ -45,7 +48,10 @@
     std::map<std::size_t, std::vector<SoakDisturbance>> entryPauses;
     /// Faults and resets of the connections to each backend server, by its id.
     std::map<std::string, std::vector<SoakDisturbance>> serverLinkFaults;
-    std::vector<std::string> problems; ///< Violations and bench errors of the run.
+    /// Times at which the store acknowledged versions of the weights for the first time.
+    std::map<std::uint64_t, TimePoint> versionTimes;
+    std::vector<SoakDisturbance> storeFaults; ///< Of the store and of the connections to it.
+    std::vector<std::string> problems;        ///< Violations and bench errors of the run.
 };
 
 /// Whether \a status guarantees that the request has not run and will not run.
@@ -53,8 +59,8 @@
 
 /// Returns one line for each violated guarantee in \a record: wrong or incomplete responses that
 /// appear valid, valid requests that were denied, requests that ran too often, although refused,
-/// without a route or a valid key, for another customer, with two versions of the weights or with
-/// corrupt ones,
+/// without a route or a valid key, for another customer, with two versions of the weights, with
+/// corrupt ones, or began on outdated ones,
 /// requests at a backend server that an entry process must know to leave or to want none, and loads
 /// of pieces that do not belong together.
 std::vector<std::string> findViolations(const SoakRecord &record);
--- a/bench/tests/soakrecordtest.cpp
+++ b/bench/tests/soakrecordtest.cpp
@@ -51,6 +51,51 @@
     SoakRecord record;
     record.ledger.runs = {run()};
 
+    SECTION("on weights of which a newer version was acknowledged too long before")
+    {
+        auto &late = record.ledger.runs.front();
+        late.engine = "e1";
+        late.begunAt = Start + VersionChangeLimit + 1ms;
+        record.versionTimes = {{1, Start - 10s}, {2, Start}, {3, Start + 1s}};
+        record.outcomes = {served(FleetRequestKind::Booking)};
+        CHECK(findViolations(record).size() == 1);
+
+        SECTION("but not in time, or on the newest version")
+        {
+            late.begunAt = Start + VersionChangeLimit;
+            CHECK(findViolations(record).empty());
+            late.begunAt = Start + 1min;
+            late.version = 3;
+            CHECK(findViolations(record).empty());
+        }
+        SECTION("nor if the store, the server's connections or the entry process had a fault since")
+        {
+            const SoakDisturbance since{Start + 1s, Start + 2s};
+            SECTION("the store")
+            {
+                record.storeFaults = {since};
+            }
+            SECTION("the connections")
+            {
+                record.serverLinkFaults["e1"] = {since};
+            }
+            SECTION("the entry process was paused")
+            {
+                record.entryPauses[0] = {since};
+            }
+            SECTION("the entry process was restarted")
+            {
+                record.entryStarts = {{0, Start + 1s}};
+            }
+            CHECK(findViolations(record).empty());
+        }
+        SECTION("while faults before the acknowledgement do not excuse it")
+        {
+            record.storeFaults = {{Start - 2s, Start - 1s}};
+            record.entryStarts = {{0, Start - 5s}};
+            CHECK(findViolations(record).size() == 1);
+        }
+    }
     SECTION("at a server that an entry process knows to leave")
     {
         record.ledger.runs.front().engine = "e1";
--- a/standins/include/godwit/standin/fleetenginestandin.h
+++ b/standins/include/godwit/standin/fleetenginestandin.h
@@ -57,6 +57,7 @@
     bool hasAuthorization = false; ///< The request contained the client's Authorization header.
     TimePoint at;
     std::vector<FleetWrongPiece> wrongPieces; ///< Of the layers that it runs on.
+    std::optional<TimePoint> begunAt = {};    ///< Time of its first event, if it is a stream.
 };
 
 /// A request of a client that has reached the engine that it was meant for, whether or not it ran.
@@ -141,6 +142,10 @@
     void fallSilent(Duration length);
     void endSilence();
 
+    /// The engine falls silent for \a length as soon as it has started the next request, before the
+    /// first event of the response.
+    void silenceAtNextRun(Duration length) { m_silenceAtNextRun = length; }
+
     void corrupt(const std::vector<std::uint32_t> &pieces)
     {
         corruptPieces(m_options.stagedPieces, pieces);
@@ -160,6 +165,7 @@
         std::shared_ptr<HttpReply> reply;
         std::string attempt;
         std::uint64_t nextEvent = 0;
+        std::size_t record = 0; ///< In the runs of the ledger.
         std::unique_ptr<boost::asio::steady_timer> timer;
         std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     };
@@ -210,6 +216,7 @@
     Duration m_loadDuration{0};
     std::unique_ptr<boost::asio::steady_timer>
             m_loadTimer; ///< Set while a load order is in progress.
+    std::optional<Duration> m_silenceAtNextRun;
     std::unique_ptr<boost::asio::steady_timer> m_silence; ///< Set while the engine is silent.
     std::vector<std::function<void()>> m_deferredSteps;   ///< To run after the silence.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/standins/src/fleetenginestandin.cpp
+++ b/standins/src/fleetenginestandin.cpp
@@ -364,8 +364,9 @@
     ++m_receivedRequests;
     if (rejectIfUnavailable(request, *reply, arrivedAt))
         return;
-    const auto run = m_runs.insert(m_runs.end(), Run{reply, attemptIdOf(request), 0, nullptr,
-                                                     std::make_shared<bool>(true)});
+    const auto run =
+            m_runs.insert(m_runs.end(), Run{reply, attemptIdOf(request), 0, m_ledger.runs.size(),
+                                            nullptr, std::make_shared<bool>(true)});
     run->nextEvent = number(request.headers.value("Last-Event-Id")) + 1;
     m_ledger.runs.push_back({run->attempt,
                              m_options.id,
@@ -389,10 +390,17 @@
     } else {
         schedule(run, ServiceTime, &FleetEngineStandin::sendReply);
     }
-    // Set last, because the callback runs immediately if the connection is already closed.
+    if (m_silenceAtNextRun)
+        fallSilent(*std::exchange(m_silenceAtNextRun, std::nullopt));
+    // Set last, because the callback runs immediately if the connection is already closed. A silent
+    // engine notices the close after it has gone on with the run.
     reply->onClosed([this, run, alive = std::weak_ptr(run->alive)] {
-        if (!alive.expired())
-            removeRun(run);
+        if (alive.expired())
+            return;
+        runWhenResponsive([this, run, alive] {
+            if (!alive.expired())
+                removeRun(run);
+        });
     });
 }
 
@@ -415,6 +423,8 @@
 
 void FleetEngineStandin::sendNextEvent(std::list<Run>::iterator run)
 {
+    auto &begunAt = m_ledger.runs[run->record].begunAt;
+    begunAt = begunAt.value_or(MonotonicClock::now());
     run->reply->write(streamEvent(run->attempt, run->nextEvent));
     if (++run->nextEvent <= FleetStreamEventCount) {
         schedule(run, EventInterval, &FleetEngineStandin::sendNextEvent);
