Reproduce requests that begin late on an older version at a silent engine

What callers saw: one request began on version N after the time in which version N may serve. The test lets a server fall silent for 1.5 s at each of 81 moments of the last 4 s, in virtual time; the server goes on with what it had read before it notices cancellations.

--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -378,6 +378,87 @@
 
 namespace {
 
+/// A backend server that begins each request PrefillTime after it has read it, unless it has
+/// noticed a cancellation before. It falls silent once: it reads nothing then, and goes on
+/// afterwards with what it had read before it notices which of it was cancelled meanwhile.
+class SilentServer
+{
+public:
+    static constexpr Duration SilenceLength = 1500ms;
+    static constexpr Duration PrefillTime = 100ms;
+
+    SilentServer(VersionFixture &fixture, TimePoint silentFrom)
+        : m_fixture(fixture)
+        , m_silentFrom(silentFrom)
+    {}
+
+    /// Handles what is due. Must be called whenever the clock has advanced.
+    void run()
+    {
+        const TimePoint now = m_fixture.scheduler.now();
+        if (now >= m_silentFrom && now < m_silentFrom + SilenceLength)
+            return;
+        for (Work &it : m_work)
+            handle(it, now);
+        for (; m_read < m_fixture.backendCalls.size(); ++m_read)
+            m_work.push_back({m_fixture.backendCalls[m_read], now + PrefillTime});
+    }
+
+    TimePoint lastBegin() const { return m_lastBegin; }
+
+private:
+    struct Work
+    {
+        std::shared_ptr<BackendCall> call;
+        TimePoint due;
+    };
+
+    void handle(Work &work, TimePoint now)
+    {
+        if (!work.call)
+            return;
+        const auto call = now >= work.due || work.call->cancelled
+                                  ? std::exchange(work.call, nullptr)
+                                  : nullptr;
+        if (!call || now < work.due)
+            return;
+        m_lastBegin = now;
+        if (call->cancelled)
+            return;
+        call->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+        call->data("id: 1\ndata: x\n\n");
+        call->complete();
+    }
+
+    VersionFixture &m_fixture;
+    TimePoint m_silentFrom;
+    std::vector<Work> m_work;
+    std::size_t m_read = 0;
+    TimePoint m_lastBegin;
+};
+
+/// Sends requests, while a newer version is announced, until the grace period of the older one has
+/// ended. Returns how long before its end the last of them began at an engine that fell silent
+/// \a before the end.
+Duration lastBeginBeforeEnd(Duration before)
+{
+    constexpr Duration Step = 10ms;
+    constexpr Duration Pause = 50ms;
+    VersionFixture it;
+    const VersionWindow window{it.scheduler.now(), 8s};
+    it.gateway.requireVersion(it.model, 2, window.startDeadline());
+    SilentServer server(it, window.end() - before);
+    const TimePoint start = it.scheduler.now();
+    while (it.scheduler.now() < window.end() + 2 * SilentServer::SilenceLength) {
+        it.gateway.onConfigurationConfirmed(it.scheduler.now());
+        if ((it.scheduler.now() - start) % Pause == Duration::zero())
+            it.gateway.handle(it.request, std::make_shared<ClientView>());
+        it.scheduler.advance(Step);
+        server.run();
+    }
+    return window.end() - server.lastBegin();
+}
+
 /// Collects the log, and advances the clock of \a fixture, because the limit on log lines is shared
 /// with the other tests.
 std::ostringstream &collectLog(Fixture &fixture, Duration advance)
@@ -399,6 +480,19 @@
 
 } // namespace
 
+// Guards against a bound on the last use of outdated weights that relies on a server reading a
+// cancellation in time: a sound server may fall silent for a second or so at any time.
+TEST_CASE("Servers that fall silent before their weights become outdated begin nothing late")
+{
+    for (Duration before = 4s; before >= Duration::zero(); before -= 50ms) {
+        CAPTURE(before / 1ms);
+        const Duration last = lastBeginBeforeEnd(before);
+        CHECK(last >= Duration::zero());
+        // Requests are sent for as long as a silence allows.
+        CHECK(last < SilentServer::SilenceLength + 1s);
+    }
+}
+
 // Guards against a late cancellation that cannot be told from a version that was dated too late.
 TEST_CASE("The request log says when an attempt was cancelled because of its weights")
 {
