Stop sending to outdated weights early enough for a server that falls silent

What callers saw: a request began on version N after the time in which older versions may serve.

Cause: an entry process stopped sending to an engine with an older version 0.5 s before the end of the period and cancelled what had not started 0.25 s before it. A cancellation changes nothing at an engine that does not read: a sound engine may fall silent for a second or so, and at its wake it begins what it had read before it notices the closed connection. The class: a bound that must hold rested on the other side acting on a message within a time that nothing limits.

Now the margin contains 1.5 s of silence: nothing is sent from 2 s before the end, and what has not started 1.75 s before it is cancelled. Whatever the engine does for 1.5 s from then on, what it has read begins in time. Hosts load the last engines 0.5 s before that, as before.

Tests changed: the log's -250 ms is -1750 ms on time; the last use of outdated engines is 2 s before the end; loads are spread over the same share, 73 in 100, of the time between the first load and the last use, which is 1.5 s shorter.

--- a/modules/gateway/include/godwit/gateway/loadschedule.h
+++ b/modules/gateway/include/godwit/gateway/loadschedule.h
@@ -13,9 +13,12 @@
 /// Period after the announcement of a version in which older versions may still serve.
 struct VersionWindow
 {
+    /// A sound engine may fall silent for this long at any time. It goes on with the requests that
+    /// it has read before it notices which of them were cancelled meanwhile.
+    static constexpr Duration MaxSilence = std::chrono::milliseconds(1500);
     /// Time for requests that were sent to an engine with an older version to start there, or to be
-    /// cancelled.
-    static constexpr Duration StartMargin = std::chrono::milliseconds(500);
+    /// cancelled, even if it falls silent.
+    static constexpr Duration StartMargin = MaxSilence + std::chrono::milliseconds(500);
 
     TimePoint announcedAt; ///< Estimate.
     Duration gracePeriod{0};
--- a/modules/gateway/src/loadschedule.cpp
+++ b/modules/gateway/src/loadschedule.cpp
@@ -12,9 +12,9 @@
 /// Fraction of the grace period after which the first engine loads. Before that, few hosts have the
 /// weights.
 constexpr double FirstLoadShare = 0.425;
-/// Between the last load and the end of the grace period: entry processes stop using engines with
-/// an older version half a second before the end.
-constexpr Duration LastLoadMargin = std::chrono::milliseconds(1000);
+/// Between the last load and the end of the grace period: engines with an older version get no new
+/// requests from StartMargin before the end.
+constexpr Duration LastLoadMargin = VersionWindow::StartMargin + std::chrono::milliseconds(500);
 
 } // namespace
 
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -499,7 +499,7 @@
     VersionFixture it;
     const std::ostringstream &out = collectLog(it, 24h);
     it.gateway.onConfigurationConfirmed(it.scheduler.now());
-    const VersionWindow window{it.scheduler.now() - 7s, 8s};
+    const VersionWindow window{it.scheduler.now() - 5500ms, 8s};
     it.gateway.requireVersion(it.model, 2, window.startDeadline());
     const auto first = std::make_shared<ClientView>();
     it.gateway.handle(it.request, first);
@@ -507,7 +507,7 @@
     const auto view = std::make_shared<ClientView>();
     it.gateway.handle(it.request, view);
 
-    const std::string cancelled = R"("cancelled_after_grace_ms":-250)";
+    const std::string cancelled = R"("cancelled_after_grace_ms":-1750)";
     SECTION("at a server that was silent since it was sent")
     {
         it.scheduler.advance(1s);
--- a/modules/gateway/tests/loadscheduletest.cpp
+++ b/modules/gateway/tests/loadscheduletest.cpp
@@ -13,7 +13,9 @@
 
 constexpr Duration GracePeriod = 8s;
 /// Entry processes stop using engines with an older version at this time.
-constexpr Duration LastUse = GracePeriod - 500ms;
+constexpr Duration LastUse = GracePeriod - 2s;
+/// Before that, few hosts have the weights.
+constexpr Duration FirstLoad = 3400ms;
 
 struct Fixture
 {
@@ -48,16 +50,16 @@
     const TimePoint now{std::chrono::hours(1)};
     const VersionWindow window{now - 2s, GracePeriod, 900ms};
 
-    SECTION("to half a second before the earliest end of their grace period")
+    SECTION("to two seconds before the earliest end of their grace period")
     {
         CHECK(window.end() == now + 6s);
         CHECK(window.earliestEnd() == now + 5100ms);
-        CHECK(startDeadline(window, now) == now + 4600ms);
+        CHECK(startDeadline(window, now) == now + 3100ms);
         CHECK(startDeadline(VersionWindow{now, GracePeriod}, now) == now + LastUse);
     }
     SECTION("to the past if the version was announced long ago, and at once if that is unknown")
     {
-        CHECK(startDeadline(VersionWindow{now - 9s, GracePeriod}, now) == now - 1500ms);
+        CHECK(startDeadline(VersionWindow{now - 9s, GracePeriod}, now) == now - 3s);
         CHECK(startDeadline(std::nullopt, now) == now);
     }
 }
@@ -80,7 +82,8 @@
         {
             std::ranges::sort(times);
             CHECK(std::ranges::adjacent_find(times) == times.end());
-            CHECK(times.back() - times.front() >= 3s);
+            CHECK(times.front() >= it.start + FirstLoad);
+            CHECK((times.back() - times.front()) * 100 >= (LastUse - FirstLoad) * 73);
             CHECK(times.back() < it.start + LastUse);
         }
         SECTION("the schedule does not depend on the order of the records")
