Reproduce requests that reach an engine before an unread Retry-After has passed

An engine answers 503 with a retry time to requests that the entry process has given up, because the engine was silent, their clients had left or their connections broke. The process never reads it and later sends as many requests as come until it has read an answer.

The test fails on this code: eight requests of a burst of ten reach the server before it has answered one; two are allowed. The soak has a fault for it, a server that falls silent and wants nothing for 6 s afterwards.

--- a/bench/src/soak.cpp
+++ b/bench/src/soak.cpp
@@ -50,6 +50,9 @@
 constexpr std::array<std::string_view, 7> RetryAfterValues{"1",    "0.4", "6",   "0",
                                                            "1, 2", "-1",  "soon"};
 
+/// Of a server that answers after a silence, when the requests that it has read were given up.
+constexpr std::string_view LongRetryAfter = "6";
+
 class Soak
 {
 public:
@@ -133,6 +136,11 @@
     void drainEngine(std::size_t i) { m_fleet.drainEngine(i % m_fleet.engineCount()); }
     void leaveEngine(std::size_t i) { m_fleet.leaveEngine(i % m_fleet.engineCount()); }
     void pauseEngine(std::size_t i);
+    void pauseAfterSilence(std::size_t i)
+    {
+        silenceEngine(i);
+        m_fleet.setRetryAfter(i % m_fleet.engineCount(), std::string(LongRetryAfter));
+    }
     void resumeEngine(std::size_t i)
     {
         m_fleet.setRetryAfter(i % m_fleet.engineCount(), std::nullopt);
@@ -251,6 +259,8 @@
             {"let a backend server leave, stated only in its responses", &Soak::leaveEngine,
              nullptr},
             {"let a backend server want no requests", &Soak::pauseEngine, &Soak::resumeEngine},
+            {"let a backend server fall silent and want no requests afterwards",
+             &Soak::pauseAfterSilence, &Soak::resumeEngine},
             {"let staged pieces turn corrupt", &Soak::corruptEngine, nullptr},
             {"let a backend server fall silent", &Soak::silenceEngine, nullptr},
             {"let backend servers fall silent before older versions end",
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -907,6 +907,81 @@
     }
 }
 
+// Guards against requests that reach a server before its retry time has passed because the 503 that
+// states it was never read: its request had been given up.
+TEST_CASE("Gateway sends few requests to a server whose last answers it has not read")
+{
+    constexpr std::size_t MaxUnanswered = 2;
+    constexpr int Burst = 10;
+    Fixture it;
+    it.configure();
+    it.gateway.backends().remove(BackendId("b3"));
+    // Once the backoff after a failure is over.
+    const auto sendBurst = [&it](const std::string &target) {
+        it.gateway.backends().remove(BackendId("b2"));
+        it.scheduler.advance(2s);
+        it.gateway.onConfigurationConfirmed(it.scheduler.now());
+        const std::size_t before = it.backendCalls.size();
+        for (int i = 0; i < Burst; ++i)
+            it.sendRequest(target);
+        return it.backendCalls.size() - before;
+    };
+
+    SECTION("because clients have left")
+    {
+        it.gateway.backends().remove(BackendId("b2"));
+        for (int i = 0; i < 3; ++i)
+            it.sendRequest("/book/x")->closed();
+        CHECK(sendBurst("/book/x") <= MaxUnanswered);
+
+        // Guards against a server that stays out of use.
+        SECTION("until it answers")
+        {
+            it.backendCalls.back()->respond(200, "done");
+            CHECK(sendBurst("/book/x") >= 5);
+        }
+        SECTION("or another process takes its place")
+        {
+            it.gateway.backends().update({BackendId("b1"),
+                                          "desk",
+                                          {"10.0.0.1", 80},
+                                          ZoneId("z"),
+                                          6,
+                                          false,
+                                          2,
+                                          {},
+                                          std::nullopt},
+                                         it.scheduler.now());
+            CHECK(sendBurst("/book/x") >= 5);
+        }
+    }
+    SECTION("because it was silent and the requests went to another server")
+    {
+        for (int i = 0; i < 4; ++i)
+            it.sendRequest("/safe/x");
+        it.scheduler.advance(600ms);
+        REQUIRE(it.backendCalls.size() > 4);
+        CHECK(sendBurst("/safe/x") <= MaxUnanswered);
+    }
+    SECTION("because their connections broke")
+    {
+        it.gateway.backends().remove(BackendId("b2"));
+        it.sendRequest("/book/x");
+        it.backendCalls[0]->fail(ResultCode::PlatformReplyLost);
+        CHECK(sendBurst("/book/x") <= MaxUnanswered);
+    }
+    // Guards against a loss of capacity where clients leave early.
+    SECTION("but as many as usual if it has answered another one since")
+    {
+        it.gateway.backends().remove(BackendId("b2"));
+        const auto left = it.sendRequest("/book/x");
+        it.sendRequest("/book/x");
+        it.backendCalls[1]->respond(200, "done");
+        left->closed();
+        CHECK(sendBurst("/book/x") >= 5);
+    }
+}
+
 TEST_CASE("Gateway keeps to the retry time of backend servers")
 {
     Fixture it;
