Send one request at a time to a server that has not answered the last ones

What callers saw: nothing on this system yet. An engine that answers 503 with a retry time to requests that the entry process has given up (silence, clients that have left, broken connections) wants nothing for that time, and the process cannot know, as it closed the connections. After its backoff it sent all requests that came until it had read an answer.

Now an attempt that ends without a response, if nothing has arrived from the server since it was sent, leaves the server half open: it gets one request at a time until something arrives from it.

The silence of a server costs less: at most one request of a process waits at it.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -165,6 +165,10 @@
     /// \a gap passed between two deliveries of events in a stream from \a id.
     void recordEventGap(const BackendId &id, Duration gap, TimePoint now);
 
+    /// An attempt that was sent to \a id at \a sentAt has ended without a response. The backend
+    /// server may have answered it, for example with a retry time that nobody has read.
+    void onUnanswered(const BackendId &id, TimePoint sentAt);
+
     /// Something of a response of \a id has arrived.
     void onActivity(const BackendId &id, TimePoint now);
 
@@ -200,6 +204,9 @@
         TimePoint startLatenessAt;
         double failureRate = 0; ///< Moving average over the attempts.
         TimePoint backoffUntil; ///< After failures and rejections.
+        /// An attempt has ended without a response, and nothing has arrived since it was sent. Gets
+        /// one request at a time until it responds.
+        bool halfOpen = false;
         bool replaced = false; ///< Another process listens at its address, or it has other weights.
     };
     struct Service
--- a/modules/gateway/src/backendmeasurements.cpp
+++ b/modules/gateway/src/backendmeasurements.cpp
@@ -71,10 +71,20 @@
     backend->eventGapAt = now;
 }
 
+void BackendPool::onUnanswered(const BackendId &id, TimePoint sentAt)
+{
+    Backend *backend = find(id);
+    if (backend && backend->activeAt <= sentAt)
+        backend->halfOpen = true;
+}
+
 void BackendPool::onActivity(const BackendId &id, TimePoint now)
 {
-    if (Backend *backend = find(id))
-        backend->activeAt = now;
+    Backend *backend = find(id);
+    if (!backend)
+        return;
+    backend->activeAt = now;
+    backend->halfOpen = false;
 }
 
 TimePoint BackendPool::lastActivity(const BackendId &id) const
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -976,6 +976,7 @@
         it.gateway.backends().remove(BackendId("b2"));
         const auto left = it.sendRequest("/book/x");
         it.sendRequest("/book/x");
+        it.scheduler.advance(10ms);
         it.backendCalls[1]->respond(200, "done");
         left->closed();
         CHECK(sendBurst("/book/x") >= 5);
