--- a/bench/src/soakfleet.cpp
+++ b/bench/src/soakfleet.cpp
@@ -34,8 +34,8 @@
 /// Time for which the record of a crashed backend server stays in the store.
 constexpr Duration RecordExpiry = std::chrono::milliseconds(1000);
 /// Times before the end of the older versions, in silenceAtVersionEnd().
-constexpr Duration FirstSilence = std::chrono::milliseconds(3000);
-constexpr std::size_t SilenceSpreadMs = 2500;
+constexpr Duration FirstSilence = std::chrono::milliseconds(3500);
+constexpr std::size_t SilenceSpreadMs = 3000;
 /// Time after that end at which hosts can fetch the version, and from then on to the next call.
 constexpr Duration FetchDelay = std::chrono::seconds(1);
 constexpr Duration LoadTime = std::chrono::seconds(4);
--- a/bench/src/soakrecord.cpp
+++ b/bench/src/soakrecord.cpp
@@ -138,10 +138,10 @@
 constexpr Check Checks[] = {checkResponse, checkDenial,    checkRuns,      checkForwarding,
                             checkWeights,  checkIntegrity, checkRevocation};
 
-bool hasRestarted(const SoakRecord &record, std::size_t entry, TimePoint since)
+bool hasRestarted(const SoakRecord &record, std::size_t entry, TimePoint since, TimePoint before)
 {
     return std::ranges::any_of(record.entryStarts, [&](const auto &it) {
-        return it.first == entry && it.second > since;
+        return it.first == entry && it.second > since && it.second < before;
     });
 }
 
@@ -169,7 +169,7 @@
         for (const FleetRun *run : found->second) {
             const auto leaving = known.find({it.entry, run->engine});
             if (leaving != known.end() && it.sent > leaving->second
-                && !hasRestarted(record, it.entry, leaving->second))
+                && !hasRestarted(record, it.entry, leaving->second, run->at))
                 broken.push_back(it.attempt.id + ": ran at the leaving server " + run->engine);
         }
     }
@@ -221,7 +221,7 @@
         const auto isEarly = [&](const FleetArrival &stated, const FleetArrival &arrival) {
             return arrival.at > stated.answeredAt + RetryAfterGrace
                    && arrival.at < stated.answeredAt + retryTime(stated.retryAfter)
-                   && !hasRestarted(record, key.first, stated.answeredAt)
+                   && !hasRestarted(record, key.first, stated.answeredAt, arrival.at)
                    && !isDisturbed(pauses, stated.answeredAt, arrival.at)
                    && !isDisturbed(linkFaults, stated.answeredAt, arrival.at);
         };
@@ -258,7 +258,7 @@
                                               named, *run.begunAt)
                                || isDisturbed(disturbancesOf(record.entryPauses, entry->second),
                                               named, *run.begunAt)
-                               || hasRestarted(record, entry->second, named);
+                               || hasRestarted(record, entry->second, named, *run.begunAt);
         if (!isExcused)
             broken.push_back(
                     run.attempt + ": began on version " + std::to_string(run.version) + " at "
--- a/bench/tests/soakrecordtest.cpp
+++ b/bench/tests/soakrecordtest.cpp
@@ -92,7 +92,7 @@
         SECTION("while faults before the acknowledgement do not excuse it")
         {
             record.storeFaults = {{Start - 2s, Start - 1s}};
-            record.entryStarts = {{0, Start - 5s}};
+            record.entryStarts = {{0, Start - 5s}, {0, *late.begunAt + 1s}};
             CHECK(findViolations(record).size() == 1);
         }
     }
@@ -108,6 +108,7 @@
         second.sent = Start + 20ms;
         auto repeated = record.ledger.runs.front();
         repeated.attempt = "a2";
+        repeated.at = Start + 25ms;
         record.ledger.runs.push_back(repeated);
         record.outcomes = {first, second};
         CHECK(findViolations(record).size() == 1);
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -304,9 +304,9 @@
 
     SECTION("an attempt without a response is cancelled and sent elsewhere")
     {
-        it.scheduler.advance(500ms);
+        it.scheduler.advance(390ms);
         CHECK_FALSE(first->cancelled);
-        it.scheduler.advance(100ms);
+        it.scheduler.advance(20ms);
         CHECK(first->cancelled);
         CHECK(it.backendCalls.size() == 2);
     }
@@ -331,7 +331,7 @@
         first->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "2"}});
         it.scheduler.advance(560ms);
         it.gateway.requireVersion(it.model, 3, it.scheduler.now() + 50ms);
-        it.scheduler.advance(290ms);
+        it.scheduler.advance(140ms);
         CHECK_FALSE(first->cancelled);
         it.scheduler.advance(20ms);
         CHECK(first->cancelled);
@@ -346,9 +346,9 @@
         REQUIRE(earlier->backend() == "b2");
         it.gateway.requireVersion(it.model, 3, it.scheduler.now() + 300ms);
         it.serve(3, 3);
-        it.scheduler.advance(500ms);
+        it.scheduler.advance(390ms);
         CHECK_FALSE(earlier->cancelled);
-        it.scheduler.advance(100ms);
+        it.scheduler.advance(20ms);
         CHECK(earlier->cancelled);
         CHECK(it.backendCalls.back()->backend() == "b3");
     }
@@ -378,30 +378,36 @@
 
 namespace {
 
-/// A backend server that begins each request PrefillTime after it has read it, unless it has
+/// A backend server that begins each request a fixed time after it has read it, unless it has
 /// noticed a cancellation before. It falls silent once: it reads nothing then, and goes on
-/// afterwards with what it had read before it notices which of it was cancelled meanwhile.
+/// afterwards with what it had read before it notices which of it was cancelled meanwhile. A
+/// cancellation takes CancelTime to reach it.
 class SilentServer
 {
 public:
     static constexpr Duration SilenceLength = 1500ms;
-    static constexpr Duration PrefillTime = 100ms;
+    static constexpr Duration CancelTime = 300ms;
 
-    SilentServer(VersionFixture &fixture, TimePoint silentFrom)
+    SilentServer(VersionFixture &fixture, TimePoint silentFrom, Duration startTime)
         : m_fixture(fixture)
         , m_silentFrom(silentFrom)
+        , m_startTime(startTime)
     {}
 
     /// Handles what is due. Must be called whenever the clock has advanced.
     void run()
     {
         const TimePoint now = m_fixture.scheduler.now();
+        for (Work &it : m_work) {
+            if (it.call && it.call->cancelled && !it.cancelledAt)
+                it.cancelledAt = now;
+        }
         if (now >= m_silentFrom && now < m_silentFrom + SilenceLength)
             return;
         for (Work &it : m_work)
             handle(it, now);
         for (; m_read < m_fixture.backendCalls.size(); ++m_read)
-            m_work.push_back({m_fixture.backendCalls[m_read], now + PrefillTime});
+            m_work.push_back({m_fixture.backendCalls[m_read], now + m_startTime, {}});
     }
 
     TimePoint lastBegin() const { return m_lastBegin; }
@@ -411,16 +417,15 @@
     {
         std::shared_ptr<BackendCall> call;
         TimePoint due;
+        std::optional<TimePoint> cancelledAt;
     };
 
     void handle(Work &work, TimePoint now)
     {
-        if (!work.call)
-            return;
-        const auto call = now >= work.due || work.call->cancelled
-                                  ? std::exchange(work.call, nullptr)
-                                  : nullptr;
-        if (!call || now < work.due)
+        const bool isDue = now >= work.due;
+        const bool isCancelled = work.cancelledAt && now >= *work.cancelledAt + CancelTime;
+        const auto call = isDue || isCancelled ? std::exchange(work.call, nullptr) : nullptr;
+        if (!call || !isDue)
             return;
         m_lastBegin = now;
         if (call->cancelled)
@@ -432,22 +437,23 @@
 
     VersionFixture &m_fixture;
     TimePoint m_silentFrom;
+    Duration m_startTime;
     std::vector<Work> m_work;
     std::size_t m_read = 0;
     TimePoint m_lastBegin;
 };
 
 /// Sends requests, while a newer version is announced, until the grace period of the older one has
-/// ended. Returns how long before its end the last of them began at an engine that fell silent
-/// \a before the end.
-Duration lastBeginBeforeEnd(Duration before)
+/// ended. Returns how long before its end the last of them began at an engine that begins requests
+/// \a startTime after it has read them, and that fell silent \a before the end.
+Duration lastBeginBeforeEnd(Duration before, Duration startTime)
 {
     constexpr Duration Step = 10ms;
     constexpr Duration Pause = 50ms;
     VersionFixture it;
     const VersionWindow window{it.scheduler.now(), 8s};
     it.gateway.requireVersion(it.model, 2, window.startDeadline());
-    SilentServer server(it, window.end() - before);
+    SilentServer server(it, window.end() - before, startTime);
     const TimePoint start = it.scheduler.now();
     while (it.scheduler.now() < window.end() + 2 * SilentServer::SilenceLength) {
         it.gateway.onConfigurationConfirmed(it.scheduler.now());
@@ -484,9 +490,11 @@
 // cancellation in time: a sound server may fall silent for a second or so at any time.
 TEST_CASE("Servers that fall silent before their weights become outdated begin nothing late")
 {
+    // Requests start at once, or wait in the queue of the server when they are cancelled.
+    const Duration startTime = GENERATE(100ms, 900ms);
     for (Duration before = 4s; before >= Duration::zero(); before -= 50ms) {
-        CAPTURE(before / 1ms);
-        const Duration last = lastBeginBeforeEnd(before);
+        CAPTURE(before / 1ms, startTime / 1ms);
+        const Duration last = lastBeginBeforeEnd(before, startTime);
         CHECK(last >= Duration::zero());
         // Requests are sent for as long as a silence allows.
         CHECK(last < SilentServer::SilenceLength + 1s);
@@ -499,7 +507,7 @@
     VersionFixture it;
     const std::ostringstream &out = collectLog(it, 24h);
     it.gateway.onConfigurationConfirmed(it.scheduler.now());
-    const VersionWindow window{it.scheduler.now() - 5500ms, 8s};
+    const VersionWindow window{it.scheduler.now() - 5350ms, 8s};
     it.gateway.requireVersion(it.model, 2, window.startDeadline());
     const auto first = std::make_shared<ClientView>();
     it.gateway.handle(it.request, first);
@@ -507,7 +515,7 @@
     const auto view = std::make_shared<ClientView>();
     it.gateway.handle(it.request, view);
 
-    const std::string cancelled = R"("cancelled_after_grace_ms":-1750)";
+    const std::string cancelled = R"("cancelled_after_grace_ms":-1900)";
     SECTION("at a server that was silent since it was sent")
     {
         it.scheduler.advance(1s);
