Open a server that left requests unanswered only by the answer to a later one

Attempts that were never sent counted as unanswered as well. Now the state ends with the response to an attempt that was sent later than the unanswered one. An attempt that was given up does not count if the server was heard 100 ms or more after it was sent: its rejection would have arrived. Without that, each client that leaves early would reduce a busy server to one request at a time.

The test has sections for a stream that goes on, for a later answer, for a server that was heard later, and for an attempt that was not sent; the first one fails before.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -165,8 +165,13 @@
     /// \a gap passed between two deliveries of events in a stream from \a id.
     void recordEventGap(const BackendId &id, Duration gap, TimePoint now);
 
+    /// The response to an attempt that was sent to \a id at \a sentAt has begun.
+    void onAnswered(const BackendId &id, TimePoint sentAt);
+
     /// An attempt that was sent to \a id at \a sentAt has ended without a response. The backend
-    /// server may have answered it, for example with a retry time that nobody has read.
+    /// server may have answered it, for example with a retry time that nobody has read, unless it
+    /// was heard so much later that its rejection would have arrived. It gets one request at a time
+    /// until the response to a later one has begun.
     void onUnanswered(const BackendId &id, TimePoint sentAt);
 
     /// Something of a response of \a id has arrived.
@@ -202,12 +207,13 @@
         /// Moving average of the delay beyond the predicted start of responses.
         double startLatenessSeconds = 0;
         TimePoint startLatenessAt;
-        double failureRate = 0; ///< Moving average over the attempts.
-        TimePoint backoffUntil; ///< After failures and rejections.
-        /// An attempt has ended without a response, and nothing has arrived since it was sent. Gets
-        /// one request at a time until it responds.
-        bool halfOpen = false;
+        double failureRate = 0;     ///< Moving average over the attempts.
+        TimePoint backoffUntil;     ///< After failures and rejections.
+        TimePoint answeredSentAt;   ///< Of the last sent attempt whose response has begun.
+        TimePoint unansweredSentAt; ///< Of the last sent attempt that ended without a response.
         bool replaced = false; ///< Another process listens at its address, or it has other weights.
+
+        bool isHalfOpen() const { return unansweredSentAt > answeredSentAt; }
     };
     struct Service
     {
--- a/modules/gateway/src/backendmeasurements.cpp
+++ b/modules/gateway/src/backendmeasurements.cpp
@@ -34,6 +34,8 @@
 constexpr Duration MinRejectionBackoff = std::chrono::milliseconds(200);
 constexpr Duration MaxRejectionBackoff = std::chrono::milliseconds(1200);
 constexpr int MaxBackoffDoublings = 8;
+/// A backend server that rejects a request does so at once; includes the way there and back.
+constexpr Duration RejectionTime = std::chrono::milliseconds(100);
 
 Duration failureBackoff(int consecutiveFailures)
 {
@@ -71,20 +73,23 @@
     backend->eventGapAt = now;
 }
 
+void BackendPool::onAnswered(const BackendId &id, TimePoint sentAt)
+{
+    if (Backend *backend = find(id))
+        backend->answeredSentAt = std::max(backend->answeredSentAt, sentAt);
+}
+
 void BackendPool::onUnanswered(const BackendId &id, TimePoint sentAt)
 {
     Backend *backend = find(id);
-    if (backend && backend->activeAt <= sentAt)
-        backend->halfOpen = true;
+    if (backend && backend->activeAt < sentAt + RejectionTime)
+        backend->unansweredSentAt = std::max(backend->unansweredSentAt, sentAt);
 }
 
 void BackendPool::onActivity(const BackendId &id, TimePoint now)
 {
-    Backend *backend = find(id);
-    if (!backend)
-        return;
-    backend->activeAt = now;
-    backend->halfOpen = false;
+    if (Backend *backend = find(id))
+        backend->activeAt = now;
 }
 
 TimePoint BackendPool::lastActivity(const BackendId &id) const
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -100,7 +100,7 @@
     backend.backoffUntil = now;
     backend.loadReportedAt.reset();
     backend.remoteRequests = 0;
-    backend.halfOpen = false;
+    backend.unansweredSentAt = {};
 }
 
 void BackendPool::remove(const BackendId &id)
@@ -373,7 +373,7 @@
         const double load = estimateRequests(*it, meanRemote, now);
         const double wait = waitSeconds(*it, query.urgency, load, slots, hold);
         shortestWait = std::min(shortestWait, wait);
-        if (it->halfOpen && it->queuedRequests > 0)
+        if (it->isHalfOpen() && it->queuedRequests > 0)
             continue;
         const double start = wait + prefill;
         // A free slot is used whatever the start delay; otherwise the delay could not be measured
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -378,9 +378,8 @@
     attempt.outcome = outcome;
     if (!attempt.firstEventsAt)
         m_gateway.m_backends.onFinishedBeforeResponse(attempt.backend, urgency);
-    const bool wasSent =
-            outcome != AttemptOutcome::Unreachable && outcome != AttemptOutcome::Withdrawn;
-    if (!attempt.headAt && wasSent)
+    const bool wasSent = attempt.earlierCalls.has_value();
+    if (wasSent && !attempt.headAt)
         m_gateway.m_backends.onUnanswered(attempt.backend, attempt.sentAt);
     // The pool knows of the silence already, see onSilence().
     const bool isReported = outcome == AttemptOutcome::Silent && attempt.silences > 0;
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -51,6 +51,8 @@
     currentAttempt().status = status;
     currentAttempt().headAt = now();
     currentAttempt().isIdentified = isIdentified;
+    if (isIdentified)
+        m_gateway.m_backends.onAnswered(currentAttempt().backend, currentAttempt().sentAt);
     // A stream can be resumed neither by an error response nor by other weights.
     const bool cannotContinue =
             m_streaming
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -924,14 +924,21 @@
     Fixture it;
     it.configure();
     it.gateway.backends().remove(BackendId("b3"));
+    const auto send = [&it](const std::string &target) {
+        const std::size_t before = it.backendCalls.size();
+        auto view = it.sendRequest(target);
+        if (it.backendCalls.size() > before)
+            it.backendCalls.back()->handlers.onSending(0);
+        return view;
+    };
     // Once the backoff after a failure is over.
-    const auto sendBurst = [&it](const std::string &target) {
+    const auto sendBurst = [&](const std::string &target) {
         it.gateway.backends().remove(BackendId("b2"));
         it.scheduler.advance(2s);
         it.gateway.onConfigurationConfirmed(it.scheduler.now());
         const std::size_t before = it.backendCalls.size();
         for (int i = 0; i < Burst; ++i)
-            it.sendRequest(target);
+            send(target);
         return it.backendCalls.size() - before;
     };
 
@@ -939,7 +946,7 @@
     {
         it.gateway.backends().remove(BackendId("b2"));
         for (int i = 0; i < 3; ++i)
-            it.sendRequest("/book/x")->closed();
+            send("/book/x")->closed();
         CHECK(sendBurst("/book/x") <= MaxUnanswered);
 
         // Guards against a server that stays out of use.
@@ -963,10 +970,23 @@
             CHECK(sendBurst("/book/x") >= 5);
         }
     }
+    // A server that wants no new requests goes on with those that it has.
+    SECTION("because a client has left, while a stream of it goes on")
+    {
+        it.gateway.backends().remove(BackendId("b2"));
+        send("/stream/x");
+        const auto stream = it.backendCalls.back();
+        stream->head(200, {{"seal", "s"}, {"events", "1"}});
+        stream->data("id: 1\ndata: x\n\n");
+        it.scheduler.advance(10ms);
+        send("/book/x")->closed();
+        stream->data("id: 2\ndata: x\n\n");
+        CHECK(sendBurst("/book/x") <= MaxUnanswered);
+    }
     SECTION("because it was silent and the requests went to another server")
     {
         for (int i = 0; i < 4; ++i)
-            it.sendRequest("/safe/x");
+            send("/safe/x");
         it.scheduler.advance(600ms);
         REQUIRE(it.backendCalls.size() > 4);
         CHECK(sendBurst("/safe/x") <= MaxUnanswered);
@@ -974,21 +994,39 @@
     SECTION("because their connections broke")
     {
         it.gateway.backends().remove(BackendId("b2"));
-        it.sendRequest("/book/x");
+        send("/book/x");
         it.backendCalls[0]->fail(ResultCode::PlatformReplyLost);
         CHECK(sendBurst("/book/x") <= MaxUnanswered);
     }
     // Guards against a loss of capacity where clients leave early.
-    SECTION("but as many as usual if it has answered another one since")
+    SECTION("but as many as usual if it has answered a later one")
     {
         it.gateway.backends().remove(BackendId("b2"));
-        const auto left = it.sendRequest("/book/x");
-        it.sendRequest("/book/x");
+        const auto left = send("/book/x");
         it.scheduler.advance(10ms);
+        send("/book/x");
         it.backendCalls[1]->respond(200, "done");
         left->closed();
         CHECK(sendBurst("/book/x") >= 5);
     }
+    SECTION("or if it went on with a stream after the time that a rejection takes")
+    {
+        it.gateway.backends().remove(BackendId("b2"));
+        send("/stream/x");
+        const auto stream = it.backendCalls.back();
+        stream->head(200, {{"seal", "s"}, {"events", "1"}});
+        const auto left = send("/book/x");
+        it.scheduler.advance(150ms);
+        stream->data("id: 1\ndata: x\n\n");
+        left->closed();
+        CHECK(sendBurst("/book/x") >= 5);
+    }
+    SECTION("or if nothing was sent")
+    {
+        it.gateway.backends().remove(BackendId("b2"));
+        it.sendRequest("/book/x")->closed();
+        CHECK(sendBurst("/book/x") >= 5);
+    }
 }
 
 TEST_CASE("Gateway keeps to the retry time of backend servers")
