--- a/bench/src/soak.cpp
+++ b/bench/src/soak.cpp
@@ -53,6 +53,10 @@
 /// Of a server that answers after a silence, when the requests that it has read were given up.
 constexpr std::string_view LongRetryAfter = "6";
 
+constexpr Duration ShortSilence = std::chrono::milliseconds(1200);
+/// Longer than a silence and the backoff after it.
+constexpr Duration StatedPause = std::chrono::milliseconds(6000);
+
 class Soak
 {
 public:
@@ -141,6 +145,10 @@
         silenceEngine(i);
         m_fleet.setRetryAfter(i % m_fleet.engineCount(), std::string(LongRetryAfter));
     }
+    void silenceThenPause(std::size_t i)
+    {
+        m_fleet.silenceThenPause(i % m_fleet.engineCount(), ShortSilence, StatedPause);
+    }
     void resumeEngine(std::size_t i)
     {
         m_fleet.setRetryAfter(i % m_fleet.engineCount(), std::nullopt);
@@ -261,6 +269,8 @@
             {"let a backend server want no requests", &Soak::pauseEngine, &Soak::resumeEngine},
             {"let a backend server fall silent and want no requests afterwards",
              &Soak::pauseAfterSilence, &Soak::resumeEngine},
+            {"let a backend server fall silent and state until when it wants no requests",
+             &Soak::silenceThenPause, nullptr},
             {"let staged pieces turn corrupt", &Soak::corruptEngine, nullptr},
             {"let a backend server fall silent", &Soak::silenceEngine, nullptr},
             {"let backend servers fall silent before older versions end",
--- a/bench/src/soakfleet.cpp
+++ b/bench/src/soakfleet.cpp
@@ -333,6 +333,14 @@
         m_engines[engine].process->fallSilent(length);
 }
 
+void SoakFleet::silenceThenPause(std::size_t index, Duration silence, Duration pause)
+{
+    if (!m_engines[index].process)
+        return;
+    m_engines[index].process->pauseUntil(MonotonicClock::now() + pause);
+    m_engines[index].process->fallSilent(silence);
+}
+
 void SoakFleet::setOrderFault(std::size_t index, const FleetEngineStandin::OrderFault &fault)
 {
     Engine &engine = m_engines[index];
--- a/bench/src/soakfleet.h
+++ b/bench/src/soakfleet.h
@@ -76,6 +76,9 @@
     void setRejectInterval(std::size_t engine, std::size_t interval);
     /// Turns requests at \a engine away with \a retryAfter until it is reset or replaced.
     void setRetryAfter(std::size_t engine, const std::optional<std::string> &retryAfter);
+    /// The server falls silent for \a silence and turns requests away with the remaining time of
+    /// \a pause, which begins now.
+    void silenceThenPause(std::size_t engine, Duration silence, Duration pause);
     /// Changes a byte of some staged pieces, also while the engine is down.
     void corruptEngine(std::size_t engine, const std::vector<std::uint32_t> &pieces);
     void silenceEngine(std::size_t engine, Duration length);
--- a/standins/include/godwit/standin/fleetenginestandin.h
+++ b/standins/include/godwit/standin/fleetenginestandin.h
@@ -134,6 +134,9 @@
         m_retryAfter = std::move(retryAfter);
     }
 
+    /// Turns requests away with 503 until \a end, with the time until then as Retry-After.
+    void pauseUntil(TimePoint end) { m_pauseEnd = end; }
+
     /// Turns each \a interval-th request away as not executed, as a full engine does; 0: none.
     void setRejectInterval(std::size_t interval) { m_rejectInterval = interval; }
 
@@ -186,6 +189,8 @@
     void storePiece(const HttpRequest &request, HttpReply &reply);
     void sendStagedPieces(const HttpRequest &request, HttpReply &reply) const;
     void handleOrder(const HttpRequest &request, HttpReply &reply);
+    /// The value of Retry-After with which a request is turned away now, if it is.
+    std::optional<std::string> retryAfter() const;
     void waitForRuns();
     void load();
     void finishLoad();
@@ -208,6 +213,7 @@
     std::size_t m_receivedRequests = 0;
     bool m_isLeaving = false;
     std::optional<std::string> m_retryAfter;
+    TimePoint m_pauseEnd;
     std::size_t m_rejectInterval = 0;
     Layers m_layers; ///< Held now.
     std::uint64_t m_version = 0;
--- a/standins/src/fleetenginestandin.cpp
+++ b/standins/src/fleetenginestandin.cpp
@@ -329,6 +329,12 @@
     m_onChanged();
 }
 
+std::optional<std::string> FleetEngineStandin::retryAfter() const
+{
+    const Duration left = m_pauseEnd - MonotonicClock::now();
+    return left > Duration::zero() ? std::to_string(toSeconds(left)) : m_retryAfter;
+}
+
 bool FleetEngineStandin::rejectIfUnavailable(const HttpRequest &request, HttpReply &reply,
                                              TimePoint arrivedAt)
 {
@@ -339,11 +345,12 @@
         reply.send(notExecuted(421, request));
         return true;
     }
-    m_ledger.arrivals.push_back({attemptIdOf(request), m_options.id, arrivedAt,
-                                 m_retryAfter.value_or(""), MonotonicClock::now()});
-    if (m_retryAfter) {
+    const std::optional<std::string> wait = retryAfter();
+    m_ledger.arrivals.push_back({attemptIdOf(request), m_options.id, arrivedAt, wait.value_or(""),
+                                 MonotonicClock::now()});
+    if (wait) {
         HttpResponse response = notExecuted(503, request);
-        response.headers.add("Retry-After", *m_retryAfter);
+        response.headers.add("Retry-After", *wait);
         reply.send(std::move(response));
         return true;
     }
