--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -24,7 +24,7 @@
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(1500);
 /// Time after the start deadline of a backend server with outdated weights at which a request that
 /// has not started there is cancelled. The grace period ends VersionWindow::StartMargin after the
-/// start deadline.
+/// start deadline; links that carry weights may delay the cancellation by 0.4 s of that.
 constexpr Duration CancelDelay = std::chrono::milliseconds(100);
 /// Safety margin, so that prediction errors do not admit requests that start just too late.
 constexpr Duration StartMargin = std::chrono::milliseconds(20);
