Read regions, evacuations, cold servers and the work time that engines report

Cause: engines of some services report a fourth figure in their load, the time that work takes at the moment, and such reports were dropped whole, so that an entry process knew nothing of the load of the others. allowed_regions of routes and tenants, cold_s and warmup_per_s of services, cold_ms of records, X-Cold-Ms and op/evacuate/ZONE were not read.

Change: the adapter decodes them into types.

--- a/modules/fleet/include/godwit/fleet/fleetplatform.h
+++ b/modules/fleet/include/godwit/fleet/fleetplatform.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -27,6 +28,15 @@
     friend bool operator==(const WantedVersion &, const WantedVersion &) = default;
 };
 
+/// A request of the operator to send nothing more to the backend servers of a zone, in force for as
+/// long as its key exists.
+struct ZoneEvacuation
+{
+    ZoneId zone;
+
+    friend bool operator==(const ZoneEvacuation &, const ZoneEvacuation &) = default;
+};
+
 /// Options with which a process uses the key-value service.
 struct FleetStoreOptions
 {
@@ -40,7 +50,8 @@
 };
 
 /// A record written by the operator; monostate stands for a key that is not used.
-using OperatorRecord = std::variant<std::monostate, GatewayConfiguration, WantedVersion>;
+using OperatorRecord =
+        std::variant<std::monostate, GatewayConfiguration, WantedVersion, ZoneEvacuation>;
 
 /// Formats and calls of the operators' platform that the processes of a fleet use. Contains no
 /// policy.
@@ -62,6 +73,8 @@
     virtual std::string_view versionPrefix() const = 0;
     virtual std::string_view configurationKey() const = 0;
     virtual Result<OperatorRecord> decodeOperatorRecord(const KeyValueEntry &entry) const = 0;
+    /// The evacuation that the operator requests by the presence of \a key, if it is such a key.
+    virtual std::optional<ZoneEvacuation> evacuationFromKey(std::string_view key) const = 0;
 
     /// Prefix of the keys under which backend servers register.
     virtual std::string_view backendPrefix() const = 0;
--- a/modules/fleet/tests/fakeplatform.h
+++ b/modules/fleet/tests/fakeplatform.h
@@ -83,10 +83,19 @@
             configuration.version = std::stoull(entry.value);
             return OperatorRecord(std::move(configuration));
         }
+        if (const auto evacuation = evacuationFromKey(entry.key))
+            return OperatorRecord(*evacuation);
         if (!entry.key.starts_with("op/version/"))
             return OperatorRecord();
         return OperatorRecord(WantedVersion{ModelId("m"), std::stoull(entry.value)});
     }
+    std::optional<ZoneEvacuation> evacuationFromKey(std::string_view key) const override
+    {
+        constexpr std::string_view Prefix = "op/evacuate/";
+        if (!key.starts_with(Prefix))
+            return std::nullopt;
+        return ZoneEvacuation{ZoneId(std::string(key.substr(Prefix.size())))};
+    }
     std::string_view backendPrefix() const override { return "servers/"; }
     BackendId backendIdFromKey(std::string_view key) const override
     {
--- a/modules/gateway/include/godwit/gateway/backendload.h
+++ b/modules/gateway/include/godwit/gateway/backendload.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 namespace godwit {
 
@@ -10,6 +11,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// Time that work takes at this moment, in percent of the usual; none if it is not reported.
+    std::optional<std::uint32_t> workTimePercent = {};
 
     friend auto operator<=>(const BackendLoad &, const BackendLoad &) = default;
 };
--- a/modules/gateway/include/godwit/gateway/backendrecord.h
+++ b/modules/gateway/include/godwit/gateway/backendrecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/base/ids.h>
+#include <godwit/base/time.h>
 #include <godwit/ports/httpendpoint.h>
 
 #include <compare>
@@ -49,6 +50,7 @@
     std::uint64_t startTimeMs = 0; ///< Unix time; a different value means another process.
     std::vector<ServedModel> models;
     std::optional<LayerRange> layers; ///< None if it does not load its model layer by layer.
+    Duration coldFor{0}; ///< How much longer it is cold, from the arrival of the record on.
 
     friend bool operator==(const BackendRecord &, const BackendRecord &) = default;
 };
--- a/modules/gateway/include/godwit/gateway/callerprotocol.h
+++ b/modules/gateway/include/godwit/gateway/callerprotocol.h
@@ -42,6 +42,7 @@
     /// Has a content coding, so the body is not the one that the backend server wrote.
     bool isEncoded = false;
     std::optional<BackendLoad> load;
+    std::optional<Duration> coldFor;             ///< How much longer the backend server is cold.
     std::optional<std::uint64_t> weightsVersion; ///< Version that answers the request.
     HttpHeaders headers;                         ///< Those that are passed on to the client.
 
--- a/modules/gateway/include/godwit/gateway/gatewayconfiguration.h
+++ b/modules/gateway/include/godwit/gateway/gatewayconfiguration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/base/ids.h>
+#include <godwit/base/time.h>
 #include <godwit/gateway/route.h>
 #include <godwit/ports/httpendpoint.h>
 
@@ -44,16 +45,21 @@
     std::uint32_t maxConnections = 0; ///< Of one backend server; 0 if unknown.
     std::optional<EngineProfile> engine;
     std::optional<WeightOrigin> origin;
+    Duration coldPeriod{0}; ///< For which a backend server is cold after its start.
+    /// Requests per second that a cold backend server tolerates; 0 means that it has no limit.
+    double warmupPerSecond = 0;
 
     friend bool operator==(const ServiceDescription &, const ServiceDescription &) = default;
 };
 
-/// API keys and priority of a customer.
+/// API keys, priority and regions of a customer.
 struct CustomerAccess
 {
     CustomerId customer;
     std::vector<std::string> keys;
     std::optional<std::uint32_t> priority; ///< Overrides the priority of the route.
+    /// As for a Route. If both name regions, a request must stay in those that both name.
+    std::vector<RegionId> allowedRegions = {};
 
     friend bool operator==(const CustomerAccess &, const CustomerAccess &) = default;
 };
--- a/modules/gateway/include/godwit/gateway/route.h
+++ b/modules/gateway/include/godwit/gateway/route.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <godwit/base/ids.h>
 #include <godwit/base/time.h>
 
 #include <compare>
@@ -40,6 +41,8 @@
     std::vector<RouteTarget> targets;
     bool anonymous = false; ///< Requires no key.
     bool resumable = false; ///< A stream may resume at another backend server.
+    /// Regions in which requests may run and to which their bodies may be sent; empty means any.
+    std::vector<RegionId> allowedRegions = {};
 
     /// Whether a request may be executed more than once.
     bool isRepeatable() const
