Keep requests in their regions and out of evacuated zones

Ruled out: a penalty in the cost of a server, which load outweighs.

Change: ZonePlacement filters the backend servers before one is chosen, for first attempts, retries and resumed streams. OperatorFeed reports evacuations, and keeps one that a restored copy of the store lacks until the operator could have written it again.

--- a/modules/fleet/include/godwit/fleet/operatorfeed.h
+++ b/modules/fleet/include/godwit/fleet/operatorfeed.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string_view>
 
@@ -16,7 +17,8 @@
 /// Watches the records that the operator writes into the platform's store under one prefix.
 ///
 /// Versions only increase. A store that comes back from a copy may hold older ones for some time,
-/// and the operator then writes those again that it has lost; neither is reported.
+/// and the operator then writes those again that it has lost; neither is reported. An evacuation
+/// that the copy lacks goes on until the operator has had the time to write it again.
 class OperatorFeed
 {
 public:
@@ -28,6 +30,8 @@
         std::function<void(const WantedVersion &, const std::optional<VersionWindow> &)> onVersion;
         /// All writes of the operator up to \a asOf have been reported.
         std::function<void(TimePoint asOf)> onConfirmed;
+        /// The operator evacuates a zone (true) or has ended its evacuation. May be empty.
+        std::function<void(const ZoneId &, bool evacuated)> onEvacuation = {};
     };
 
     OperatorFeed(const FleetPlatform &platform, std::string_view prefix, KeyValuePort &store,
@@ -43,6 +47,8 @@
 
 private:
     void handlePut(const KeyValueEntry &entry, const std::optional<WriteTime> &time);
+    void handleRemoved(const std::string &key);
+    void reportEvacuation(const ZoneId &zone, bool evacuated);
     /// Returns whether \a version is above \a newest, which it then replaces.
     bool isNewer(std::uint64_t version, std::optional<std::uint64_t> &newest,
                  const KeyValueEntry &entry) const;
@@ -59,6 +65,9 @@
     Handlers m_handlers;
     std::optional<std::uint64_t> m_configurationVersion;
     std::map<ModelId, std::optional<std::uint64_t>> m_wantedVersions;
+    /// Ends of evacuations that a copy lacks.
+    std::map<ZoneId, std::unique_ptr<Timer>> m_pendingEnds;
+    bool m_isReadingCopy = false; ///< The first list of a restored store is being reported.
     PrefixMirror m_mirror;
 };
 
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -20,6 +20,8 @@
     const FleetBounds &bounds = settings.bounds;
     GatewayOptions options;
     options.zone = settings.zone;
+    for (const ZoneSettings &it : settings.zones)
+        options.zoneRegions.emplace(it.id, it.region);
     options.retryBudget = {bounds.retryBudgetRatio, bounds.retryBudgetSlack,
                            bounds.retryBudgetWindow};
     options.maxDenialAge = maxDenialAge(bounds);
@@ -85,7 +87,10 @@
                [this](const WantedVersion &wanted, const std::optional<VersionWindow> &window) {
                    onVersionWanted(wanted, window);
                },
-               [this](TimePoint asOf) { m_gateway.onConfigurationConfirmed(asOf); }})
+               [this](TimePoint asOf) { m_gateway.onConfigurationConfirmed(asOf); },
+               [this](const ZoneId &zone, bool evacuated) {
+                   m_gateway.setEvacuated(zone, evacuated);
+               }})
     , m_backendFeed(m_platform, *m_backendStore, m_scheduler, m_settings.bounds, newRandom(),
                     {[this](const BackendRecord &record, StoreRevision revision) {
                          logBackendChange(record, revision);
--- a/modules/fleet/src/operatorfeed.cpp
+++ b/modules/fleet/src/operatorfeed.cpp
@@ -17,13 +17,17 @@
                {[this](const KeyValueEntry &entry, const std::optional<WriteTime> &time) {
                     handlePut(entry, time);
                 },
-                [](const std::string &) {},
-                [this](TimePoint asOf) { m_handlers.onConfirmed(asOf); },
+                [this](const std::string &key) { handleRemoved(key); },
+                [this](TimePoint asOf) {
+                    m_isReadingCopy = false;
+                    m_handlers.onConfirmed(asOf);
+                },
                 [keys = std::string(prefix)](bool reachable, const std::string &problem) {
                     logStateChange(reachable ? "store_regained" : "store_lost",
                                    {{"keys", keys}, {"problem", problem}},
                                    reachable ? LogLevel::Info : LogLevel::Warning);
-                }})
+                },
+                [this](const StoreRestoration &) { m_isReadingCopy = true; }})
 {}
 
 TimePoint OperatorFeed::olderVersionsEnd(TimePoint announcedAt,
@@ -96,7 +100,34 @@
         const auto window = versionWindow(time);
         logWantedVersion(*wanted, entry.modified, window);
         m_handlers.onVersion(*wanted, window);
+    } else if (const auto *evacuation = std::get_if<ZoneEvacuation>(&record)) {
+        m_pendingEnds.erase(evacuation->zone);
+        reportEvacuation(evacuation->zone, true);
     }
 }
 
+void OperatorFeed::handleRemoved(const std::string &key)
+{
+    const auto evacuation = m_platform.evacuationFromKey(key);
+    if (!evacuation)
+        return;
+    if (!m_isReadingCopy) {
+        reportEvacuation(evacuation->zone, false);
+        return;
+    }
+    // The operator may have requested it after the copy was made.
+    m_pendingEnds[evacuation->zone] =
+            m_scheduler.after(PrefixMirror::RewritePeriod, [this, zone = evacuation->zone] {
+                const auto timer = std::move(m_pendingEnds[zone]);
+                m_pendingEnds.erase(zone);
+                reportEvacuation(zone, false);
+            });
+}
+
+void OperatorFeed::reportEvacuation(const ZoneId &zone, bool evacuated)
+{
+    if (m_handlers.onEvacuation)
+        m_handlers.onEvacuation(zone, evacuated);
+}
+
 } // namespace godwit
--- a/modules/fleet/tests/operatorfeedtest.cpp
+++ b/modules/fleet/tests/operatorfeedtest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace godwit;
 using namespace std::chrono_literals;
 
@@ -14,6 +16,7 @@
     FleetBounds bounds;
     std::vector<std::pair<std::uint64_t, std::optional<VersionWindow>>> versions;
     std::vector<std::uint64_t> configurations;
+    std::set<std::string> evacuated;
     OperatorFeed feed{
             platform,
             platform.operatorPrefix(),
@@ -27,7 +30,13 @@
              [this](const WantedVersion &wanted, const std::optional<VersionWindow> &window) {
                  versions.emplace_back(wanted.version, window);
              },
-             [](TimePoint) {}}};
+             [](TimePoint) {},
+             [this](const ZoneId &zone, bool isEvacuated) {
+                 if (isEvacuated)
+                     evacuated.insert(zone.value());
+                 else
+                     evacuated.erase(zone.value());
+             }}};
 
     Fixture()
     {
@@ -45,6 +54,11 @@
         store.handlers.onEvents({{entry(version, revision), false}});
     }
 
+    static KeyValueEntry evacuation(const std::string &zone, std::uint64_t revision)
+    {
+        return {"op/evacuate/" + zone, "{}", StoreRevision{revision}, LeaseId{}};
+    }
+
     TimePoint olderVersionsDeadline() const
     {
         const VersionWindow window = versions.back().second.value();
@@ -170,3 +184,60 @@
         CHECK(it.versions.back().first == 4);
     }
 }
+
+// Guards against an evacuation that is missed or that ends early, because the process started
+// meanwhile or because the store came back from a copy that lacks it.
+TEST_CASE("OperatorFeed reports the evacuation of zones")
+{
+    Fixture it;
+    it.store.handlers.onEvents({{Fixture::evacuation("z1", 11), false}});
+    REQUIRE(it.evacuated == std::set<std::string>{"z1"});
+
+    SECTION("until the key is removed")
+    {
+        it.store.handlers.onEvents({{Fixture::evacuation("z2", 12), false}});
+        it.store.handlers.onEvents({{Fixture::evacuation("z1", 13), true}});
+        CHECK(it.evacuated == std::set<std::string>{"z2"});
+    }
+    SECTION("that was requested before the process started")
+    {
+        std::set<std::string> seen;
+        FakeStore store;
+        OperatorFeed feed{it.platform,
+                          it.platform.operatorPrefix(),
+                          store,
+                          it.scheduler,
+                          it.bounds,
+                          Random(1),
+                          {[](const GatewayConfiguration &) {},
+                           [](const WantedVersion &, const std::optional<VersionWindow> &) {},
+                           [](TimePoint) {},
+                           [&](const ZoneId &zone, bool) { seen.insert(zone.value()); }}};
+        feed.start();
+        store.completeList(12, {Fixture::evacuation("z1", 11)});
+        CHECK(seen == std::set<std::string>{"z1"});
+    }
+    SECTION("in force during an outage of the store")
+    {
+        it.store.handlers.onEnd(Error{ResultCode::PlatformUnreachable, "down"});
+        it.scheduler.advance(20s);
+        CHECK(it.evacuated == std::set<std::string>{"z1"});
+    }
+    SECTION("that a copy of the store lacks, until the operator could have written it again")
+    {
+        it.store.restore(5, {Fixture::entry(1, 3)});
+        CHECK(it.evacuated == std::set<std::string>{"z1"});
+        SECTION("it has not")
+        {
+            it.scheduler.advance(PrefixMirror::RewritePeriod);
+            CHECK(it.evacuated.empty());
+        }
+        SECTION("it has")
+        {
+            it.scheduler.advance(1s);
+            it.store.handlers.onEvents({{Fixture::evacuation("z1", 6), false}});
+            it.scheduler.advance(10s);
+            CHECK(it.evacuated == std::set<std::string>{"z1"});
+        }
+    }
+}
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -7,6 +7,7 @@
 #include <godwit/gateway/backendrecord.h>
 #include <godwit/gateway/gatewayconfiguration.h>
 #include <godwit/gateway/loadschedule.h>
+#include <godwit/gateway/zoneplacement.h>
 
 #include <map>
 #include <optional>
@@ -46,6 +47,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; ///< Expected number; 0 if unknown.
     std::set<BackendId> excluded;   ///< Backend servers that were tried before.
+    AllowedRegions regions;         ///< In which the request may run.
     /// Limit on the expected wait for a slot. Prefill of the prompt of this request does not count,
     /// so that requests with long prompts are not refused.
     Duration maxQueueDelay = Duration::max();
@@ -88,6 +90,8 @@
         AllFull,    ///< All eligible ones would start the request too late.
         AllLeaving, ///< Those that were not tried before have all stated that they leave.
         AllPaused,  ///< They leave or are paused, and at least one is paused.
+        /// All others are in zones that are being evacuated or outside the allowed regions.
+        NotPlaceable,
     };
     Reason reason = Reason::NoneKnown;
     /// Predicted time until one has a free slot, or its pause is over; 0 if unknown.
@@ -108,7 +112,7 @@
 class BackendPool
 {
 public:
-    BackendPool(ZoneId zone, Random random);
+    BackendPool(ZoneId zone, Random random, ZonePlacement placement = {});
 
     /// Adds a backend server or replaces its record. Health statistics are reset if the process
     /// behind the record has changed.
@@ -127,7 +131,10 @@
     /// Starts the staggered loading of \a version of \a model by the engines.
     void announceVersion(const ModelId &model, std::uint64_t version, const VersionWindow &window);
 
-    /// Whether each model of the services has an eligible backend server.
+    /// Evacuations, and the regions of the zones.
+    ZonePlacement &placement() { return m_placement; }
+
+    /// Whether each model of the services has an eligible backend server, in any zone.
     bool servesAllModels(TimePoint now) const;
 
     std::variant<BackendChoice, NoBackend> choose(const BackendQuery &query, TimePoint now);
@@ -273,6 +280,7 @@
     std::map<ModelId, std::vector<VersionRule>> m_versionRules;
     std::map<ModelId, LoadSchedule> m_schedules;
     AvailabilityTracker m_availability;
+    ZonePlacement m_placement;
     bool m_enginesChanged = false; ///< The schedules have to be updated.
 };
 
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -69,6 +69,9 @@
     /// are in progress now.
     void requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline);
 
+    /// The operator evacuates \a zone or ends its evacuation. Requests in progress there go on.
+    void setEvacuated(const ZoneId &zone, bool evacuated);
+
     void handle(HttpRequest request, std::shared_ptr<HttpReply> reply);
 
     /// The process shuts down: limits the deadlines of the requests in progress and of later ones,
@@ -97,9 +100,10 @@
     Duration timeout(const ClientRequest &request, const Route &route) const;
     /// Whether \a request arrives late in the shutdown and may not be complete before its end.
     bool isTooLate(const ClientRequest &request, const Route &route) const;
+    /// Whether the key of \a request gives access to \a route. Sets \a customer to its owner if the
+    /// route requires a key.
     std::optional<Error> checkAccess(const ClientRequest &request, const Route &route,
-                                     CustomerId &customer,
-                                     std::optional<std::uint32_t> &priority) const;
+                                     const CustomerAccess *&customer) const;
     /// Sends an error response to a request for which no attempt was made.
     void refuse(HttpReply &reply, const RequestId &id, int status, const Error &error,
                 Duration retryAfter);
--- a/modules/gateway/include/godwit/gateway/gatewaymetrics.h
+++ b/modules/gateway/include/godwit/gateway/gatewaymetrics.h
@@ -35,6 +35,8 @@
     void recordClientDisconnect() { m_clientDisconnects.add(1); }
     /// A request was refused or cancelled because its content crashes backend servers.
     void recordSuspended() { m_suspended.add(1); }
+    /// \a change more availability zones are being evacuated.
+    void recordEvacuations(int change) { m_evacuatedZones.add(change); }
     /// A response started with weights that were outdated by then.
     void recordOutdatedStart() { m_outdatedStarts.add(1); }
 
@@ -44,6 +46,7 @@
     Counter &m_clientDisconnects;
     Counter &m_outdatedStarts;
     Counter &m_suspended;
+    Gauge &m_evacuatedZones;
     Summary &m_responseTime;
     Summary &m_firstEventTime;
 };
--- a/modules/gateway/include/godwit/gateway/gatewayoptions.h
+++ b/modules/gateway/include/godwit/gateway/gatewayoptions.h
@@ -4,12 +4,15 @@
 #include <godwit/base/time.h>
 #include <godwit/gateway/windowedretrybudget.h>
 
+#include <map>
+
 namespace godwit {
 
 /// Settings of a Gateway.
 struct GatewayOptions
 {
     ZoneId zone;
+    std::map<ZoneId, RegionId> zoneRegions; ///< Regions of all zones of the fleet.
     RetryBudgetLimits retryBudget;
     /// Requests with a key are refused if the configuration has not been confirmed for longer than
     /// this, because the key may have been revoked meanwhile. Zero disables the check.
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -73,10 +73,11 @@
 
 } // namespace
 
-BackendPool::BackendPool(ZoneId zone, Random random)
+BackendPool::BackendPool(ZoneId zone, Random random, ZonePlacement placement)
     : m_zone(std::move(zone))
     , m_random(random)
     , m_availability(Random(m_random()))
+    , m_placement(std::move(placement))
 {}
 
 void BackendPool::update(const BackendRecord &record, TimePoint now)
@@ -324,15 +325,23 @@
     const Service *service = findService(query.service);
     std::vector<const Backend *> serving;
     std::vector<PassedOverBackend> passedOver;
+    bool anyNotPlaceable = false;
     for (const auto &[id, backend] : m_backends) {
         if (!isEligible(backend, query, service, now))
             continue;
+        if (m_placement.judge(backend.record.zone, query.regions)
+            != ZonePlacement::Verdict::Allowed) {
+            anyNotPlaceable = true;
+            continue;
+        }
         if (const auto why = m_availability.find(instanceOf(backend.record), now))
             passedOver.push_back({id, *why});
         else if (!query.excluded.contains(id))
             serving.push_back(&backend);
     }
     NoBackend none = noneAvailable(std::move(passedOver), now);
+    if (none.reason == NoBackend::Reason::NoneKnown && anyNotPlaceable)
+        none.reason = NoBackend::Reason::NotPlaceable;
     if (serving.empty())
         return none;
     double shortestWait = MaxWaitSeconds;
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -138,6 +138,7 @@
     query.promptTokens = m_request.promptTokens;
     query.outputTokens = m_request.expectedOutputTokens.value_or(m_request.maxOutputTokens);
     query.version = m_weightsVersion;
+    query.regions = m_admission.regions;
     for (const PastAttempt &it : m_attempts)
         query.excluded.insert(it.backend);
     m_urgency = RequestUrgency::OnTime;
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -25,6 +25,7 @@
         std::string service;
         CustomerId customer;
         std::optional<std::uint32_t> priority;
+        AllowedRegions regions; ///< In which the request and its retries may run.
     };
 
     ForwardedRequest(Gateway &gateway, Admission admission, ClientRequest request,
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -39,7 +39,7 @@
     : m_options(options)
     , m_environment(std::move(environment))
     , m_random(random)
-    , m_backends(options.zone, Random(random()))
+    , m_backends(options.zone, Random(random()), ZonePlacement(options.zoneRegions))
     , m_retryBudget(options.retryBudget)
 {}
 
@@ -71,6 +71,15 @@
         it->limitStart();
 }
 
+void Gateway::setEvacuated(const ZoneId &zone, bool evacuated)
+{
+    if (!m_backends.placement().setEvacuated(zone, evacuated))
+        return;
+    m_environment.metrics.recordEvacuations(evacuated ? 1 : -1);
+    logStateChange(evacuated ? "zone_evacuated" : "zone_evacuation_ended",
+                   {{"zone", zone.value()}, {"requests", m_requests.size()}});
+}
+
 void Gateway::beginShutdown(const ShutdownTimes &times)
 {
     m_shutdown = times;
@@ -186,8 +195,7 @@
 }
 
 std::optional<Error> Gateway::checkAccess(const ClientRequest &request, const Route &route,
-                                          CustomerId &customer,
-                                          std::optional<std::uint32_t> &priority) const
+                                          const CustomerAccess *&customer) const
 {
     if (route.anonymous || !m_routeTable->requiresKeys())
         return std::nullopt;
@@ -197,9 +205,7 @@
     if (!isRecentEnoughForKeys())
         return Error{ResultCode::ConfigurationStale,
                      "configuration too old to verify that the API key is still valid"};
-    customer = access->customer;
-    if (access->priority)
-        priority = access->priority;
+    customer = access;
     return std::nullopt;
 }
 
@@ -229,13 +235,17 @@
     ForwardedRequest::Admission admission;
     admission.table = m_routeTable;
     admission.route = route;
-    admission.priority = route->priority;
     admission.service = route->targets[selectTarget(*route, m_random.uniform())].service;
-    if (const auto error = checkAccess(request, *route, admission.customer, admission.priority)) {
+    const CustomerAccess *customer = nullptr;
+    if (const auto error = checkAccess(request, *route, customer)) {
         const bool denied = error->code == ResultCode::CustomerDenied && canDeny;
         refuse(*reply, request.id, denied ? 401 : 503, *error, withJitter(UnconfiguredRetryAfter));
         return;
     }
+    admission.customer = customer ? customer->customer : CustomerId();
+    admission.priority = customer && customer->priority ? customer->priority : route->priority;
+    admission.regions = commonRegions(route->allowedRegions, customer ? customer->allowedRegions
+                                                                      : std::vector<RegionId>());
     if (isTooLate(request, *route)) {
         refuse(*reply, request.id, 503,
                {ResultCode::ProcessLeaving, "the process may stop before the request is complete"},
--- a/modules/gateway/src/gatewaymetrics.cpp
+++ b/modules/gateway/src/gatewaymetrics.cpp
@@ -30,6 +30,8 @@
                                         "Responses that started with outdated weights."))
     , m_suspended(registry.counter("godwit_suspended_requests_total",
                                    "Requests with content that crashes backend servers."))
+    , m_evacuatedZones(
+              registry.gauge("godwit_evacuated_zones", "Availability zones that get no requests."))
     , m_responseTime(registry.summary("godwit_answer_seconds",
                                       "Time from a request to the end of its answer."))
     , m_firstEventTime(registry.summary("godwit_first_event_seconds",
--- a/modules/gateway/src/passedover.cpp
+++ b/modules/gateway/src/passedover.cpp
@@ -23,11 +23,13 @@
 };
 
 /// By NoBackend::Reason.
-constexpr std::array<Refusal, 4> Refusals{
+constexpr std::array<Refusal, 5> Refusals{
         {{ResultCode::NoBackendKnown, "no backend server serves the request"},
          {ResultCode::QueueFull, "all backend servers are full"},
          {ResultCode::NoBackendEligible, "all backend servers are leaving"},
-         {ResultCode::NoBackendEligible, "all backend servers want no requests for now"}}};
+         {ResultCode::NoBackendEligible, "all backend servers want no requests for now"},
+         {ResultCode::NoBackendEligible,
+          "all backend servers are outside the allowed regions or in evacuated zones"}}};
 
 const Refusal &refusalOf(const NoBackend &none)
 {
