Schedule the fetches from the origin by the rate of its link

Cause: the schedule of fetches assumed the rate of the hosts' links (9.4 Mbit/s) although the configuration states that of the origin (15 Mbit/s), so that the last chunks left the origin 2.0 s after the first instead of 1.3 s. Ruled out: the manifests, which arrive within 0.1 s.

Change: the planner gets the rate with the origin. The delay before a second host fetches a chunk shrinks with the time that a duplicate takes.

--- a/modules/fleet/src/hostprocess.cpp
+++ b/modules/fleet/src/hostprocess.cpp
@@ -184,7 +184,7 @@
     logStateChange("origin_changed",
                    {{"endpoint", toString(origin.endpoint)}, {"zone", origin.zone.value()}});
     m_rollout.setOrigin(m_platform.createOrigin(m_originClient, origin.endpoint),
-                        regionOf(origin.zone));
+                        regionOf(origin.zone), origin.bytesPerSecond);
 }
 
 void HostProcess::updateParticipants()
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -47,8 +47,9 @@
     VersionRollout(const VersionRollout &) = delete;
     VersionRollout &operator=(const VersionRollout &) = delete;
 
-    /// Sets the origin of weights and its region. \a origin is null while it is not known.
-    void setOrigin(std::shared_ptr<WeightOriginPort> origin, RegionId region);
+    /// Sets the origin of weights, its region and the rate of its link in bytes per second; 0 if
+    /// the rate is not known. \a origin is null while it is not known.
+    void setOrigin(std::shared_ptr<WeightOriginPort> origin, RegionId region, double rate = 0);
 
     /// Sets the hosts whose engines load the same weights; this one need not be included. Nothing
     /// is read before the first call: a host that knows no peers would read everything from the
--- a/modules/rollout/src/transferprofile.cpp
+++ b/modules/rollout/src/transferprofile.cpp
@@ -17,7 +17,7 @@
     TransferSettings transfer;
     if (hostRate > 0)
         transfer.hostRate = hostRate;
-    transfer.originRate = transfer.hostRate;
+    transfer.originRate = transfer.hostRate; // Until the configuration states it.
     transfer.regionLinkRate = RegionLinkRate;
     transfer.windowBytes = WindowBytes;
     // A host link is slow: transferring one chunk over it takes as long as several chunks on the
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -51,9 +51,13 @@
     return nullptr;
 }
 
-void VersionRollout::setOrigin(std::shared_ptr<WeightOriginPort> origin, RegionId region)
+void VersionRollout::setOrigin(std::shared_ptr<WeightOriginPort> origin, RegionId region,
+                               double rate)
 {
     m_origin = std::move(origin);
+    // Hosts that fetch more slowly than their own links can would leave the origin idle in between.
+    if (rate > 0)
+        m_planner.setOriginRate(std::max(rate, m_options.transfer.hostRate));
     m_manifests->setOrigin(m_origin);
     m_originRegion = std::move(region);
     for (auto &[model, rollouts] : m_rollouts) {
--- a/modules/rollout/tests/bursttest.cpp
+++ b/modules/rollout/tests/bursttest.cpp
@@ -50,6 +50,28 @@
     CHECK(result.seconds <= 1.3 * bench::lowerBound(scenario) + toSeconds(scenario.startSpread));
 }
 
+// Load pattern: an origin with a faster link than the hosts. Guards against a schedule at the rate
+// of the hosts' links, with which the last chunks leave the origin when they could be everywhere.
+TEST_CASE("A burst from an origin that is faster than the hosts")
+{
+    constexpr double OriginSpeedup = 1.6;
+    const auto seed = GENERATE(1, 2, 3);
+    bench::Scenario scenario = burstScenario(99, 3, static_cast<std::uint64_t>(seed));
+    scenario.layout.originRate *= OriginSpeedup;
+    const auto scheduledFor = [&scenario](double originRate) {
+        scenario.settings->originRate = originRate;
+        return bench::SwarmRun(scenario).run();
+    };
+    const bench::RunResult atHostRate = scheduledFor(HostLinkRate);
+    const bench::RunResult atOriginRate = scheduledFor(scenario.layout.originRate);
+    INFO("seconds " << atHostRate.seconds << " and " << atOriginRate.seconds << ", bound "
+                    << bench::lowerBound(scenario));
+    REQUIRE(atOriginRate.seconds > 0);
+    CHECK(atOriginRate.originCopies <= 1.3);
+    CHECK(atOriginRate.seconds < atHostRate.seconds);
+    CHECK(atOriginRate.seconds <= 1.4 * bench::lowerBound(scenario));
+}
+
 // Load pattern: a version is named on hundreds of hosts in five regions. Guards against a time or a
 // number of connections of each host that grows with the fleet.
 TEST_CASE("A burst on hundreds of hosts takes hardly longer than on a few dozen")
--- a/modules/weights/include/godwit/weights/transferplanner.h
+++ b/modules/weights/include/godwit/weights/transferplanner.h
@@ -40,6 +40,9 @@
     TransferPlanner(TransferPlanner &&) noexcept;
     TransferPlanner &operator=(TransferPlanner &&) noexcept;
 
+    /// Sets TransferSettings::originRate, for transfers in progress as well.
+    void setOriginRate(double bytesPerSecond);
+
     /// Starts a transfer. Unless TransferOrder::keepOtherVersions is set, it supersedes unfinished
     /// transfers of other versions of the same model or adapter, whose chunks are reused by
     /// content. If the transfer is already servable, this is reported again without fetching
--- a/modules/weights/src/plannerfetch.cpp
+++ b/modules/weights/src/plannerfetch.cpp
@@ -128,8 +128,10 @@
     const Duration base = transfer.order.policy == TransferPolicy::TimeFirst
                                   ? m_settings.timeFirstFallbackDelay
                                   : m_settings.bytesFirstFallbackDelay;
+    // A chunk that is fetched twice by mistake takes less of the time of a faster origin.
     if (transfer.region == transfer.order.originRegion)
-        return base;
+        return fromSeconds(toSeconds(base)
+                           * std::min(1.0, m_settings.hostRate / m_settings.originRate));
     // The chunks in the window share the link, so that each takes that many chunk times.
     return std::max(base, 2 * (m_settings.regionWindow + 1)
                                   * chunkTime(transfer, m_settings.regionLinkRate));
--- a/modules/weights/src/plannerimpl.h
+++ b/modules/weights/src/plannerimpl.h
@@ -20,6 +20,7 @@
 public:
     Impl(HostId self, TransferSettings settings, std::uint64_t seed);
 
+    void setOriginRate(double bytesPerSecond) { m_settings.originRate = bytesPerSecond; }
     void start(TransferOrder order);
     void cancel(const Digest &id);
     void peerJoined(const Digest &id, const Participant &peer);
--- a/modules/weights/src/transferplanner.cpp
+++ b/modules/weights/src/transferplanner.cpp
@@ -10,6 +10,11 @@
 TransferPlanner::TransferPlanner(TransferPlanner &&) noexcept = default;
 TransferPlanner &TransferPlanner::operator=(TransferPlanner &&) noexcept = default;
 
+void TransferPlanner::setOriginRate(double bytesPerSecond)
+{
+    m_impl->setOriginRate(bytesPerSecond);
+}
+
 TransferActions TransferPlanner::start(TimePoint now, TransferOrder order)
 {
     m_impl->advanceClock(now);
