Write crash reports in bursts, not one for each lost response

Change: three writes may follow each other, then one in 1.5 s; retries back off to 4 s; the watch collects events for 750 ms. A report still reaches the others within the shortest reconnection period (3 s).

--- a/modules/fleet/include/godwit/fleet/crashreportexchange.h
+++ b/modules/fleet/include/godwit/fleet/crashreportexchange.h
@@ -45,7 +45,15 @@
     static constexpr Duration ReportLifetime = std::chrono::minutes(10);
     /// Reports of crashes that happen together are written together.
     static constexpr Duration BatchDelay = std::chrono::milliseconds(20);
+    /// Delay of the first write after a failed one; doubles with each further failure.
     static constexpr Duration RetryDelay = std::chrono::milliseconds(500);
+    static constexpr Duration MaxRetryDelay = std::chrono::seconds(4);
+    /// Writes that may follow each other without a pause, and the time after which a further one
+    /// may. When responses are lost in numbers, each of them looks like a crash, and a write for
+    /// each would be most of the calls to the store. A report reaches the others within the
+    /// shortest reconnection period of a fleet (3 s) all the same.
+    static constexpr int WriteBurst = 3;
+    static constexpr Duration WriteInterval = std::chrono::milliseconds(1500);
     static constexpr std::size_t MaxReports = 64;
     /// Of one report. Shared parts are kept before whole requests.
     static constexpr std::size_t MaxSuspects = 64;
@@ -89,6 +97,8 @@
     /// Adds \a key, which is not known yet, as the newest.
     void addHarmless(const ContentKey &key);
     void scheduleWrite(Duration delay);
+    /// Adds what has been refilled since the last call to the writes that are allowed.
+    void refillWrites();
     void write();
     void requestLease();
     void writeWithLease();
@@ -122,6 +132,9 @@
     bool m_isWriting = false;
     bool m_isChanged = false; ///< Since the write in progress began.
     std::unique_ptr<Timer> m_writeTimer;
+    double m_allowedWrites = WriteBurst;
+    TimePoint m_writesRefilledAt{};
+    Duration m_retryDelay = RetryDelay;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
     PrefixMirror m_mirror;
 };
--- a/modules/fleet/src/crashreportexchange.cpp
+++ b/modules/fleet/src/crashreportexchange.cpp
@@ -181,12 +181,25 @@
     m_isChanged = true;
     if (m_isWriting || m_writeTimer)
         return;
-    m_writeTimer = m_scheduler.after(delay, [this] {
+    refillWrites();
+    const auto untilAllowed = std::chrono::duration_cast<Duration>(
+            WriteInterval * std::max(0.0, 1 - m_allowedWrites));
+    m_writeTimer = m_scheduler.after(std::max(delay, untilAllowed), [this] {
         const auto timer = std::move(m_writeTimer);
+        refillWrites();
+        m_allowedWrites -= 1;
         write();
     });
 }
 
+void CrashReportExchange::refillWrites()
+{
+    const TimePoint now = m_scheduler.now();
+    const double refilled = toSeconds(now - m_writesRefilledAt) / toSeconds(WriteInterval);
+    m_allowedWrites = std::min<double>(WriteBurst, m_allowedWrites + refilled);
+    m_writesRefilledAt = now;
+}
+
 void CrashReportExchange::write()
 {
     m_isWriting = true;
@@ -234,6 +247,7 @@
         m_knowsOwnKey = true;
         m_revision = std::get<0>(outcome);
         m_isWriting = false;
+        m_retryDelay = RetryDelay;
         if (m_isChanged)
             scheduleWrite(BatchDelay);
         return;
@@ -264,7 +278,7 @@
         if (*found)
             handlePut(**found);
     }
-    scheduleWrite(RetryDelay);
+    scheduleWrite(std::exchange(m_retryDelay, std::min(2 * m_retryDelay, MaxRetryDelay)));
 }
 
 std::string CrashReportExchange::encodeKnowledge() const
--- a/modules/fleet/src/storepolling.cpp
+++ b/modules/fleet/src/storepolling.cpp
@@ -17,6 +17,9 @@
 constexpr int DrainBatchDivisor = 8;
 /// Calls per second by which all host processes together ask for new versions.
 constexpr double VersionPollsPerSecond = 8;
+/// Half of WriteInterval of CrashReportExchange, so that both together stay within the shortest
+/// reconnection period of a fleet (3 s).
+constexpr Duration CrashReportBatchDelay = milliseconds(750);
 constexpr Duration MinVersionPollTimeout = milliseconds(2500);
 constexpr Duration MaxVersionPollTimeout = seconds(20);
 
@@ -58,7 +61,7 @@
 
 PollIntervals crashReportPollIntervals()
 {
-    return {seconds(5), milliseconds(50)};
+    return {seconds(5), CrashReportBatchDelay};
 }
 
 PollIntervals participantPollIntervals()
--- a/modules/fleet/tests/crashreportexchangetest.cpp
+++ b/modules/fleet/tests/crashreportexchangetest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace godwit;
@@ -334,3 +335,62 @@
         CHECK(reader.crashes.size() == 2);
     }
 }
+
+// Load pattern: responses are lost in numbers, and each lost one looks like a crash. Guards against
+// a write for each of them, and against retries without pause while the store is away.
+TEST_CASE("CrashReportExchange writes no more often than the others need")
+{
+    VirtualScheduler scheduler;
+    Process writer(scheduler, "one");
+    std::uint64_t revision = 10;
+    std::size_t answered = 0;
+    const auto answerCalls = [&](bool succeed) {
+        if (!writer.store.leases.empty())
+            std::exchange(writer.store.leases, {}).back()(LeaseId{5});
+        for (; answered < writer.store.writes.size(); ++answered) {
+            const auto done = writer.store.writes[answered].done;
+            if (succeed) {
+                done(StoreRevision{++revision});
+                continue;
+            }
+            done(Error{ResultCode::PlatformTimeout, "away"});
+            writer.store.getDone(Error{ResultCode::PlatformTimeout, "away"});
+        }
+    };
+    const auto crashFor = [&](Duration time, bool succeed) {
+        const TimePoint end = scheduler.now() + time;
+        for (int i = 0; scheduler.now() < end; ++i) {
+            writer.exchange.publish(report("b" + std::to_string(i)));
+            scheduler.advance(20ms);
+            answerCalls(succeed);
+        }
+    };
+
+    SECTION("the first ones at once, all within the interval")
+    {
+        crashFor(100ms, true);
+        CHECK(writer.store.writes.size() >= 2);
+        crashFor(15s, true);
+        CHECK(writer.store.writes.size() <= 15s / CrashReportExchange::WriteInterval + 4);
+        const std::size_t before = writer.store.writes.size();
+        writer.exchange.publish(report("last"));
+        scheduler.advance(CrashReportExchange::WriteInterval);
+        CHECK(writer.store.writes.size() > before);
+    }
+    SECTION("after a quiet time at once again")
+    {
+        crashFor(5s, true);
+        scheduler.advance(CrashReportExchange::WriteInterval);
+        answerCalls(true);
+        scheduler.advance(10s);
+        const std::size_t before = writer.store.writes.size();
+        writer.exchange.publish(report("later"));
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        CHECK(writer.store.writes.size() == before + 1);
+    }
+    SECTION("ever more rarely while the store is away")
+    {
+        crashFor(20s, false);
+        CHECK(writer.store.writes.size() <= 9);
+    }
+}
