Follow all keys of an entry process with one watch of the store

Callers pay for calls to the store, and a pending watch counts as a call.

Cause: an entry process had three clients of the store with a watch each, for operator keys, backend records and crash reports, and each of them made a call per wait. Ruled out: longer waits, which the bounds on confirmations forbid.

Change: SharedWatch (modules/mirror) serves the watches of the three mirrors from one watch with the empty prefix. Its wait is the shortest of the three; the delay after events is the shorter of the two that exist, and ends when the call would have ended without events, so that no confirmation gets older than two waits.

Measured: godwit-mirror-tests, godwit-fleet-tests and godwit-platform-tests pass. In virtual time with waits of equal length, three mirrors make 100 calls in 102 s without writes; with watches of their own 300.

--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -30,6 +30,12 @@
     return options;
 }
 
+SharedWatchOptions sharedWatchOptions(const FleetBounds &bounds)
+{
+    const PollIntervals intervals = entryPollIntervals(bounds);
+    return {intervals.longPollTimeout, intervals.batchDelay};
+}
+
 HttpClientOptions backendClientOptions()
 {
     HttpClientOptions options;
@@ -75,11 +81,11 @@
                  [this](const CrashReport &report) { m_crashReports.publish(report); },
                  [this](const ContentKey &key) { m_crashReports.publishHarmless(key); }},
                 newRandom())
-    , m_operatorStore(openStore(operatorPollIntervals(m_settings.bounds)))
-    , m_backendStore(openStore(backendPollIntervals(m_settings.bounds)))
-    , m_crashStore(openStore(crashReportPollIntervals()))
+    // The delay between calls is up to the shared watch.
+    , m_store(openStore({entryPollIntervals(m_settings.bounds).longPollTimeout, Duration::zero()}))
+    , m_sharedWatch(*m_store, m_scheduler, sharedWatchOptions(m_settings.bounds))
     , m_operatorFeed(
-              m_platform, m_platform.operatorPrefix(), *m_operatorStore, m_scheduler,
+              m_platform, m_platform.operatorPrefix(), m_sharedWatch, m_scheduler,
               m_settings.bounds, newRandom(),
               {[this](GatewayConfiguration configuration) {
                    applyConfiguration(std::move(configuration));
@@ -91,7 +97,7 @@
                [this](const ZoneId &zone, bool evacuated) {
                    m_gateway.setEvacuated(zone, evacuated);
                }})
-    , m_backendFeed(m_platform, *m_backendStore, m_scheduler, m_settings.bounds, newRandom(),
+    , m_backendFeed(m_platform, m_sharedWatch, m_scheduler, m_settings.bounds, newRandom(),
                     {[this](const BackendRecord &record, StoreRevision revision) {
                          logBackendChange(record, revision);
                          m_gateway.backends().update(record, m_scheduler.now());
@@ -100,7 +106,7 @@
                          logStateChange("backend_removed", {{"backend", id.value()}});
                          m_gateway.backends().remove(id);
                      }})
-    , m_crashReports(*m_crashStore, m_scheduler, newRandom(), m_settings.listen.callers.address,
+    , m_crashReports(m_sharedWatch, m_scheduler, newRandom(), m_settings.listen.callers.address,
                      {[this](const CrashReport &report) { mergeCrashReport(report); },
                       [this](const ContentKey &key) { m_gateway.recordHarmless(key); }})
     , m_gracefulStop(m_scheduler,
--- a/modules/fleet/src/entryprocess.h
+++ b/modules/fleet/src/entryprocess.h
@@ -7,6 +7,7 @@
 #include <godwit/fleet/crashreportexchange.h>
 #include <godwit/fleet/operatorfeed.h>
 #include <godwit/gateway/gateway.h>
+#include <godwit/mirror/sharedwatch.h>
 
 namespace godwit {
 
@@ -30,9 +31,8 @@
     HttpClient m_backendClient;
     GatewayMetrics m_gatewayMetrics;
     Gateway m_gateway;
-    std::unique_ptr<KeyValuePort> m_operatorStore;
-    std::unique_ptr<KeyValuePort> m_backendStore;
-    std::unique_ptr<KeyValuePort> m_crashStore;
+    std::unique_ptr<KeyValuePort> m_store;
+    SharedWatch m_sharedWatch;
     OperatorFeed m_operatorFeed;
     BackendFeed m_backendFeed;
     CrashReportExchange m_crashReports;
--- a/modules/fleet/src/storepolling.cpp
+++ b/modules/fleet/src/storepolling.cpp
@@ -64,6 +64,16 @@
     return {seconds(5), CrashReportBatchDelay};
 }
 
+PollIntervals entryPollIntervals(const FleetBounds &bounds)
+{
+    const PollIntervals operatorRecords = operatorPollIntervals(bounds);
+    const PollIntervals backendRecords = backendPollIntervals(bounds);
+    const PollIntervals crashReports = crashReportPollIntervals();
+    return {std::min({operatorRecords.longPollTimeout, backendRecords.longPollTimeout,
+                      crashReports.longPollTimeout}),
+            std::min(backendRecords.batchDelay, crashReports.batchDelay)};
+}
+
 PollIntervals participantPollIntervals()
 {
     return {seconds(25), seconds(10)};
