--- a/modules/fleet/include/godwit/fleet/fleetplatform.h
+++ b/modules/fleet/include/godwit/fleet/fleetplatform.h
@@ -47,6 +47,8 @@
     Duration batchDelay{0};    ///< Between a watch call with events and the next one.
     /// The newest era that the service has stated, shared by all clients of one process.
     SharedStoreEra newestEra = makeSharedStoreEra();
+    /// Called for each call that is sent, with its kind as a word for metrics.
+    std::function<void(std::string_view kind)> onCall = [](std::string_view) {};
 };
 
 /// A record written by the operator; monostate stands for a key that is not used.
--- a/modules/fleet/src/fleetprocessbase.cpp
+++ b/modules/fleet/src/fleetprocessbase.cpp
@@ -54,7 +54,16 @@
 {
     return m_platform.createStore(m_storeClient, m_scheduler,
                                   {toHttpEndpoint(m_settings.store), std::move(longPollTimeout),
-                                   LongPollGrace, batchDelay, m_storeEra});
+                                   LongPollGrace, batchDelay, m_storeEra,
+                                   [this](std::string_view kind) { countStoreCall(kind); }});
+}
+
+void FleetProcessBase::countStoreCall(std::string_view kind)
+{
+    m_metrics
+            .counter("godwit_store_calls_total", "Calls to the platform's store.",
+                     {{"kind", std::string(kind)}})
+            .add();
 }
 
 Result<void> FleetProcessBase::open()
--- a/modules/fleet/src/fleetprocessbase.h
+++ b/modules/fleet/src/fleetprocessbase.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace godwit {
 
@@ -72,6 +73,7 @@
 
 private:
     Result<void> openMetrics();
+    void countStoreCall(std::string_view kind);
     void awaitSignal();
     void reload();
 
--- a/standins/tests/fleetstoretest.cpp
+++ b/standins/tests/fleetstoretest.cpp
@@ -1,4 +1,5 @@
 #include <godwit/mirror/prefixmirror.h>
+#include <godwit/mirror/sharedwatch.h>
 #include <godwit/platform/platformstore.h>
 #include <godwit/ports/asioscheduler.h>
 #include <godwit/standin/fleetstorestandin.h>
@@ -23,10 +24,13 @@
     FleetStoreStandin standin{io};
     HttpClient client{io};
     AsioScheduler scheduler{io};
+    std::map<std::string, int> callsByKind; ///< As reported by the store below.
     platform::PlatformStore store{
             client,
             scheduler,
-            {standin.endpoint(), [] { return Duration(50ms); }, Duration{0}, 600ms, 500ms}};
+            {standin.endpoint(), [] { return Duration(50ms); }, Duration{0}, 600ms, 500ms,
+             makeSharedStoreEra(),
+             [this](std::string_view kind) { ++callsByKind[std::string(kind)]; }}};
 
     template <typename T>
     Outcome<T> wait(const std::function<void(Completion<T>)> &call)
@@ -114,6 +118,34 @@
 
 // Guards against a watch that claims to have waited although the service answered with an event: a
 // version would be taken for newer than it is.
+// Guards against calls that the metric of a process does not count although callers pay for them.
+TEST_CASE("PlatformStore reports its calls by kind")
+{
+    Fixture it;
+    it.standin.pageSize = 2;
+    for (int i = 0; i < 4; ++i)
+        it.standin.put("p/" + std::to_string(i), "1");
+    it.get("p/1");
+    it.wait<KeyValueList>([&](auto done) { it.store.list("p/", done); });
+    it.swap("my/a", 0, "one");
+    it.wait<Done>([&](auto done) { it.store.deleteKey("my/a", {}, done); });
+    const auto lease = it.wait<LeaseId>([&](auto done) { it.store.grantLease(3s, done); });
+    it.wait<Duration>([&](auto done) { it.store.keepLeaseAlive(std::get<0>(lease), done); });
+    it.wait<Done>([&](auto done) { it.store.revokeLease(std::get<0>(lease), done); });
+    CHECK(it.callsByKind
+          == std::map<std::string, int>{{"get", 1}, {"list", 2}, {"write", 2}, {"lease", 3}});
+    int polls = 0;
+    WatchHandlers handlers;
+    handlers.onEvents = [](const std::vector<WatchEvent> &) {};
+    handlers.onEnd = [](const Outcome<Done> &) {};
+    handlers.onPollStarted = [&] { ++polls; };
+    const auto watch = it.store.watch("p/", {it.store.era(), {5}}, handlers);
+    runUntil(it.io, [&] { return polls == 3; });
+    CHECK(it.callsByKind["watch"] == 3);
+    CHECK(it.standin.callCount == 1 + 2 + 2 + 3 + 2);
+    watch->cancel();
+}
+
 TEST_CASE("PlatformStore tells whether a watch call has waited in vain")
 {
     Fixture it;
@@ -375,3 +407,82 @@
     runUntil(it.io, [&] { return confirmations >= from + 5; });
     CHECK(it.standin.callCount <= before + 6);
 }
+
+// Guards against a common watch that loses or mixes up keys of its mirrors with the calls and
+// connections of the adapter, among them calls that it replaces.
+TEST_CASE("Mirrors of one SharedWatch follow the simulated store")
+{
+    Fixture it;
+    it.standin.statesEra = true;
+    SharedWatch shared(it.store, it.scheduler, {50ms, 20ms});
+    using Keys = std::map<std::string, std::string>;
+    std::map<std::string, Keys> seen;
+    std::map<std::string, int> confirmations;
+    std::vector<std::unique_ptr<PrefixMirror>> mirrors;
+    for (const std::string prefix : {"a/", "b/", "c/"}) {
+        it.standin.put(prefix + "1", "1");
+        mirrors.push_back(std::make_unique<PrefixMirror>(
+                shared, it.scheduler, Random(mirrors.size()), prefix,
+                MirrorHandlers{[&seen, prefix](const KeyValueEntry &entry,
+                                               const std::optional<WriteTime> &) {
+                                   seen[prefix][entry.key] = entry.value;
+                               },
+                               [&seen, prefix](const std::string &key) { seen[prefix].erase(key); },
+                               [&confirmations, prefix](TimePoint) { ++confirmations[prefix]; },
+                               [](bool, const std::string &) {}}));
+        mirrors.back()->start();
+    }
+    const auto awaitAll = [&](const std::string &value) {
+        runUntil(it.io, [&] {
+            return seen
+                   == std::map<std::string, Keys>{{"a/", {{"a/1", value}}},
+                                                  {"b/", {{"b/1", value}}},
+                                                  {"c/", {{"c/1", value}}}};
+        });
+    };
+    const auto putAll = [&](const std::string &value) {
+        for (const std::string prefix : {"c/", "a/", "b/"})
+            it.standin.put(prefix + "1", value);
+    };
+    awaitAll("1");
+
+    SECTION("through writes, also of other keys")
+    {
+        for (int i = 2; i < 10; ++i) {
+            it.standin.put("other/1", std::to_string(i));
+            putAll(std::to_string(i));
+            awaitAll(std::to_string(i));
+        }
+    }
+    SECTION("through refused calls")
+    {
+        it.standin.rejectNextCalls = 4;
+        putAll("2");
+        awaitAll("2");
+        it.standin.rejectNextCalls = 2;
+        runUntil(it.io, [&] { return it.standin.rejectNextCalls == 0; });
+        putAll("3");
+        awaitAll("3");
+    }
+    SECTION("through a compaction")
+    {
+        putAll("2");
+        it.standin.compact();
+        awaitAll("2");
+    }
+    SECTION("through a restoration")
+    {
+        it.standin.copy();
+        putAll("2");
+        awaitAll("2");
+        it.standin.restore();
+        awaitAll("1");
+        putAll("3");
+        awaitAll("3");
+    }
+    const int before = it.standin.callCount;
+    const int from = confirmations["a/"];
+    runUntil(it.io, [&] { return confirmations["a/"] >= from + 10; });
+    CHECK(confirmations["c/"] >= 10);
+    CHECK(it.standin.callCount <= before + 14);
+}
