Limit the requests to cold backend servers

Cause: a backend server that has just started, or becomes cold again, crashes if all entry processes together send it more than a few requests in a second. It looks idle, so that each of them prefers it.

Change: WarmupLimiter gives each entry process a fixed share of the bound in a window that covers the wait for a connection. Servers at their limit are passed over; if no other is left, the request is refused with the time until the first may be used again. A server counts as cold by its record, a response, or the end of the evacuation of its zone. After the cold period it is a candidate for its part of the requests only, until its load reports are true. BackendPool::onAttemptStarted() takes the time; its calls in backendpooltest pass it.

--- a/modules/gateway/include/godwit/gateway/availabilitytracker.h
+++ b/modules/gateway/include/godwit/gateway/availabilitytracker.h
@@ -14,6 +14,7 @@
 enum class UnavailabilityReason {
     Leaving, ///< It has stated that it finishes its requests and then exits.
     Paused,  ///< It has stated a retry time that is not over.
+    Cold,    ///< It is cold and has got as many requests as it may, see WarmupLimiter.
 };
 
 struct Unavailability
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -7,6 +7,7 @@
 #include <godwit/gateway/backendrecord.h>
 #include <godwit/gateway/gatewayconfiguration.h>
 #include <godwit/gateway/loadschedule.h>
+#include <godwit/gateway/warmuplimiter.h>
 #include <godwit/gateway/zoneplacement.h>
 
 #include <map>
@@ -55,7 +56,8 @@
     RequestUrgency urgency = RequestUrgency::OnTime;
 };
 
-/// A backend server that could take a request but for what it has stated itself.
+/// A backend server that could take a request but for what it has stated itself, or because it is
+/// cold.
 struct PassedOverBackend
 {
     BackendId id;
@@ -90,15 +92,22 @@
         AllFull,    ///< All eligible ones would start the request too late.
         AllLeaving, ///< Those that were not tried before have all stated that they leave.
         AllPaused,  ///< They leave or are paused, and at least one is paused.
+        /// They leave, are paused, or are cold and have got as many requests as they may.
+        AllCold,
         /// All others are in zones that are being evacuated or outside the allowed regions.
         NotPlaceable,
     };
     Reason reason = Reason::NoneKnown;
-    /// Predicted time until one has a free slot, or its pause is over; 0 if unknown.
+    /// Predicted time until one has a free slot, its pause is over, or it may get a request
+    /// although it is cold; 0 if unknown.
     Duration shortestWait{0};
     std::vector<PassedOverBackend> passedOver = {};
 
-    bool isWaitKnown() const { return reason == Reason::AllFull || reason == Reason::AllPaused; }
+    bool isWaitKnown() const
+    {
+        return reason == Reason::AllFull || reason == Reason::AllPaused
+               || reason == Reason::AllCold;
+    }
 
     friend bool operator==(const NoBackend &, const NoBackend &) = default;
 };
@@ -112,7 +121,8 @@
 class BackendPool
 {
 public:
-    BackendPool(ZoneId zone, Random random, ZonePlacement placement = {});
+    BackendPool(ZoneId zone, Random random, ZonePlacement placement = {},
+                WarmupLimiter warmup = {});
 
     /// Adds a backend server or replaces its record. Health statistics are reset if the process
     /// behind the record has changed.
@@ -134,6 +144,13 @@
     /// Evacuations, and the regions of the zones.
     ZonePlacement &placement() { return m_placement; }
 
+    /// Limits on the requests to cold backend servers.
+    WarmupLimiter &warmup() { return m_warmup; }
+
+    /// The evacuation of \a zone ends. Its backend servers may be cold although none has reported
+    /// it, so that they count as cold for the cold period of their service.
+    void onZoneReturned(const ZoneId &zone, TimePoint now);
+
     /// Whether each model of the services has an eligible backend server, in any zone.
     bool servesAllModels(TimePoint now) const;
 
@@ -148,7 +165,7 @@
                    std::optional<std::uint64_t> version) const;
 
     /// An attempt was sent to \a id.
-    void onAttemptStarted(const BackendId &id, RequestUrgency urgency);
+    void onAttemptStarted(const BackendId &id, RequestUrgency urgency, TimePoint now);
     /// The first event of its response arrived.
     void onResponseStarted(const BackendId &id, RequestUrgency urgency);
     /// The response to a request that found a free slot started \a delay later than predicted.
@@ -259,6 +276,19 @@
                                               const BackendQuery &query, TimePoint now,
                                               double &shortestWait);
     double estimateRequests(const Backend &backend, double meanRemote, TimePoint now) const;
+    /// Adds the backend servers that get no request of \a query now because they are cold to
+    /// \a passedOver, and removes them from \a candidates.
+    void passOverCold(const BackendQuery &query, TimePoint now,
+                      std::vector<const Backend *> &candidates,
+                      std::vector<PassedOverBackend> &passedOver);
+    /// Removes backend servers that have just warmed up from \a candidates, but for a random share
+    /// of the requests, which is that of one server among the others. All entry processes see such
+    /// a server as idle at the same time, and would send it all their requests until its load
+    /// reports arrive.
+    void leaveOutWarmedUp(const Service *service, TimePoint now,
+                          std::vector<const Backend *> &candidates);
+    /// Counts \a record as cold because its zone has returned from an evacuation.
+    void recordZoneReturn(const BackendRecord &record, TimePoint now);
     /// Time until \a backend with \a load requests has a free slot for a request of \a urgency.
     static double waitSeconds(const Backend &backend, RequestUrgency urgency, double load,
                               double slots, double hold);
@@ -281,7 +311,9 @@
     std::map<ModelId, LoadSchedule> m_schedules;
     AvailabilityTracker m_availability;
     ZonePlacement m_placement;
-    bool m_enginesChanged = false; ///< The schedules have to be updated.
+    WarmupLimiter m_warmup;
+    std::map<ZoneId, TimePoint> m_zoneReturns; ///< Ends of the evacuations.
+    bool m_enginesChanged = false;             ///< The schedules have to be updated.
 };
 
 } // namespace godwit
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -118,6 +118,9 @@
     void recordStart(const RequestContent &content);
     /// Cancels the attempts that have not started and whose content is suspended.
     void cancelSuspended();
+    /// Logs which backend servers have become cold or warm, and lets the time of their limits pass
+    /// until none is cold.
+    void followColdBackends();
     /// Sends the requests of which \a instance has not been sent a byte to other backend servers.
     void moveUnsent(const BackendInstance &instance);
     /// Estimates the time that a client spent on earlier attempts at the same request from how far
@@ -141,6 +144,7 @@
     std::optional<ShutdownTimes> m_shutdown; ///< Set once the process shuts down.
     std::size_t m_bufferedBytes = 0;         ///< Of response bodies that are not complete.
     bool m_wasReady = false;
+    std::unique_ptr<Timer> m_warmupTimer; ///< Runs while backend servers are cold.
     std::set<std::shared_ptr<ForwardedRequest>> m_requests;
 };
 
--- a/modules/gateway/include/godwit/gateway/gatewaymetrics.h
+++ b/modules/gateway/include/godwit/gateway/gatewaymetrics.h
@@ -37,6 +37,11 @@
     void recordSuspended() { m_suspended.add(1); }
     /// \a change more availability zones are being evacuated.
     void recordEvacuations(int change) { m_evacuatedZones.add(change); }
+    /// \a count backend servers are cold.
+    void setColdBackends(std::size_t count) { m_coldBackends.set(static_cast<double>(count)); }
+    /// An attempt was placed elsewhere, or refused, because cold backend servers had got as many
+    /// requests as they may.
+    void recordColdPassedOver() { m_coldPassedOver.add(1); }
     /// A response started with weights that were outdated by then.
     void recordOutdatedStart() { m_outdatedStarts.add(1); }
 
@@ -47,6 +52,8 @@
     Counter &m_outdatedStarts;
     Counter &m_suspended;
     Gauge &m_evacuatedZones;
+    Gauge &m_coldBackends;
+    Counter &m_coldPassedOver;
     Summary &m_responseTime;
     Summary &m_firstEventTime;
 };
--- a/modules/gateway/include/godwit/gateway/gatewayoptions.h
+++ b/modules/gateway/include/godwit/gateway/gatewayoptions.h
@@ -2,6 +2,7 @@
 
 #include <godwit/base/ids.h>
 #include <godwit/base/time.h>
+#include <godwit/gateway/warmuplimiter.h>
 #include <godwit/gateway/windowedretrybudget.h>
 
 #include <map>
@@ -14,6 +15,7 @@
     ZoneId zone;
     std::map<ZoneId, RegionId> zoneRegions; ///< Regions of all zones of the fleet.
     RetryBudgetLimits retryBudget;
+    WarmupBounds warmup;
     /// Requests with a key are refused if the configuration has not been confirmed for longer than
     /// this, because the key may have been revoked meanwhile. Zero disables the check.
     Duration maxKeyAge{0};
--- a/modules/gateway/src/backendmeasurements.cpp
+++ b/modules/gateway/src/backendmeasurements.cpp
@@ -104,11 +104,13 @@
     return it == m_backends.end() ? Duration::zero() : fromSeconds(it->second.eventGapSeconds);
 }
 
-void BackendPool::onAttemptStarted(const BackendId &id, RequestUrgency urgency)
+void BackendPool::onAttemptStarted(const BackendId &id, RequestUrgency urgency, TimePoint now)
 {
     Backend *backend = find(id);
     if (!backend)
         return;
+    if (m_warmup.isLimited(backend->record.service))
+        m_warmup.recordAttempt(id, backend->record.service, now);
     ++backend->localRequests;
     ++backend->queuedRequests;
     backend->queuedLateRequests += urgency == RequestUrgency::Late;
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -43,6 +43,12 @@
 constexpr double OverrunPenaltyPerSecond = 0.25;
 constexpr double MaxOverrunPenaltySeconds = 0.3;
 constexpr Duration MaxWeightLoadTime = std::chrono::milliseconds(2500);
+/// A backend server that has just warmed up is given its usual load over this many times the mean
+/// holding time of a slot, so that its load reports are those of a server in full use by then.
+constexpr double FillHolds = 2;
+/// Bounds of that time. Load reports are late by up to about a second if requests are few.
+constexpr double MinFillSeconds = 1;
+constexpr double MaxFillSeconds = 10;
 /// Upper bound of the predicted wait for a slot.
 constexpr double MaxWaitSeconds = 60;
 
@@ -62,10 +68,11 @@
         if (!it.why.until)
             continue;
         const Duration wait = *it.why.until - now;
-        none.shortestWait = none.reason == NoBackend::Reason::AllPaused
-                                    ? std::min(none.shortestWait, wait)
-                                    : wait;
-        none.reason = NoBackend::Reason::AllPaused;
+        none.shortestWait = none.isWaitKnown() ? std::min(none.shortestWait, wait) : wait;
+        if (none.reason != NoBackend::Reason::AllCold)
+            none.reason = it.why.reason == UnavailabilityReason::Cold
+                                  ? NoBackend::Reason::AllCold
+                                  : NoBackend::Reason::AllPaused;
     }
     none.passedOver = std::move(passedOver);
     return none;
@@ -73,15 +80,19 @@
 
 } // namespace
 
-BackendPool::BackendPool(ZoneId zone, Random random, ZonePlacement placement)
+BackendPool::BackendPool(ZoneId zone, Random random, ZonePlacement placement, WarmupLimiter warmup)
     : m_zone(std::move(zone))
     , m_random(random)
     , m_availability(Random(m_random()))
     , m_placement(std::move(placement))
+    , m_warmup(std::move(warmup))
 {}
 
 void BackendPool::update(const BackendRecord &record, TimePoint now)
 {
+    if (!m_backends.contains(record.id))
+        recordZoneReturn(record, now);
+    m_warmup.recordCold(record.id, record.coldFor, now);
     Backend &backend = m_backends[record.id];
     const bool isNewProcess = backend.record.startTimeMs != record.startTimeMs
                               || backend.record.endpoint != record.endpoint;
@@ -318,6 +329,57 @@
     return std::min(OverrunPenaltyPerSecond * overrun, MaxOverrunPenaltySeconds);
 }
 
+void BackendPool::onZoneReturned(const ZoneId &zone, TimePoint now)
+{
+    m_zoneReturns[zone] = now;
+    for (const auto &[id, backend] : m_backends) {
+        if (backend.record.zone == zone)
+            recordZoneReturn(backend.record, now);
+    }
+}
+
+void BackendPool::recordZoneReturn(const BackendRecord &record, TimePoint now)
+{
+    const auto returned = m_zoneReturns.find(record.zone);
+    if (returned != m_zoneReturns.end())
+        m_warmup.recordCold(record.id,
+                            m_warmup.coldPeriod(record.service) - (now - returned->second), now);
+}
+
+void BackendPool::passOverCold(const BackendQuery &query, TimePoint now,
+                               std::vector<const Backend *> &candidates,
+                               std::vector<PassedOverBackend> &passedOver)
+{
+    m_warmup.advance(now);
+    std::erase_if(candidates, [&](const Backend *it) {
+        const auto until = m_warmup.limitedUntil(it->record.id, query.service, now);
+        if (until)
+            passedOver.push_back({it->record.id, {UnavailabilityReason::Cold, until}});
+        return until.has_value();
+    });
+}
+
+void BackendPool::leaveOutWarmedUp(const Service *service, TimePoint now,
+                                   std::vector<const Backend *> &candidates)
+{
+    const double hold =
+            service && service->holdSeconds > 0 ? service->holdSeconds : DefaultHoldSeconds;
+    const Duration fillTime =
+            fromSeconds(std::clamp(FillHolds * hold, MinFillSeconds, MaxFillSeconds));
+    const auto isFilling = [&](const Backend *it) {
+        const auto coldUntil = m_warmup.coldUntil(it->record.id);
+        return coldUntil && *coldUntil <= now && now < *coldUntil + fillTime;
+    };
+    const auto others = std::ranges::count_if(candidates, [&](const Backend *it) {
+        return it->backoffUntil <= now && !isFilling(it);
+    });
+    if (others == 0)
+        return;
+    const double share = 1 / (1 + static_cast<double>(others));
+    std::erase_if(candidates,
+                  [&](const Backend *it) { return isFilling(it) && m_random.uniform() >= share; });
+}
+
 std::variant<BackendChoice, NoBackend> BackendPool::choose(const BackendQuery &query, TimePoint now)
 {
     updateSchedules();
@@ -339,6 +401,10 @@
         else if (!query.excluded.contains(id))
             serving.push_back(&backend);
     }
+    if (m_warmup.isLimited(query.service)) {
+        passOverCold(query, now, serving, passedOver);
+        leaveOutWarmedUp(service, now, serving);
+    }
     NoBackend none = noneAvailable(std::move(passedOver), now);
     if (none.reason == NoBackend::Reason::NoneKnown && anyNotPlaceable)
         none.reason = NoBackend::Reason::NotPlaceable;
@@ -350,8 +416,7 @@
         return *choice;
     }
     const Duration wait = fromSeconds(shortestWait);
-    none.shortestWait =
-            none.reason == NoBackend::Reason::AllPaused ? std::min(none.shortestWait, wait) : wait;
+    none.shortestWait = none.isWaitKnown() ? std::min(none.shortestWait, wait) : wait;
     none.reason = NoBackend::Reason::AllFull;
     return none;
 }
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -14,7 +14,7 @@
 /// Time that a backend server gets beyond the deadline that it was told, to deliver its own timeout
 /// response.
 constexpr Duration DeadlineGrace = std::chrono::milliseconds(120);
-constexpr Duration ConnectTimeout = std::chrono::milliseconds(400);
+constexpr Duration ConnectTimeout = WarmupLimiter::MaxConnectionWait;
 /// A connection attempt may take this fraction of the remaining time.
 constexpr int ConnectTimeoutDivisor = 3;
 /// Attempts allowed in addition to those of the route, because rejected ones do not count towards
@@ -207,6 +207,7 @@
     }
     const auto &none = std::get<NoBackend>(found);
     m_passedOver = none.passedOver;
+    recordPassedOver();
     if (m_possibleRuns > 0 || m_streaming)
         giveUp(AttemptOutcome::Broken, "no other backend server can accept the request");
     else
@@ -214,9 +215,19 @@
                none.isWaitKnown() ? none.shortestWait : DefaultRetryAfter);
 }
 
+void ForwardedRequest::recordPassedOver()
+{
+    const auto isCold = [](const PassedOverBackend &it) {
+        return it.why.reason == UnavailabilityReason::Cold;
+    };
+    if (std::ranges::any_of(m_passedOver, isCold))
+        m_gateway.m_environment.metrics.recordColdPassedOver();
+}
+
 void ForwardedRequest::startAttemptAt(const BackendChoice &choice)
 {
     m_passedOver = choice.passedOver;
+    recordPassedOver();
     m_attempts.push_back({.backend = choice.id,
                           .instance = choice.instance(),
                           .predictedStartDelay = choice.predictedStartDelay,
@@ -229,7 +240,7 @@
     m_bodyMode = BodyMode::None;
     discardBufferedBody();
     m_attemptInProgress = true;
-    m_gateway.m_backends.onAttemptStarted(choice.id, m_urgency);
+    m_gateway.m_backends.onAttemptStarted(choice.id, m_urgency, now());
     HttpCall call = callFor(choice);
     m_correlation = call.correlation;
     m_call = m_gateway.m_environment.send(
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -112,6 +112,8 @@
 
     void startAttempt();
     void startAttemptAt(const BackendChoice &choice);
+    /// Counts a choice for which cold backend servers were passed over.
+    void recordPassedOver();
     PastAttempt &currentAttempt() { return m_attempts[m_currentAttempt]; }
     const PastAttempt &currentAttempt() const { return m_attempts[m_currentAttempt]; }
     /// Number of attempts of which a backend server may have received something.
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -47,6 +47,9 @@
     m_gateway.m_backends.onActivity(currentAttempt().backend, now());
     if (m_responseHead.load)
         m_gateway.m_backends.recordLoad(currentAttempt().backend, *m_responseHead.load, now());
+    if (m_responseHead.coldFor)
+        m_gateway.m_backends.warmup().recordCold(currentAttempt().backend, *m_responseHead.coldFor,
+                                                 now());
     const bool isIdentified = identifiesRequest(headers);
     currentAttempt().status = status;
     currentAttempt().headAt = now();
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -39,7 +39,8 @@
     : m_options(options)
     , m_environment(std::move(environment))
     , m_random(random)
-    , m_backends(options.zone, Random(random()), ZonePlacement(options.zoneRegions))
+    , m_backends(options.zone, Random(random()), ZonePlacement(options.zoneRegions),
+                 WarmupLimiter(options.warmup, m_environment.scheduler.now()))
     , m_retryBudget(options.retryBudget)
 {}
 
@@ -55,6 +56,7 @@
                     {"routes", table->configuration().routes.size()},
                     {"customers", table->configuration().customers.size()}});
     m_backends.setServices(table->configuration().services);
+    m_backends.warmup().setServices(table->configuration().services, m_environment.scheduler.now());
     m_routeTable = std::move(table);
 }
 
@@ -75,6 +77,8 @@
 {
     if (!m_backends.placement().setEvacuated(zone, evacuated))
         return;
+    if (!evacuated)
+        m_backends.onZoneReturned(zone, m_environment.scheduler.now());
     m_environment.metrics.recordEvacuations(evacuated ? 1 : -1);
     logStateChange(evacuated ? "zone_evacuated" : "zone_evacuation_ended",
                    {{"zone", zone.value()}, {"requests", m_requests.size()}});
@@ -209,9 +213,26 @@
     return std::nullopt;
 }
 
+void Gateway::followColdBackends()
+{
+    const TimePoint now = m_environment.scheduler.now();
+    WarmupLimiter &warmup = m_backends.warmup();
+    warmup.advance(now);
+    for (const WarmupChange &it : warmup.takeChanges(now))
+        logStateChange(it.cold ? "backend_cold" : "backend_warm",
+                       {{"backend", it.id.value()}, {"cold_for_ms", toMilliseconds(it.coldFor)}});
+    m_environment.metrics.setColdBackends(warmup.coldCount(now));
+    m_warmupTimer.reset();
+    if (warmup.hasCold())
+        m_warmupTimer = m_environment.scheduler.after(WarmupLimiter::MaxStep / 2,
+                                                      [this] { followColdBackends(); });
+}
+
 void Gateway::handle(HttpRequest http, std::shared_ptr<HttpReply> reply)
 {
     m_environment.metrics.recordRequest();
+    if (!m_warmupTimer && m_backends.warmup().hasCold())
+        followColdBackends();
     auto read = capture([&] { return m_environment.protocol.readRequest(std::move(http)); });
     if (const auto *error = std::get_if<Error>(&read)) {
         refuse(*reply, {}, 400, *error, Duration::zero());
--- a/modules/gateway/src/gatewaymetrics.cpp
+++ b/modules/gateway/src/gatewaymetrics.cpp
@@ -32,6 +32,11 @@
                                    "Requests with content that crashes backend servers."))
     , m_evacuatedZones(
               registry.gauge("godwit_evacuated_zones", "Availability zones that get no requests."))
+    , m_coldBackends(registry.gauge("godwit_cold_backends",
+                                    "Backend servers that get a limited number of requests."))
+    , m_coldPassedOver(
+              registry.counter("godwit_cold_passed_over_total",
+                               "Attempts that cold backend servers at their limit did not get."))
     , m_responseTime(registry.summary("godwit_answer_seconds",
                                       "Time from a request to the end of its answer."))
     , m_firstEventTime(registry.summary("godwit_first_event_seconds",
--- a/modules/gateway/src/passedover.cpp
+++ b/modules/gateway/src/passedover.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t MaxLoggedBackends = 8;
 
 /// By UnavailabilityReason.
-constexpr std::array<std::string_view, 2> ReasonNames{"leaving", "paused"};
+constexpr std::array<std::string_view, 3> ReasonNames{"leaving", "paused", "cold"};
 
 struct Refusal
 {
@@ -23,11 +23,13 @@
 };
 
 /// By NoBackend::Reason.
-constexpr std::array<Refusal, 5> Refusals{
+constexpr std::array<Refusal, 6> Refusals{
         {{ResultCode::NoBackendKnown, "no backend server serves the request"},
          {ResultCode::QueueFull, "all backend servers are full"},
          {ResultCode::NoBackendEligible, "all backend servers are leaving"},
          {ResultCode::NoBackendEligible, "all backend servers want no requests for now"},
+         {ResultCode::NoBackendEligible,
+          "all backend servers are cold and get no requests for now"},
          {ResultCode::NoBackendEligible,
           "all backend servers are outside the allowed regions or in evacuated zones"}}};
 
@@ -51,7 +53,8 @@
 std::string refusalDetail(const NoBackend &none)
 {
     std::string detail(refusalOf(none).detail);
-    for (const auto reason : {UnavailabilityReason::Leaving, UnavailabilityReason::Paused}) {
+    for (const auto reason : {UnavailabilityReason::Leaving, UnavailabilityReason::Paused,
+                              UnavailabilityReason::Cold}) {
         const auto n = std::ranges::count_if(
                 none.passedOver, [reason](const auto &it) { return it.why.reason == reason; });
         if (n > 0)
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -74,7 +74,7 @@
         for (int i = 0; i < n; ++i) {
             const std::string id = choose(query());
             ++counts[id];
-            pool.onAttemptStarted(BackendId(id), RequestUrgency::OnTime);
+            pool.onAttemptStarted(BackendId(id), RequestUrgency::OnTime, now);
         }
         return counts;
     }
@@ -126,7 +126,7 @@
     }
     SECTION("an engine that failed is avoided, and tried again later")
     {
-        it.pool.onAttemptStarted(BackendId("e1"), RequestUrgency::OnTime);
+        it.pool.onAttemptStarted(BackendId("e1"), RequestUrgency::OnTime, it.now);
         it.pool.onAttemptFinished(BackendId("e1"), AttemptOutcome::Unreachable, 0ms, it.now);
         CHECK(it.send(20).count("e1") == 0);
         it.now += 5s;
@@ -136,7 +136,7 @@
     }
     SECTION("an engine that rejected a request is avoided for a moment")
     {
-        it.pool.onAttemptStarted(BackendId("e2"), RequestUrgency::OnTime);
+        it.pool.onAttemptStarted(BackendId("e2"), RequestUrgency::OnTime, it.now);
         it.pool.onAttemptFinished(BackendId("e2"), AttemptOutcome::Rejected, 0ms, it.now);
         CHECK(it.send(10).count("e2") == 0);
     }
@@ -147,11 +147,11 @@
             it.now += 10ms;
             if (it.choose(query()) == "none")
                 continue;
-            it.pool.onAttemptStarted(BackendId("e2"), RequestUrgency::OnTime);
+            it.pool.onAttemptStarted(BackendId("e2"), RequestUrgency::OnTime, it.now);
             it.pool.onAttemptFinished(BackendId("e2"), AttemptOutcome::Complete, 10ms, it.now);
             if (it.choose(query()) == "e1") {
                 ++tries;
-                it.pool.onAttemptStarted(BackendId("e1"), RequestUrgency::OnTime);
+                it.pool.onAttemptStarted(BackendId("e1"), RequestUrgency::OnTime, it.now);
                 it.pool.onAttemptFinished(BackendId("e1"), AttemptOutcome::Rejected, 1ms, it.now);
             }
         }
@@ -431,7 +431,7 @@
         for (int i = 2; i <= 4; ++i)
             it.pool.remove(BackendId("e" + std::to_string(i)));
         for (int i = 0; i < 20; ++i)
-            it.pool.onAttemptStarted(BackendId("e1"), RequestUrgency::OnTime);
+            it.pool.onAttemptStarted(BackendId("e1"), RequestUrgency::OnTime, it.now);
         auto tolerant = query();
         tolerant.maxQueueDelay = 2s;
         CHECK(it.choose(tolerant) == "e1");
@@ -473,7 +473,7 @@
         usual.outputTokens = Tokens;
         for (int i = 0; i < 200; ++i) {
             it.choose(usual);
-            it.pool.onAttemptStarted(BackendId("e1"), RequestUrgency::OnTime);
+            it.pool.onAttemptStarted(BackendId("e1"), RequestUrgency::OnTime, it.now);
             it.pool.onAttemptFinished(BackendId("e1"), AttemptOutcome::Complete, Hold, it.now);
         }
         for (int i = 2; i <= 4; ++i)
@@ -486,7 +486,7 @@
         // The other engine already has that version, and a few more requests.
         it.pool.update(engine(2, "here", 2), it.now);
         for (int i = 0; i < 4; ++i)
-            it.pool.onAttemptStarted(BackendId("e2"), RequestUrgency::OnTime);
+            it.pool.onAttemptStarted(BackendId("e2"), RequestUrgency::OnTime, it.now);
         it.now = loadTime - Hold / 2;
         CHECK(it.choose(usual) == "e2");
         auto shortRequest = query();
@@ -508,7 +508,7 @@
         it.pool.recordStartDelay(BackendId("e1"), StartDelay, it.now);
     const auto fill = [&it](int n, RequestUrgency urgency) {
         for (int i = 0; i < n; ++i)
-            it.pool.onAttemptStarted(BackendId("e" + std::to_string(i % 4 + 1)), urgency);
+            it.pool.onAttemptStarted(BackendId("e" + std::to_string(i % 4 + 1)), urgency, it.now);
     };
 
     SECTION("a free slot is used, whatever the delay of the first event")
@@ -575,3 +575,69 @@
         CHECK(it.choose(longPrompt) != "none");
     }
 }
+
+// Guards against requests that are queued or sent although all backend servers are cold, and
+// against refusals without a useful time to return.
+TEST_CASE("BackendPool passes over cold engines that have got their share")
+{
+    const TimePoint now{std::chrono::hours(1)};
+    BackendPool pool(ZoneId("here"), Random(3), {}, WarmupLimiter({1, 0, 1}, now - 10s));
+    ServiceDescription limited = service();
+    limited.coldPeriod = 5s;
+    limited.warmupPerSecond = 1;
+    pool.setServices({limited});
+    pool.warmup().setServices({limited}, now - 10s);
+    for (int i = 1; i <= 3; ++i) {
+        BackendRecord record = engine(i, "here");
+        record.coldFor = i * 400ms;
+        pool.update(record, now);
+    }
+    for (int i = 0; i < 3; ++i) {
+        const auto found = pool.choose(query(), now);
+        REQUIRE(std::holds_alternative<BackendChoice>(found));
+        CHECK(std::get<BackendChoice>(found).passedOver.size() == static_cast<std::size_t>(i));
+        pool.onAttemptStarted(std::get<BackendChoice>(found).id, RequestUrgency::OnTime, now);
+    }
+
+    SECTION("with the time until the first one may be used again")
+    {
+        const auto found = pool.choose(query(), now);
+        const auto *none = std::get_if<NoBackend>(&found);
+        REQUIRE(none);
+        CHECK(none->reason == NoBackend::Reason::AllCold);
+        CHECK(none->isWaitKnown());
+        CHECK(none->shortestWait == 400ms);
+        REQUIRE(none->passedOver.size() == 3);
+        CHECK(none->passedOver[2].why == Unavailability{UnavailabilityReason::Cold, now + 1200ms});
+    }
+    SECTION("also if others are paused or leave")
+    {
+        pool.availability().recordRetryAfter({BackendId("e1"), 1}, 10s, now);
+        pool.availability().recordLeaving({BackendId("e2"), 1}, now);
+        const auto found = pool.choose(query(), now);
+        const auto *none = std::get_if<NoBackend>(&found);
+        REQUIRE(none);
+        CHECK(none->reason == NoBackend::Reason::AllCold);
+        CHECK(none->shortestWait == 1200ms);
+    }
+    SECTION("also if they were tried before")
+    {
+        BackendQuery retry = query();
+        retry.excluded = {BackendId("e1"), BackendId("e2")};
+        const auto found = pool.choose(retry, now);
+        const auto *none = std::get_if<NoBackend>(&found);
+        REQUIRE(none);
+        CHECK(none->reason == NoBackend::Reason::AllCold);
+        CHECK(none->shortestWait == 1200ms);
+    }
+    SECTION("and uses them when they are warm")
+    {
+        const auto found = pool.choose(query(), now + 400ms);
+        REQUIRE(std::holds_alternative<BackendChoice>(found));
+        CHECK(std::get<BackendChoice>(found).id == BackendId("e1"));
+    }
+    SECTION("all of which still count as able to serve")
+    {
+        CHECK(pool.servesAllModels(now));
+    }
+}
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -65,6 +65,8 @@
         head.impliesNotExecuted = status == 421 || status == 503;
         head.isEventStream = headers.find("events") != nullptr;
         head.isEncoded = headers.find("encoded") != nullptr;
+        if (const std::string *ms = headers.find("cold"))
+            head.coldFor = std::chrono::milliseconds(std::stoi(*ms));
         if (const std::string *version = headers.find("weights"))
             head.weightsVersion = std::stoull(*version);
         return head;
--- a/modules/settings/include/godwit/settings/fleetsettings.h
+++ b/modules/settings/include/godwit/settings/fleetsettings.h
@@ -35,6 +35,11 @@
     double retryBudgetRatio = 0.1; ///< Retries as a fraction of the requests of a service.
     double retryBudgetSlack = 0;   ///< Additional retries per window.
     Duration retryBudgetWindow = std::chrono::seconds(10);
+    /// Requests per second to a cold backend server, in multiples of the rate that it tolerates.
+    double coldOverage = 1;
+    double coldSlack = 0; ///< Additional requests to it in a second.
+    /// Most entry processes that may ever exist at a time.
+    std::uint32_t entryProcesses = 40;
 
     friend bool operator==(const FleetBounds &, const FleetBounds &) = default;
 };
--- a/modules/settings/src/settingsparser.cpp
+++ b/modules/settings/src/settingsparser.cpp
@@ -184,6 +184,9 @@
     reader.number("retry_share", bounds.retryBudgetRatio, 0, 1);
     reader.number("retry_slack", bounds.retryBudgetSlack, 0, 1e9);
     reader.seconds("retry_window_s", bounds.retryBudgetWindow, 0, LongestSeconds);
+    reader.number("cold_overage", bounds.coldOverage, 0, 1000);
+    reader.number("cold_slack", bounds.coldSlack, 0, 1e9);
+    reader.integer("entry_processes", bounds.entryProcesses, 1, 100'000);
 }
 
 void readLocalEngine(SettingsReader &reader, std::optional<LocalEngineSettings> &engine)
--- a/modules/settings/tests/fleetsettingstest.cpp
+++ b/modules/settings/tests/fleetsettingstest.cpp
@@ -61,6 +61,27 @@
         CHECK(it.linkBitsPerSecond == Approx(7.3e6));
         CHECK(it.zones.size() == 1);
     }
+    // The platform leaves out bounds that a deployment does not have.
+    SECTION("the bound for cold backend servers")
+    {
+        const auto without = parseFleetSettings("role = \"entry\"\n" + Common + Listen, "f.toml");
+        REQUIRE(without.index() == 0);
+        CHECK(std::get<0>(without).bounds.coldOverage == 1);
+        CHECK(std::get<0>(without).bounds.coldSlack == 0);
+        CHECK(std::get<0>(without).bounds.entryProcesses == 40);
+        const auto parsed = parseFleetSettings(
+                "role = \"entry\"\n" + Common
+                        + "cold_overage = 1.5\ncold_slack = 5\nentry_processes = 15\n" + Listen,
+                "f.toml");
+        REQUIRE(parsed.index() == 0);
+        CHECK(std::get<0>(parsed).bounds.coldOverage == 1.5);
+        CHECK(std::get<0>(parsed).bounds.coldSlack == 5);
+        CHECK(std::get<0>(parsed).bounds.entryProcesses == 15);
+        CHECK(problemsOf("role = \"entry\"\n" + Common
+                         + "cold_overage = -1\ncold_slack = \"\"\nentry_processes = 0\n" + Listen)
+              == std::vector<std::string>{"bounds.cold_overage", "bounds.cold_slack",
+                                          "bounds.entry_processes"});
+    }
     SECTION("a host process needs its engine")
     {
         CHECK(problemsOf("role = \"host\"\n" + Common + Listen)
