Test suspension and metrics of the limit for cold backend servers

Ruled out: the system's clocks, which run on while a process is stopped.

The number of cold backend servers is 0 once no service has a limit.

--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -221,7 +221,7 @@
     for (const WarmupChange &it : warmup.takeChanges(now))
         logStateChange(it.cold ? "backend_cold" : "backend_warm",
                        {{"backend", it.id.value()}, {"cold_for_ms", toMilliseconds(it.coldFor)}});
-    m_environment.metrics.setColdBackends(warmup.coldCount(now));
+    m_environment.metrics.setColdBackends(warmup.hasCold() ? warmup.coldCount(now) : 0);
     m_warmupTimer.reset();
     if (warmup.hasCold())
         m_warmupTimer = m_environment.scheduler.after(WarmupLimiter::MaxStep / 2,
--- a/modules/gateway/tests/warmuplimitertest.cpp
+++ b/modules/gateway/tests/warmuplimitertest.cpp
@@ -470,6 +470,18 @@
         it.gateway.onConfigurationConfirmed(it.scheduler.now());
         CHECK(it.send()->status == 0);
     }
+    SECTION("and does not count the time in which the process was suspended")
+    {
+        it.configureLimit(1);
+        it.makeCold({1, 2, 3}, 60s);
+        for (int i = 0; i < 3; ++i)
+            it.send();
+        it.scheduler.suspend(30s);
+        it.gateway.onConfigurationConfirmed(it.scheduler.now());
+        CHECK(it.send()->status == 503);
+        it.scheduler.advance(WarmupLimiter::Window);
+        CHECK(it.send()->status == 0);
+    }
     SECTION("those of a zone that returns from its evacuation count as cold")
     {
         it.configureLimit(1);
@@ -515,8 +527,21 @@
         const auto view = it.send();
         it.backendCalls[0]->respond(200, "done");
         CHECK(it.scheduler.timers() == timers + 1);
+        const auto shows = [&](const std::string &line) {
+            return it.registry.text().find('\n' + line + '\n') != std::string::npos;
+        };
+        CHECK(shows("godwit_cold_backends 1"));
         it.scheduler.advance(4s);
         CHECK(it.scheduler.timers() == timers);
+        CHECK(shows("godwit_cold_backends 0"));
+    }
+    SECTION("and counts the attempts that they did not get")
+    {
+        it.configureLimit(0.5);
+        it.makeCold({1}, 3s);
+        it.send();
+        it.send();
+        CHECK(it.registry.text().find("\ngodwit_cold_passed_over_total 2\n") != std::string::npos);
     }
 }
 
