Count only the queued requests that are admitted before a request

The predicted wait of an urgent request counted all requests in time in the queue of a backend server, although its engine admits waiting requests by priority. Urgent requests were refused because of less urgent ones.

Ruled out: passing the queue's priorities between processes. The load report states a number only, and a message of its own would be older than the queue.

Change: the queue of this process is counted by the priority that callFor() sends. For the requests of other processes, the mix of this process's recent attempts of the service is assumed, in which late ones count with the priority that they had in time; the share of late ones is assumed as before. With equal priorities the prediction is the same as before, except at priority 9: late requests are sent with 9 as well, so they now count for those in time.

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -7,6 +7,7 @@
 #include <godwit/gateway/backendrecord.h>
 #include <godwit/gateway/gatewayconfiguration.h>
 #include <godwit/gateway/loadschedule.h>
+#include <godwit/gateway/queueposition.h>
 #include <godwit/gateway/zoneplacement.h>
 
 #include <map>
@@ -32,12 +33,6 @@
     Withdrawn,   ///< Cancelled before any byte was sent; not executed.
 };
 
-/// Whether the response can start within the latency objective of its route.
-enum class RequestUrgency {
-    OnTime,
-    Late, ///< Queued behind all requests that can still meet their objective.
-};
-
 /// Properties of a request that determine which backend server can take it.
 struct BackendQuery
 {
@@ -53,6 +48,9 @@
     Duration maxQueueDelay = Duration::max();
     /// Requests that are on time overtake the late ones in the queue of a backend server.
     RequestUrgency urgency = RequestUrgency::OnTime;
+    std::uint32_t priority = DefaultPriority; ///< More urgent requests overtake it in the queue.
+
+    QueuePosition position() const { return {urgency, priority}; }
 };
 
 /// A backend server that could take a request but for what it has stated itself.
@@ -148,9 +146,9 @@
                    std::optional<std::uint64_t> version) const;
 
     /// An attempt was sent to \a id.
-    void onAttemptStarted(const BackendId &id, RequestUrgency urgency);
+    void onAttemptStarted(const BackendId &id, QueuePosition position);
     /// The first event of its response arrived.
-    void onResponseStarted(const BackendId &id, RequestUrgency urgency);
+    void onResponseStarted(const BackendId &id, QueuePosition position);
     /// The response to a request that found a free slot started \a delay later than predicted.
     void recordStartDelay(const BackendId &id, Duration delay, TimePoint now);
     /// An attempt has had no answer for unusually long and goes on. Counts as a failure until
@@ -165,7 +163,7 @@
                            TimePoint now);
     /// The attempt ended before an event of its response arrived; called in addition to
     /// onAttemptFinished().
-    void onFinishedBeforeResponse(const BackendId &id, RequestUrgency urgency);
+    void onFinishedBeforeResponse(const BackendId &id, QueuePosition position);
     /// A response reported \a load, which includes the request that it answers.
     void recordLoad(const BackendId &id, const BackendLoad &load, TimePoint now);
 
@@ -199,10 +197,9 @@
     struct Backend
     {
         BackendRecord record;
-        std::uint32_t localRequests = 0;      ///< Requests of this process in progress.
-        std::uint32_t queuedRequests = 0;     ///< Those of them whose response has not started.
-        std::uint32_t queuedLateRequests = 0; ///< Those of the queued ones that are late.
-        double remoteRequests = 0;            ///< Requests of other processes at loadReportedAt.
+        std::uint32_t localRequests = 0; ///< Requests of this process in progress.
+        QueuedRequests queued;           ///< Those of them whose response has not started.
+        double remoteRequests = 0;       ///< Requests of other processes at loadReportedAt.
         std::optional<TimePoint> loadReportedAt;
         std::uint32_t reportedSlots = 0;
         int consecutiveFailures = 0;
@@ -230,6 +227,7 @@
         /// Moving average of the delay of the first event, beyond the prediction, of requests that
         /// found a free slot. It covers the prefill pass of the engine and the tokens of one event.
         double startDelaySeconds = 0;
+        PriorityMix priorities; ///< Of the attempts of this process.
     };
     struct VersionRule
     {
@@ -259,12 +257,14 @@
                                               const BackendQuery &query, TimePoint now,
                                               double &shortestWait);
     double estimateRequests(const Backend &backend, double meanRemote, TimePoint now) const;
-    /// Time until \a backend with \a load requests has a free slot for a request of \a urgency.
-    static double waitSeconds(const Backend &backend, RequestUrgency urgency, double load,
-                              double slots, double hold);
+    /// Time until \a backend with \a load requests has a free slot for a request at \a position.
+    static double waitSeconds(const Backend &backend, const Service *service,
+                              QueuePosition position, double load, double slots, double hold);
+    /// How many of \a waiting requests at \a backend are admitted before one at \a position.
+    static double countAhead(const Backend &backend, const Service *service, QueuePosition position,
+                             double waiting);
     void recordOutputTokens(const BackendQuery &query);
     static void recordFailure(Backend &backend, TimePoint now);
-    static void removeFromQueue(Backend &backend, RequestUrgency urgency);
     /// Weight, from 0 to 1, of the last load report of \a backend; decays with its age.
     static double loadReportWeight(const Backend &backend, TimePoint now);
     static double meanRemoteRequests(const std::vector<const Backend *> &backends, TimePoint now);
--- a/modules/gateway/src/backendmeasurements.cpp
+++ b/modules/gateway/src/backendmeasurements.cpp
@@ -104,28 +104,20 @@
     return it == m_backends.end() ? Duration::zero() : fromSeconds(it->second.eventGapSeconds);
 }
 
-void BackendPool::onAttemptStarted(const BackendId &id, RequestUrgency urgency)
+void BackendPool::onAttemptStarted(const BackendId &id, QueuePosition position)
 {
     Backend *backend = find(id);
     if (!backend)
         return;
     ++backend->localRequests;
-    ++backend->queuedRequests;
-    backend->queuedLateRequests += urgency == RequestUrgency::Late;
+    backend->queued.add(position);
+    m_services[backend->record.service].priorities.record(position);
 }
 
-void BackendPool::removeFromQueue(Backend &backend, RequestUrgency urgency)
-{
-    if (backend.queuedRequests > 0)
-        --backend.queuedRequests;
-    if (urgency == RequestUrgency::Late && backend.queuedLateRequests > 0)
-        --backend.queuedLateRequests;
-}
-
-void BackendPool::onResponseStarted(const BackendId &id, RequestUrgency urgency)
+void BackendPool::onResponseStarted(const BackendId &id, QueuePosition position)
 {
     if (Backend *backend = find(id))
-        removeFromQueue(*backend, urgency);
+        backend->queued.remove(position);
 }
 
 double BackendPool::expectedStartLateness(const Backend &backend, TimePoint now)
@@ -149,10 +141,10 @@
     service.startDelaySeconds += StartDelayWeight * (seconds - service.startDelaySeconds);
 }
 
-void BackendPool::onFinishedBeforeResponse(const BackendId &id, RequestUrgency urgency)
+void BackendPool::onFinishedBeforeResponse(const BackendId &id, QueuePosition position)
 {
     if (Backend *backend = find(id))
-        removeFromQueue(*backend, urgency);
+        backend->queued.remove(position);
 }
 
 void BackendPool::onSilence(const BackendId &id, TimePoint now)
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -380,9 +380,9 @@
             continue;
         const double slots = slotCount(*it, service);
         const double load = estimateRequests(*it, meanRemote, now);
-        const double wait = waitSeconds(*it, query.urgency, load, slots, hold);
+        const double wait = waitSeconds(*it, service, query.position(), load, slots, hold);
         shortestWait = std::min(shortestWait, wait);
-        if (it->isHalfOpen() && it->queuedRequests > 0)
+        if (it->isHalfOpen() && it->queued.count() > 0)
             continue;
         const double start = wait + prefill;
         // A free slot is used whatever the start delay; otherwise the delay could not be measured
@@ -416,13 +416,24 @@
     return it == m_backends.end() ? nullptr : &it->second;
 }
 
-double BackendPool::waitSeconds(const Backend &backend, RequestUrgency urgency, double load,
-                                double slots, double hold)
+double BackendPool::countAhead(const Backend &backend, const Service *service,
+                               QueuePosition position, double waiting)
 {
-    double ahead = std::max(0.0, load - slots);
-    // Assumes the same share of late requests in the queues of the other processes.
-    if (urgency == RequestUrgency::OnTime && backend.queuedRequests > 0)
-        ahead *= 1 - static_cast<double>(backend.queuedLateRequests) / backend.queuedRequests;
+    if (waiting <= 0)
+        return 0;
+    // Of the requests of other processes only their number is known. Their priorities are assumed
+    // to be those of the service, and the share of late ones that of the own queue.
+    const double own = std::min(1.0, backend.queued.count() / waiting);
+    const double onTime =
+            position.urgency == RequestUrgency::OnTime ? backend.queued.shareOnTime() : 1;
+    const double others = onTime * (service ? service->priorities.shareAhead(position) : 1);
+    return waiting * (own * backend.queued.shareAhead(position) + (1 - own) * others);
+}
+
+double BackendPool::waitSeconds(const Backend &backend, const Service *service,
+                                QueuePosition position, double load, double slots, double hold)
+{
+    const double ahead = countAhead(backend, service, position, load - slots);
     const bool isFull = load + 1 > slots;
     return isFull ? (ahead + std::min(1.0, load + 1 - slots)) * hold / slots : 0;
 }
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -29,19 +29,10 @@
 /// Safety margin, so that prediction errors do not admit requests that start just too late.
 constexpr Duration StartMargin = std::chrono::milliseconds(20);
 
-constexpr std::uint32_t DefaultPriority = 5;
-
 constexpr int BadGateway = 502;
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
 
-/// Late requests keep their relative order and are placed behind those of default priority.
-std::optional<std::uint32_t> latePriority(std::optional<std::uint32_t> priority)
-{
-    const std::uint32_t base = priority.value_or(DefaultPriority);
-    return std::max(base, DefaultPriority + base / 2);
-}
-
 bool mayHaveRun(AttemptOutcome outcome)
 {
     return outcome != AttemptOutcome::Rejected && outcome != AttemptOutcome::OtherProcess
@@ -141,7 +132,9 @@
     query.regions = m_admission.regions;
     for (const PastAttempt &it : m_attempts)
         query.excluded.insert(it.backend);
-    m_urgency = RequestUrgency::OnTime;
+    const std::uint32_t priority = m_admission.priority.value_or(DefaultPriority);
+    m_position = {RequestUrgency::OnTime, priority};
+    query.priority = priority;
     // A client that already receives events is waiting for the next one, so the objective for the
     // first event does not apply.
     query.maxQueueDelay = m_streaming ? (m_deadline - now()) / 2 : maxOnTimeDelay();
@@ -149,8 +142,8 @@
     const auto *none = std::get_if<NoBackend>(&found);
     if (!none || none->reason != NoBackend::Reason::AllFull)
         return found;
-    m_urgency = RequestUrgency::Late;
-    query.urgency = m_urgency;
+    m_position.urgency = RequestUrgency::Late;
+    query.urgency = m_position.urgency;
     query.maxQueueDelay = maxLateDelay();
     return m_gateway.m_backends.choose(query, now());
 }
@@ -229,7 +222,7 @@
     m_bodyMode = BodyMode::None;
     discardBufferedBody();
     m_attemptInProgress = true;
-    m_gateway.m_backends.onAttemptStarted(choice.id, m_urgency);
+    m_gateway.m_backends.onAttemptStarted(choice.id, m_position);
     HttpCall call = callFor(choice);
     m_correlation = call.correlation;
     m_call = m_gateway.m_environment.send(
@@ -297,8 +290,8 @@
     parameters.backend = choice.id;
     parameters.remainingTime = remaining;
     parameters.customer = m_admission.customer;
-    parameters.priority = m_urgency == RequestUrgency::Late ? latePriority(m_admission.priority)
-                                                            : m_admission.priority;
+    if (m_admission.priority || m_position.urgency == RequestUrgency::Late)
+        parameters.priority = m_position.effectivePriority();
     parameters.weightsVersion = m_weightsVersion;
     parameters.lastEventId =
             m_eventSplitter.lastId() ? m_eventSplitter.lastId() : m_request.lastEventId;
@@ -369,16 +362,16 @@
         return;
     m_silenceTimer.reset();
     m_gateway.m_bufferedBytes -= m_bufferedBody.size();
-    recordEnd(currentAttempt(), m_urgency, outcome);
+    recordEnd(currentAttempt(), m_position, outcome);
     m_call.reset();
 }
 
-void ForwardedRequest::recordEnd(PastAttempt &attempt, RequestUrgency urgency,
+void ForwardedRequest::recordEnd(PastAttempt &attempt, QueuePosition position,
                                  AttemptOutcome outcome)
 {
     attempt.outcome = outcome;
     if (!attempt.firstEventsAt)
-        m_gateway.m_backends.onFinishedBeforeResponse(attempt.backend, urgency);
+        m_gateway.m_backends.onFinishedBeforeResponse(attempt.backend, position);
     const bool wasSent = attempt.earlierCalls.has_value();
     if (wasSent && !attempt.headAt)
         m_gateway.m_backends.onUnanswered(attempt.backend, attempt.sentAt);
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -106,7 +106,7 @@
         std::shared_ptr<CallHandle> call;
         BackendResponseHead head;
         bool endsWithConnection;
-        RequestUrgency urgency;
+        QueuePosition position;
         EventSplitter eventSplitter;
     };
 
@@ -182,7 +182,7 @@
 
     /// Ends the current attempt.
     void endAttempt(AttemptOutcome outcome);
-    void recordEnd(PastAttempt &attempt, RequestUrgency urgency, AttemptOutcome outcome);
+    void recordEnd(PastAttempt &attempt, QueuePosition position, AttemptOutcome outcome);
     /// Ends the current attempt, then retries the request or gives up.
     void fail(AttemptOutcome outcome, std::string detail);
     /// Fails because the backend server has closed the connection, which may be a crash.
@@ -231,8 +231,8 @@
     EventSplitter m_eventSplitter;
     /// Attempts, besides the current one, that may have been executed.
     std::uint32_t m_possibleRuns = 0;
-    RequestUrgency m_urgency = RequestUrgency::OnTime; ///< Of the current attempt.
-    bool m_streaming = false;                          ///< The head of the response has been sent.
+    QueuePosition m_position{RequestUrgency::OnTime}; ///< Of the current attempt.
+    bool m_streaming = false;                         ///< The head of the response has been sent.
     bool m_attemptInProgress = false;
     bool m_isTrial = false; ///< The current attempt runs although its content is suspended.
     bool m_ended = false;
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -169,7 +169,7 @@
     recordQuietTime();
     attempt.firstEventsAt = at;
     recordWeights(attempt, at);
-    m_gateway.m_backends.onResponseStarted(attempt.backend, m_urgency);
+    m_gateway.m_backends.onResponseStarted(attempt.backend, m_position);
     m_gateway.recordStart(m_content);
     // Under load, the delay would also contain the error of this process in estimating the load of
     // the others.
--- a/modules/gateway/src/forwardedsilence.cpp
+++ b/modules/gateway/src/forwardedsilence.cpp
@@ -46,20 +46,20 @@
 void ForwardedRequest::onSilence()
 {
     reportSilence();
-    const RequestUrgency urgency = m_urgency;
+    const QueuePosition position = m_position;
     const bool isAllowed =
             mayRetry(true) && !m_gateway.m_crashSuspects.isSuspended(m_content, now());
     const std::variant<BackendChoice, NoBackend> found = isAllowed ? chooseBackend() : NoBackend();
     const auto *choice = std::get_if<BackendChoice>(&found);
     if (!choice || !m_gateway.m_retryBudget.tryAcquire(m_admission.service, now())) {
-        m_urgency = urgency;
+        m_position = position;
         m_gateway.m_environment.metrics.recordSilence(choice ? SilenceAction::WaitForBudget
                                                              : SilenceAction::WaitForBackend);
         restartSilenceTimer();
         return;
     }
     const BackendChoice next = *choice;
-    const RequestUrgency nextUrgency = std::exchange(m_urgency, urgency);
+    const QueuePosition nextPosition = std::exchange(m_position, position);
     m_gateway.m_environment.metrics.recordSilence(SilenceAction::Retry);
     m_gateway.m_environment.metrics.recordRetry(toString(AttemptOutcome::Silent));
     // An attempt that is to resume the stream and has sent no event gives way to the next one.
@@ -73,7 +73,7 @@
     }
     ++m_possibleRuns;
     m_isTrial = false;
-    m_urgency = nextUrgency;
+    m_position = nextPosition;
     startAttemptAt(next);
 }
 
@@ -101,7 +101,7 @@
     m_attemptInProgress = false;
     m_stalled =
             StalledAttempt{m_currentAttempt,     m_attemptSerial, std::move(m_call), m_responseHead,
-                           m_endsWithConnection, m_urgency,       m_eventSplitter};
+                           m_endsWithConnection, m_position,      m_eventSplitter};
     m_eventSplitter.discardPartialEvent();
 }
 
@@ -124,7 +124,7 @@
     m_call = std::move(stalled.call);
     m_responseHead = std::move(stalled.head);
     m_endsWithConnection = stalled.endsWithConnection;
-    m_urgency = stalled.urgency;
+    m_position = stalled.position;
     m_eventSplitter = std::move(stalled.eventSplitter);
     m_bodyMode = BodyMode::Events;
     discardBufferedBody();
@@ -141,7 +141,7 @@
     m_stalled.reset();
     if (stalled.call)
         stalled.call->cancel();
-    recordEnd(m_attempts[stalled.index], stalled.urgency, outcome);
+    recordEnd(m_attempts[stalled.index], stalled.position, outcome);
 }
 
 void ForwardedRequest::onStalledData(std::string_view data)
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -547,6 +547,42 @@
                                              RequestUrgency::Late);
         CHECK(it.choose(query()) == "none");
     }
+    // An urgent request was refused because of requests that the engine admits after it.
+    SECTION("queued requests that are less urgent do not delay more urgent ones")
+    {
+        auto urgent = query();
+        urgent.priority = 2;
+        fill(Slots, RequestUrgency::OnTime);
+        for (int i = 0; i < Slots; ++i)
+            it.pool.onResponseStarted(BackendId("e" + std::to_string(i % 4 + 1)),
+                                      RequestUrgency::OnTime);
+        fill(4 * 8, RequestUrgency::OnTime);
+        CHECK(it.choose(query()) == "none");
+        CHECK(it.choose(urgent) != "none");
+
+        SECTION("but those that are as urgent do")
+        {
+            for (int i = 0; i < 4 * 8; ++i)
+                it.pool.onAttemptStarted(BackendId("e" + std::to_string(i % 4 + 1)),
+                                         {RequestUrgency::OnTime, 2});
+            CHECK(it.choose(urgent) == "none");
+        }
+    }
+    SECTION("requests of other processes are assumed to have the priorities of the own ones")
+    {
+        auto urgent = query();
+        urgent.priority = 2;
+        for (int i = 1; i <= 4; ++i)
+            it.pool.recordLoad(BackendId("e" + std::to_string(i)), {16, 8, 16}, it.now);
+        CHECK(it.choose(urgent) == "none");
+        for (int i = 0; i < 4; ++i) {
+            const BackendId id("e" + std::to_string(i % 4 + 1));
+            it.pool.onAttemptStarted(id, RequestUrgency::OnTime);
+            it.pool.onResponseStarted(id, RequestUrgency::OnTime);
+        }
+        CHECK(it.choose(query()) == "none");
+        CHECK(it.choose(urgent) != "none");
+    }
     SECTION("a start delay caused by unknown load does not block all requests")
     {
         for (int i = 0; i < 500; ++i)
