Shed the surplus of a shortage first, and keep a minimum share

Above the capacity all requests were refused alike: a burst of one kind or customer took the slots of the others, and with priorities in the predicted wait the least urgent kind could lose all service.

Ruled out: the long-run rate of everything that was offered (a lasting flood becomes usual after ten seconds, so surplus does not count towards it); a customer's growth by itself as the sign of surplus (a burst of one kind makes the other kinds of the same customers surplus, so only growth beyond that of the service counts).

Change: DemandTracker, one for each service, keeps the short-run and long-run demand and the share of admitted requests of each kind and customer. During a shortage, demand above 1.25 times the long-run rate is surplus: it takes free slots only, behind all others. Kinds and customers with less than half of the mean share are never surplus and become more urgent. An urgent kind is not shed while less urgent ones are admitted more often. Without a shortage nothing differs.

--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <godwit/base/random.h>
+#include <godwit/gateway/admission.h>
 #include <godwit/gateway/backendpool.h>
 #include <godwit/gateway/callerprotocol.h>
 #include <godwit/gateway/crashsuspects.h>
+#include <godwit/gateway/demandtracker.h>
 #include <godwit/gateway/gatewaymetrics.h>
 #include <godwit/gateway/gatewayoptions.h>
 #include <godwit/gateway/objectivetracker.h>
@@ -125,6 +127,13 @@
     /// as zero, because clients differ by that much in how long they wait.
     Duration estimateEarlierWait(const std::string &route, const CustomerId &customer,
                                  Duration clientTimeout);
+    /// A request for \a service with \a demand has arrived; returns how it is to be treated.
+    DemandTreatment recordDemand(const std::string &service, const Demand &demand);
+    /// The first attempt of that request got \a found.
+    void recordAdmission(const std::string &service, const Demand &demand,
+                         const DemandTreatment &treatment,
+                         const std::variant<BackendChoice, NoBackend> &found,
+                         RequestUrgency urgency);
 
     GatewayOptions m_options;
     Environment m_environment;
@@ -136,6 +145,7 @@
     /// customers may use different timeouts.
     std::map<std::pair<std::string, CustomerId>, Duration> m_longestClientTimeouts;
     std::map<std::string, ObjectiveTracker> m_objectiveTrackers; ///< By service.
+    std::map<std::string, DemandTracker> m_demandTrackers;       ///< By service.
     std::shared_ptr<const RouteTable> m_routeTable;
     std::optional<TimePoint> m_configurationConfirmedAt;
     std::optional<ShutdownTimes> m_shutdown; ///< Set once the process shuts down.
--- a/modules/gateway/include/godwit/gateway/gatewaymetrics.h
+++ b/modules/gateway/include/godwit/gateway/gatewaymetrics.h
@@ -16,6 +16,15 @@
     WaitForBudget,  ///< The retry budget is spent.
 };
 
+/// How a request was admitted at its first attempt.
+enum class AdmissionClass {
+    OnTime,
+    Late,           ///< Behind the requests that can meet their objective.
+    Surplus,        ///< At a free slot, behind all others.
+    Refused,        ///< No backend server can take it.
+    SurplusRefused, ///< There is no free slot, and surplus is not queued.
+};
+
 /// Counters and latency summaries of a Gateway.
 class GatewayMetrics
 {
@@ -32,6 +41,9 @@
     void recordRetry(std::string_view reason);
     /// A backend server sent nothing within the silence timeout of an attempt.
     void recordSilence(SilenceAction action);
+    void recordAdmission(AdmissionClass admission);
+    /// A request got a more urgent priority because its kind or customer had too small a share.
+    void recordRaisedPriority() { m_raisedPriorities.add(1); }
     void recordClientDisconnect() { m_clientDisconnects.add(1); }
     /// A request was refused or cancelled because its content crashes backend servers.
     void recordSuspended() { m_suspended.add(1); }
@@ -46,6 +58,7 @@
     Counter &m_clientDisconnects;
     Counter &m_outdatedStarts;
     Counter &m_suspended;
+    Counter &m_raisedPriorities;
     Gauge &m_evacuatedZones;
     Summary &m_responseTime;
     Summary &m_firstEventTime;
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -132,20 +132,33 @@
     query.regions = m_admission.regions;
     for (const PastAttempt &it : m_attempts)
         query.excluded.insert(it.backend);
-    const std::uint32_t priority = m_admission.priority.value_or(DefaultPriority);
-    m_position = {RequestUrgency::OnTime, priority};
-    query.priority = priority;
+    const bool isFirstAttempt = m_attempts.empty();
+    if (isFirstAttempt)
+        m_treatment = m_gateway.recordDemand(m_admission.service, demand());
+    // A request that may have run is not shed any more.
+    if (m_possibleRuns > 0 || m_streaming)
+        m_treatment.isSurplus = false;
     // A client that already receives events is waiting for the next one, so the objective for the
     // first event does not apply.
-    query.maxQueueDelay = m_streaming ? (m_deadline - now()) / 2 : maxOnTimeDelay();
-    auto found = m_gateway.m_backends.choose(query, now());
-    const auto *none = std::get_if<NoBackend>(&found);
-    if (!none || none->reason != NoBackend::Reason::AllFull)
-        return found;
-    m_position.urgency = RequestUrgency::Late;
-    query.urgency = m_position.urgency;
-    query.maxQueueDelay = maxLateDelay();
-    return m_gateway.m_backends.choose(query, now());
+    const AdmissionLimits limits{m_streaming ? (m_deadline - now()) / 2 : maxOnTimeDelay(),
+                                 maxLateDelay()};
+    auto found = admit(m_gateway.m_backends, query, limits, m_treatment, now());
+    m_position = query.position();
+    if (isFirstAttempt)
+        m_gateway.recordAdmission(m_admission.service, demand(), m_treatment, found,
+                                  m_position.urgency);
+    return found;
+}
+
+Demand ForwardedRequest::demand() const
+{
+    const std::uint32_t tokens =
+            m_request.promptTokens
+            + m_request.expectedOutputTokens.value_or(m_request.maxOutputTokens);
+    return {.kind = m_admission.route->name,
+            .customer = m_admission.customer,
+            .priority = m_admission.priority.value_or(DefaultPriority),
+            .work = std::max(1.0, static_cast<double>(tokens))};
 }
 
 void ForwardedRequest::refuseSuspended()
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -136,6 +136,8 @@
     /// Time within which a response that misses the objective must start to be of use.
     Duration maxLateDelay() const;
     std::variant<BackendChoice, NoBackend> chooseBackend();
+    /// By which the request competes with others.
+    Demand demand() const;
 
     void onHead(int status, const HttpHeaders &headers);
     /// Whether a response with \a headers belongs to this request. Any other response, be it a
@@ -231,6 +233,7 @@
     EventSplitter m_eventSplitter;
     /// Attempts, besides the current one, that may have been executed.
     std::uint32_t m_possibleRuns = 0;
+    DemandTreatment m_treatment;
     QueuePosition m_position{RequestUrgency::OnTime}; ///< Of the current attempt.
     bool m_streaming = false;                         ///< The head of the response has been sent.
     bool m_attemptInProgress = false;
--- a/modules/gateway/src/gatewaymetrics.cpp
+++ b/modules/gateway/src/gatewaymetrics.cpp
@@ -13,6 +13,9 @@
 constexpr std::array<std::string_view, 3> SilenceActionNames{"retry", "wait_for_backend",
                                                              "wait_for_budget"};
 
+constexpr std::array<std::string_view, 5> AdmissionClassNames{"on_time", "late", "surplus",
+                                                              "refused", "surplus_refused"};
+
 } // namespace
 
 std::string_view toString(AttemptOutcome outcome)
@@ -30,6 +33,9 @@
                                         "Responses that started with outdated weights."))
     , m_suspended(registry.counter("godwit_suspended_requests_total",
                                    "Requests with content that crashes backend servers."))
+    , m_raisedPriorities(registry.counter(
+              "godwit_raised_priorities_total",
+              "Requests with a raised priority because their share was too small."))
     , m_evacuatedZones(
               registry.gauge("godwit_evacuated_zones", "Availability zones that get no requests."))
     , m_responseTime(registry.summary("godwit_answer_seconds",
@@ -60,6 +66,15 @@
             .add();
 }
 
+void GatewayMetrics::recordAdmission(AdmissionClass admission)
+{
+    const std::string_view name = AdmissionClassNames[static_cast<std::size_t>(admission)];
+    m_registry
+            .counter("godwit_admissions_total", "Requests by how they were admitted.",
+                     {{"class", std::string(name)}})
+            .add();
+}
+
 void GatewayMetrics::recordAttempt(AttemptOutcome outcome)
 {
     m_registry
