Keep the goodput above the capacity, with measured wait errors

Ruled out: the mix of recent requests for the queues of others (less urgent ones wait longer, so it refused urgent ones); one error for all priorities; surplus that takes every slot that seems free.

Change: predicted waits grow by the share of attempts that overtake, the mix is that of the own queued requests, and during a shortage the limits are lowered by the measured error of each priority. Surplus pauses after another request was refused, is found for customers within a kind, and the rest of a burst is one priority less urgent. The long-run rate leaves out the last second.

--- a/modules/gateway/include/godwit/gateway/admission.h
+++ b/modules/gateway/include/godwit/gateway/admission.h
@@ -24,6 +24,7 @@
 
 /// What \a found means for the demand of the service; none if the reason is not a lack of slots.
 std::optional<AdmissionResult> admissionResult(const std::variant<BackendChoice, NoBackend> &found,
-                                               RequestUrgency urgency);
+                                               RequestUrgency urgency,
+                                               const DemandTreatment &treatment);
 
 } // namespace godwit
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -190,6 +190,9 @@
 
     std::size_t size() const { return m_backends.size(); }
 
+    /// Usual delay of the first event of a request for \a service beyond the prediction.
+    Duration startDelay(const std::string &service) const;
+
     /// Number of requests of this process in progress at \a id.
     std::uint32_t inProgress(const BackendId &id) const;
 
@@ -227,7 +230,9 @@
         /// Moving average of the delay of the first event, beyond the prediction, of requests that
         /// found a free slot. It covers the prefill pass of the engine and the tokens of one event.
         double startDelaySeconds = 0;
-        PriorityMix priorities; ///< Of the attempts of this process.
+        QueuedRequests queued; ///< Requests of this process whose response has not started.
+        PriorityMix queuedMix; ///< Of the requests above.
+        AttemptMix attempts;   ///< Of this process.
     };
     struct VersionRule
     {
@@ -263,6 +268,7 @@
     /// How many of \a waiting requests at \a backend are admitted before one at \a position.
     static double countAhead(const Backend &backend, const Service *service, QueuePosition position,
                              double waiting);
+    void removeFromQueue(const BackendId &id, QueuePosition position);
     void recordOutputTokens(const BackendQuery &query);
     static void recordFailure(Backend &backend, TimePoint now);
     /// Weight, from 0 to 1, of the last load report of \a backend; decays with its age.
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -135,6 +135,10 @@
                          const std::variant<BackendChoice, NoBackend> &found,
                          RequestUrgency urgency);
 
+    /// A request in time for \a service that found no free slot started after \a actual.
+    void recordWait(const std::string &service, std::uint32_t priority, Duration predicted,
+                    Duration actual);
+
     GatewayOptions m_options;
     Environment m_environment;
     Random m_random;
--- a/modules/gateway/include/godwit/gateway/queueposition.h
+++ b/modules/gateway/include/godwit/gateway/queueposition.h
@@ -47,28 +47,28 @@
 {
 public:
     void add(const QueuePosition &position);
-    void remove(const QueuePosition &position);
+    /// Returns false if there is none at \a position.
+    bool remove(const QueuePosition &position);
 
     std::uint32_t count() const { return m_count; }
-    std::uint32_t lateCount() const { return m_lateCount; }
     /// Share of the requests that are admitted before one that arrives now at \a position; 1 if
     /// there are none.
     double shareAhead(const QueuePosition &position) const;
-    /// Share of the requests that are not late; 1 if there are none.
-    double shareOnTime() const;
 
 private:
+    friend class PriorityMix;
+
     std::array<std::uint32_t, LeastUrgentPriority + 1> m_counts{};
     std::uint32_t m_count = 0;
-    std::uint32_t m_lateCount = 0;
 };
 
-/// Shares of the priorities in the recent requests of a service. Late requests count with the
-/// priority that they had in time.
+/// Shares of the effective priorities in the requests that wait for the backend servers of a
+/// service, averaged over the recent attempts.
 class PriorityMix
 {
 public:
-    void record(const QueuePosition &position);
+    /// An attempt has been added to \a queued.
+    void record(const QueuedRequests &queued);
 
     /// Share of the requests that are admitted before one that arrives now at \a position; 1 if
     /// there were none.
@@ -79,4 +79,18 @@
     bool m_isEmpty = true;
 };
 
+/// Share of the recent attempts of a service by effective priority.
+class AttemptMix
+{
+public:
+    void record(const QueuePosition &position);
+
+    /// Share of the attempts that overtake one that waits at \a position; 0 if there were none.
+    double shareOvertaking(const QueuePosition &position) const;
+
+private:
+    std::array<double, LeastUrgentPriority + 1> m_shares{};
+    bool m_isEmpty = true;
+};
+
 } // namespace godwit
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -43,6 +43,9 @@
 constexpr double OverrunPenaltyPerSecond = 0.25;
 constexpr double MaxOverrunPenaltySeconds = 0.3;
 constexpr Duration MaxWeightLoadTime = std::chrono::milliseconds(2500);
+/// Upper bound of the assumed share of attempts that overtake a waiting request, which keeps the
+/// predicted wait finite.
+constexpr double MaxOvertakingShare = 0.9;
 /// Upper bound of the predicted wait for a slot.
 constexpr double MaxWaitSeconds = 60;
 
@@ -422,11 +425,10 @@
     if (waiting <= 0)
         return 0;
     // Of the requests of other processes only their number is known. Their priorities are assumed
-    // to be those of the service, and the share of late ones that of the own queue.
+    // to be those of the own ones at all backend servers of the service, if there are any.
     const double own = std::min(1.0, backend.queued.count() / waiting);
-    const double onTime =
-            position.urgency == RequestUrgency::OnTime ? backend.queued.shareOnTime() : 1;
-    const double others = onTime * (service ? service->priorities.shareAhead(position) : 1);
+    const bool isMixKnown = service && service->queued.count() > 0;
+    const double others = isMixKnown ? service->queuedMix.shareAhead(position) : 1;
     return waiting * (own * backend.queued.shareAhead(position) + (1 - own) * others);
 }
 
@@ -435,7 +437,11 @@
 {
     const double ahead = countAhead(backend, service, position, load - slots);
     const bool isFull = load + 1 > slots;
-    return isFull ? (ahead + std::min(1.0, load + 1 - slots)) * hold / slots : 0;
+    const double wait = isFull ? (ahead + std::min(1.0, load + 1 - slots)) * hold / slots : 0;
+    // While a request waits, more urgent ones arrive and take their share of the slots that become
+    // free.
+    const double overtaking = service ? service->attempts.shareOvertaking(position) : 0;
+    return wait / (1 - std::min(overtaking, MaxOvertakingShare));
 }
 
 bool BackendPool::isCurrent(const BackendInstance &instance, const ModelId &model,
@@ -446,6 +452,12 @@
            && servedVersion(it->second.record, model) == version;
 }
 
+Duration BackendPool::startDelay(const std::string &service) const
+{
+    const Service *found = findService(service);
+    return found ? fromSeconds(found->startDelaySeconds) : Duration::zero();
+}
+
 std::uint32_t BackendPool::inProgress(const BackendId &id) const
 {
     const auto it = m_backends.find(id);
--- a/modules/gateway/src/demandtracker.cpp
+++ b/modules/gateway/src/demandtracker.cpp
@@ -21,6 +21,12 @@
 
 /// Demand above this multiple of the long-run rate is surplus.
 constexpr double ToleratedGrowth = 1.25;
+/// Demand above this multiple of the long-run rate does not count towards it, so that the first
+/// second of a burst, before there is a shortage, is not taken for usual. In a shortage the
+/// multiple is ToleratedGrowth, or else a lasting flood would be usual after some seconds.
+constexpr double MaxGrowth = 2;
+/// Share of surplus in a demand from which on it is a burst. Smaller shares occur by chance.
+constexpr double MinBurstShare = 0.2;
 /// Requests within the short run that are no surplus, whatever the long-run rate. A customer with a
 /// request now and then would otherwise exceed its rate with each of them.
 constexpr double ToleratedRequests = 2;
@@ -36,11 +42,22 @@
 /// Number of recent requests from which on a priority counts as being in use.
 constexpr double MinRequestsInUse = 3;
 
+/// Surplus takes no free slots for this long after another request was refused or late. The load
+/// that is known of other processes is outdated, so that surplus would go on to take slots that
+/// seem free, and the others would lose them.
+constexpr Duration SurplusPause = std::chrono::milliseconds(500);
+
 /// Weight of the newest request in the moving average of the work of a request.
 constexpr double WorkWeight = 0.02;
 
-/// Limit on the kinds, and on the customers, that are remembered; some hundred bytes each.
-constexpr std::size_t MaxEntries = 1024;
+/// Weight of the newest wait in the moving averages of the prediction error.
+constexpr double WaitWeight = 0.1;
+/// Margin for prediction errors, in mean deviations. If errors are distributed normally, 95 of 100
+/// requests at the limit start in time.
+constexpr double MarginDeviations = 2;
+
+/// Limit on the entries of a table; some hundred bytes each.
+constexpr std::size_t MaxEntries = 2048;
 
 std::size_t indexOf(std::uint32_t priority)
 {
@@ -78,6 +95,18 @@
     return m_requests.value(SharePeriod, now);
 }
 
+void WaitErrors::record(Duration predicted, Duration actual)
+{
+    const double error = toSeconds(actual - predicted);
+    m_deviationSeconds += WaitWeight * (std::abs(error - m_meanSeconds) - m_deviationSeconds);
+    m_meanSeconds += WaitWeight * (error - m_meanSeconds);
+}
+
+Duration WaitErrors::margin() const
+{
+    return fromSeconds(std::max(0.0, m_meanSeconds + MarginDeviations * m_deviationSeconds));
+}
+
 DemandTracker::Entry &DemandTracker::Table::find(const std::string &name)
 {
     const auto known = m_positions.find(name);
@@ -89,7 +118,7 @@
         m_positions.erase(m_entries.back().name);
         m_entries.pop_back();
     }
-    m_entries.push_front({.name = name, .rates = {}, .share = {}});
+    m_entries.push_front({.name = name, .rates = {}, .attributed = {}, .share = {}});
     m_positions.emplace(name, m_entries.begin());
     return m_entries.front();
 }
@@ -110,31 +139,51 @@
                                                                    : std::optional(isShort);
 }
 
+double DemandTracker::usualRate(const Rates &rates, TimePoint now) const
+{
+    // Without the last second, which may be the begin of a burst.
+    const double work =
+            rates.longRun.value(LongRun, now) - rates.recentOfLongRun.value(ShortRun, now);
+    const double age = toSeconds(now - *m_firstArrival);
+    const double observed = toSeconds(LongRun) * (1 - std::exp(-age / toSeconds(LongRun)))
+                            - toSeconds(ShortRun) * (1 - std::exp(-age / toSeconds(ShortRun)));
+    return observed > 0 ? std::max(0.0, work / observed) : 0;
+}
+
 double DemandTracker::excessShare(const Rates &rates, TimePoint now) const
 {
-    const Duration age = now - *m_firstArrival;
     // A process that has just started does not know the usual demand.
-    if (age < ShortRun)
+    if (now - *m_firstArrival < ShortRun)
         return 0;
-    const double observed = 1 - std::exp(-toSeconds(age) / toSeconds(LongRun));
-    const double usual = rates.longRun.value(LongRun, now) / toSeconds(LongRun) / observed;
     const double recent = rates.shortRun.value(ShortRun, now) / toSeconds(ShortRun);
-    const double tolerated =
-            ToleratedGrowth * usual + ToleratedRequests * m_meanWork / toSeconds(ShortRun);
+    const double tolerated = ToleratedGrowth * usualRate(rates, now)
+                             + ToleratedRequests * m_meanWork / toSeconds(ShortRun);
     return recent > tolerated ? 1 - tolerated / recent : 0;
 }
 
-double DemandTracker::surplusShare(const Entry &kind, const Entry &customer, TimePoint now) const
+double DemandTracker::commonSurplusShare(const Entry &kind, TimePoint now) const
 {
+    const double demand = kind.rates.shortRun.value(ShortRun, now);
+    const double attributed = demand > 0 ? kind.attributed.value(ShortRun, now) / demand : 0;
     const double ofKind = excessShare(kind.rates, now);
-    if (customer.name.empty())
-        return ofKind;
-    // If customers grow as much as the service, the reason is not one of them. A burst of one kind
-    // would otherwise make the other kinds of the same customers surplus as well.
-    const double ofService = excessShare(m_rates, now);
-    const double ofCustomer = excessShare(customer.rates, now);
-    return std::max(ofKind,
-                    ofCustomer > ofService ? (ofCustomer - ofService) / (1 - ofService) : 0);
+    return ofKind > attributed ? (ofKind - attributed) / (1 - attributed) : 0;
+}
+
+void DemandTracker::recordDemand(Rates &rates, double work, TimePoint now) const
+{
+    rates.shortRun.add(work, ShortRun, now);
+    double usual = work;
+    if (now - *m_firstArrival >= LongRun) {
+        const double recent = rates.shortRun.value(ShortRun, now) / toSeconds(ShortRun);
+        const double rate = usualRate(rates, now);
+        const double limit =
+                isShortage(now)
+                        ? ToleratedGrowth * rate
+                        : MaxGrowth * rate + ToleratedRequests * m_meanWork / toSeconds(ShortRun);
+        usual *= std::min(1.0, limit / recent);
+    }
+    rates.longRun.add(usual, LongRun, now);
+    rates.recentOfLongRun.add(usual, ShortRun, now);
 }
 
 double DemandTracker::relativeShare(const Entry &entry, TimePoint now) const
@@ -179,28 +228,43 @@
             m_meanWork > 0 ? m_meanWork + WorkWeight * (demand.work - m_meanWork) : demand.work;
     Entry &kind = m_kinds.find(demand.kind);
     Entry &customer = m_customers.find(demand.customer.value());
+    Entry &caller = m_callers.find(demand.kind + '\n' + demand.customer.value());
     DemandTreatment treatment;
     treatment.priority = demand.priority;
     if (isShortage(now)) {
         const double share = std::min(relativeShare(kind, now), relativeShare(customer, now));
         treatment.priority = raisedPriority(demand.priority, share, now);
-        treatment.isSurplus = m_random.chance(surplusShare(kind, customer, now))
-                              && share >= MinRelativeShare && !isOvertaken(demand.priority, now);
-    }
-    for (Rates *it : {&kind.rates, &customer.rates, &m_rates}) {
-        it->shortRun.add(demand.work, ShortRun, now);
-        // Surplus does not count, or else a lasting flood would be the usual demand after some
-        // seconds.
-        if (!treatment.isSurplus)
-            it->longRun.add(demand.work, LongRun, now);
+        treatment.waitMargin = m_waitErrors[indexOf(treatment.priority)].margin();
+        const double own = excessShare(caller.rates, now);
+        const double surplus = own + (1 - own) * commonSurplusShare(kind, now);
+        const bool mayYield =
+                share >= MinRelativeShare && !isOvertaken(demand.priority, now) && surplus > 0;
+        // Surplus is drawn at random, so the usual part of a burst yields to other requests too.
+        if (mayYield && surplus >= MinBurstShare)
+            treatment.priority =
+                    std::max(demand.priority, std::min(demand.priority + 1, LeastUrgentPriority));
+        treatment.isSurplus = mayYield && m_random.chance(surplus);
+        treatment.isRefused = treatment.isSurplus && m_lastUsualRefusal
+                              && now - *m_lastUsualRefusal <= SurplusPause;
+        kind.attributed.add(own * demand.work, ShortRun, now);
     }
+    recordDemand(kind.rates, demand.work, now);
+    recordDemand(caller.rates, demand.work, now);
     return treatment;
 }
 
-void DemandTracker::onResult(const Demand &demand, AdmissionResult result, TimePoint now)
+void DemandTracker::recordWait(std::uint32_t priority, Duration predicted, Duration actual)
+{
+    m_waitErrors[indexOf(priority)].record(predicted, actual);
+}
+
+void DemandTracker::onResult(const Demand &demand, const DemandTreatment &treatment,
+                             AdmissionResult result, TimePoint now)
 {
     if (result != AdmissionResult::Admitted)
         m_lastShortage = now;
+    if (result != AdmissionResult::Admitted && !treatment.isSurplus)
+        m_lastUsualRefusal = now;
     const bool admitted = result != AdmissionResult::Refused;
     m_kinds.find(demand.kind).share.record(admitted, now);
     m_customers.find(demand.customer.value()).share.record(admitted, now);
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -176,6 +176,9 @@
     if (attempt.foundFreeSlot)
         m_gateway.m_backends.recordStartDelay(
                 attempt.backend, at - attempt.sentAt - attempt.predictedStartDelay, at);
+    else if (m_position.urgency == RequestUrgency::OnTime)
+        m_gateway.recordWait(m_admission.service, m_position.priority, attempt.predictedStartDelay,
+                             at - attempt.sentAt);
 }
 
 void ForwardedRequest::recordWeights(PastAttempt &attempt, TimePoint at)
--- a/modules/gateway/src/gatewaydemand.cpp
+++ b/modules/gateway/src/gatewaydemand.cpp
@@ -27,7 +27,7 @@
     if (tracker == m_demandTrackers.end())
         tracker = m_demandTrackers.emplace(service, DemandTracker(Random(m_random()))).first;
     const DemandTreatment treatment = tracker->second.onArrival(demand, now);
-    if (treatment.priority != demand.priority)
+    if (treatment.priority < demand.priority)
         m_environment.metrics.recordRaisedPriority();
     return treatment;
 }
@@ -40,10 +40,18 @@
     m_environment.metrics.recordAdmission(classify(treatment, found, urgency));
     const TimePoint now = m_environment.scheduler.now();
     DemandTracker &tracker = m_demandTrackers.at(service);
-    if (const auto result = admissionResult(found, urgency))
-        tracker.onResult(demand, *result, now);
+    if (const auto result = admissionResult(found, urgency, treatment))
+        tracker.onResult(demand, treatment, *result, now);
     if (const auto begun = tracker.takeShortageChange(now))
         logStateChange(*begun ? "shortage_began" : "shortage_ended", {{"service", service}});
 }
 
+void Gateway::recordWait(const std::string &service, std::uint32_t priority, Duration predicted,
+                         Duration actual)
+{
+    const auto tracker = m_demandTrackers.find(service);
+    if (tracker != m_demandTrackers.end())
+        tracker->second.recordWait(priority, predicted + m_backends.startDelay(service), actual);
+}
+
 } // namespace godwit
--- a/modules/gateway/src/queueposition.cpp
+++ b/modules/gateway/src/queueposition.cpp
@@ -31,18 +31,16 @@
 {
     ++m_counts[indexOf(position.effectivePriority())];
     ++m_count;
-    m_lateCount += position.urgency == RequestUrgency::Late;
 }
 
-void QueuedRequests::remove(const QueuePosition &position)
+bool QueuedRequests::remove(const QueuePosition &position)
 {
     std::uint32_t &count = m_counts[indexOf(position.effectivePriority())];
     if (count == 0)
-        return;
+        return false;
     --count;
     --m_count;
-    if (position.urgency == RequestUrgency::Late && m_lateCount > 0)
-        --m_lateCount;
+    return true;
 }
 
 double QueuedRequests::shareAhead(const QueuePosition &position) const
@@ -52,23 +50,35 @@
                    : static_cast<double>(sumUpTo(m_counts, position.effectivePriority())) / m_count;
 }
 
-double QueuedRequests::shareOnTime() const
+void PriorityMix::record(const QueuedRequests &queued)
+{
+    if (queued.m_count == 0)
+        return;
+    const double weight = std::exchange(m_isEmpty, false) ? 1 : NewestWeight;
+    for (std::size_t i = 0; i < m_shares.size(); ++i) {
+        const double newest = static_cast<double>(queued.m_counts[i]) / queued.m_count;
+        m_shares[i] += weight * (newest - m_shares[i]);
+    }
+}
+
+double PriorityMix::shareAhead(const QueuePosition &position) const
 {
-    return m_count == 0 ? 1 : 1 - static_cast<double>(m_lateCount) / m_count;
+    // The sum of all shares is 1 but for rounding errors.
+    return m_isEmpty ? 1 : std::min(1.0, sumUpTo(m_shares, position.effectivePriority()));
 }
 
-void PriorityMix::record(const QueuePosition &position)
+void AttemptMix::record(const QueuePosition &position)
 {
     const double weight = std::exchange(m_isEmpty, false) ? 1 : NewestWeight;
     for (double &share : m_shares)
         share *= 1 - weight;
-    m_shares[indexOf(position.priority)] += weight;
+    m_shares[indexOf(position.effectivePriority())] += weight;
 }
 
-double PriorityMix::shareAhead(const QueuePosition &position) const
+double AttemptMix::shareOvertaking(const QueuePosition &position) const
 {
-    // The sum of all shares is 1 but for rounding errors.
-    return m_isEmpty ? 1 : std::min(1.0, sumUpTo(m_shares, position.effectivePriority()));
+    const std::uint32_t priority = position.effectivePriority();
+    return priority > 0 ? sumUpTo(m_shares, priority - 1) : 0;
 }
 
 } // namespace godwit
