--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -172,13 +172,16 @@
     recordQuietTime();
     attempt.firstEventsAt = at;
     recordWeights(attempt, at);
-    m_gateway.m_backends.onResponseStarted(attempt.backend, m_urgency);
+    m_gateway.m_backends.onResponseStarted(attempt.backend, m_position);
     m_gateway.recordStart(m_content);
     // Under load, the delay would also contain the error of this process in estimating the load of
     // the others.
     if (attempt.foundFreeSlot)
         m_gateway.m_backends.recordStartDelay(
                 attempt.backend, at - attempt.sentAt - attempt.predictedStartDelay, at);
+    else if (m_position.urgency == RequestUrgency::OnTime)
+        m_gateway.recordWait(m_admission.service, m_position.priority, attempt.predictedStartDelay,
+                             at - attempt.sentAt);
 }
 
 void ForwardedRequest::recordWeights(PastAttempt &attempt, TimePoint at)
