--- a/modules/gateway/tests/demandtrackertest.cpp
+++ b/modules/gateway/tests/demandtrackertest.cpp
@@ -211,7 +211,7 @@
         it.send(demand("kind" + number, "customer" + number), 1000, 1ms);
         it.send(demand("chat", "dairy"), 1000, 1ms);
     }
-    CHECK(it.tracker.size() <= 3 * 2048);
+    CHECK(it.tracker.size() <= 3UL * 2048);
     // Those with requests are not the ones that were dropped.
     it.send(demand("chat", "dairy"), 1000, 1s, AdmissionResult::AdmittedLate);
     CHECK(it.send(demand("chat", "dairy"), 1000, 1s, AdmissionResult::AdmittedLate) < 700);
--- a/modules/gateway/tests/overloadtest.cpp
+++ b/modules/gateway/tests/overloadtest.cpp
@@ -319,6 +319,7 @@
 std::vector<Source> oneLargeCustomer()
 {
     std::vector<Source> sources;
+    sources.reserve(21);
     for (int i = 0; i < 20; ++i)
         sources.push_back(
                 {.kind = "chat", .customer = "small" + std::to_string(i), .rate = 0.02 * Capacity});
