--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -33,7 +33,7 @@
 
 SharedWatchOptions sharedWatchOptions(const FleetBounds &bounds)
 {
-    const PollIntervals intervals = sharedPollIntervals(bounds);
+    const PollIntervals intervals = entryPollIntervals(bounds);
     return {intervals.longPollTimeout, intervals.batchDelay};
 }
 
@@ -82,13 +82,11 @@
                  [this](const CrashReport &report) { m_crashReports.publish(report); },
                  [this](const ContentKey &key) { m_crashReports.publishHarmless(key); }},
                 newRandom())
-    , m_operatorStore(openStore(operatorPollIntervals(m_settings.bounds)))
     // The delay between calls is up to the shared watch.
-    , m_sharedStore(
-              openStore({sharedPollIntervals(m_settings.bounds).longPollTimeout, Duration::zero()}))
-    , m_sharedWatch(*m_sharedStore, m_scheduler, sharedWatchOptions(m_settings.bounds))
+    , m_store(openStore({entryPollIntervals(m_settings.bounds).longPollTimeout, Duration::zero()}))
+    , m_sharedWatch(*m_store, m_scheduler, sharedWatchOptions(m_settings.bounds))
     , m_operatorFeed(
-              m_platform, m_platform.operatorPrefix(), *m_operatorStore, m_scheduler,
+              m_platform, m_platform.operatorPrefix(), m_sharedWatch, m_scheduler,
               m_settings.bounds, newRandom(),
               {[this](GatewayConfiguration configuration) {
                    applyConfiguration(std::move(configuration));
--- a/modules/fleet/src/entryprocess.h
+++ b/modules/fleet/src/entryprocess.h
@@ -31,8 +31,7 @@
     HttpClient m_backendClient;
     GatewayMetrics m_gatewayMetrics;
     Gateway m_gateway;
-    std::unique_ptr<KeyValuePort> m_operatorStore;
-    std::unique_ptr<KeyValuePort> m_sharedStore;
+    std::unique_ptr<KeyValuePort> m_store;
     SharedWatch m_sharedWatch;
     OperatorFeed m_operatorFeed;
     BackendFeed m_backendFeed;
--- a/modules/fleet/src/storepolling.cpp
+++ b/modules/fleet/src/storepolling.cpp
@@ -64,11 +64,13 @@
     return {seconds(5), CrashReportBatchDelay};
 }
 
-PollIntervals sharedPollIntervals(const FleetBounds &bounds)
+PollIntervals entryPollIntervals(const FleetBounds &bounds)
 {
+    const PollIntervals operatorRecords = operatorPollIntervals(bounds);
     const PollIntervals backendRecords = backendPollIntervals(bounds);
     const PollIntervals crashReports = crashReportPollIntervals();
-    return {std::min(backendRecords.longPollTimeout, crashReports.longPollTimeout),
+    return {std::min({operatorRecords.longPollTimeout, backendRecords.longPollTimeout,
+                      crashReports.longPollTimeout}),
             std::min(backendRecords.batchDelay, crashReports.batchDelay)};
 }
 
--- a/modules/fleet/src/storepolling.h
+++ b/modules/fleet/src/storepolling.h
@@ -30,11 +30,13 @@
 PollIntervals operatorPollIntervals(const FleetBounds &bounds);
 PollIntervals backendPollIntervals(const FleetBounds &bounds);
 
-/// Intervals of the one watch with which an entry process follows the records of backend servers
-/// and the crash reports: the shorter timeout and the shorter delay of both. The operator's records
-/// have a watch of their own, because events of other keys would make the time at which a version
-/// was announced less exact, and older weights would be left out earlier.
-PollIntervals sharedPollIntervals(const FleetBounds &bounds);
+/// Intervals of the one watch with which an entry process follows the operator's records, those of
+/// backend servers and the crash reports: the shortest timeout and the shortest delay of the three.
+///
+/// A write that follows an event waits for the delay, also one of the operator, who has none
+/// otherwise. The delay is at most an eighth of the drain limit, and SharedWatch ends it when the
+/// call before it would have ended without events, so that confirmations get no older.
+PollIntervals entryPollIntervals(const FleetBounds &bounds);
 
 /// Maximum age of the last confirmation with which a request may be denied for good.
 Duration maxDenialAge(const FleetBounds &bounds);
--- a/modules/fleet/tests/storepollingtest.cpp
+++ b/modules/fleet/tests/storepollingtest.cpp
@@ -37,15 +37,19 @@
                 bounds.configurationLimit = period;
                 bounds.drainLimit = period;
                 bounds.reconnectionGracePeriod = reconnection;
-                const PollIntervals shared = sharedPollIntervals(bounds);
+                const PollIntervals shared = entryPollIntervals(bounds);
                 const PollIntervals backends = backendPollIntervals(bounds);
+                CHECK(shared.longPollTimeout <= operatorPollIntervals(bounds).longPollTimeout);
                 CHECK(shared.longPollTimeout <= backends.longPollTimeout);
                 CHECK(shared.longPollTimeout <= crashReportPollIntervals().longPollTimeout);
                 CHECK(shared.batchDelay > Duration::zero());
                 CHECK(shared.batchDelay <= backends.batchDelay);
                 CHECK(shared.batchDelay <= crashReportPollIntervals().batchDelay);
-                // A backend server that says that it drains just after a call was answered.
-                CHECK(shared.batchDelay <= bounds.drainLimit / 4);
+                // A key that was revoked just after a call with events was answered.
+                CHECK(2 * shared.longPollTimeout + LongPollGrace + RevocationMargin
+                      <= bounds.keyRevocationLimit);
+                // A configuration or evacuation that was written then.
+                CHECK(shared.batchDelay < bounds.configurationLimit / 4);
                 // A connection that goes silent then.
                 CHECK(shared.batchDelay + shared.longPollTimeout + LongPollGrace < reconnection);
             }
@@ -57,7 +61,7 @@
         bounds.reconnectionGracePeriod = 0s;
         CHECK(operatorPollIntervals(bounds).longPollTimeout == 500ms);
         CHECK(backendPollIntervals(bounds).longPollTimeout == 500ms);
-        CHECK(sharedPollIntervals(bounds).longPollTimeout == 500ms);
+        CHECK(entryPollIntervals(bounds).longPollTimeout == 500ms);
         CHECK(maxDenialAge(bounds) == 0s);
     }
     SECTION("the calls of all host processes together do not grow with the fleet")
