--- a/modules/settings/include/godwit/settings/fleetsettings.h
+++ b/modules/settings/include/godwit/settings/fleetsettings.h
@@ -2,6 +2,7 @@
 
 #include <godwit/settings/daemonsettings.h>
 
+#include <cstdint>
 #include <optional>
 
 namespace godwit {
@@ -48,6 +49,17 @@
     friend bool operator==(const LocalEngineSettings &, const LocalEngineSettings &) = default;
 };
 
+/// Limits of the machine, and what a process may use of them for its clients.
+struct FleetLimits
+{
+    std::uint64_t memoryBytes = 0;        ///< Of the machine; 0 means unknown.
+    std::uint32_t descriptors = 0;        ///< Of the machine; 0 means unknown.
+    std::uint64_t requestMemoryBytes = 0; ///< For requests and queued responses of clients.
+    std::uint32_t clientConnections = 0;
+
+    friend bool operator==(const FleetLimits &, const FleetLimits &) = default;
+};
+
 /// All settings of a `godwitd` process that is configured through the platform of the operators.
 /// Parsed by parseFleetSettings().
 struct FleetSettings
@@ -61,6 +73,7 @@
     double linkBitsPerSecond = 0; ///< Bandwidth limit of the host; 0 means unlimited.
     FleetListenSettings listen;
     FleetBounds bounds;
+    FleetLimits limits;
     std::optional<LocalEngineSettings> engine; ///< Host role only.
 
     friend bool operator==(const FleetSettings &, const FleetSettings &) = default;
--- a/modules/settings/src/settingsparser.cpp
+++ b/modules/settings/src/settingsparser.cpp
@@ -186,6 +186,18 @@
     reader.seconds("retry_window_s", bounds.retryBudgetWindow, 0, LongestSeconds);
 }
 
+void readLimits(SettingsReader &reader, FleetLimits &limits)
+{
+    constexpr double BytesPerMegabyte = 1e6;
+    constexpr std::int64_t MaxDescriptors = 1'000'000;
+    double megabytes = 0;
+    reader.number("memory_mb", megabytes, 0, 1e6);
+    limits.memoryBytes = static_cast<std::uint64_t>(megabytes * BytesPerMegabyte);
+    reader.integer("descriptors", limits.descriptors, 0, MaxDescriptors);
+    reader.integer("request_memory_bytes", limits.requestMemoryBytes, 1024LL * 1024, MaxBytes);
+    reader.integer("client_connections", limits.clientConnections, 1, MaxDescriptors);
+}
+
 void readLocalEngine(SettingsReader &reader, std::optional<LocalEngineSettings> &engine)
 {
     engine.emplace();
@@ -215,6 +227,7 @@
     reader.number("link_bits_per_second", settings.linkBitsPerSecond, 0, 1e12);
     reader.section("listen", [&](SettingsReader &it) { readFleetListen(it, settings.listen); });
     reader.section("bounds", [&](SettingsReader &it) { readBounds(it, settings.bounds); });
+    reader.section("limits", [&](SettingsReader &it) { readLimits(it, settings.limits); });
     reader.section("engine", [&](SettingsReader &it) { readLocalEngine(it, settings.engine); });
     if (hasRole)
         checkFleetRole(reader, settings);
