Bound the memory and the connections that clients can take

Cause: a server had no limit on the memory of all requests together, and each connection kept its receive buffer and the memory of its last body: assigning an empty std::string keeps the capacity. Bodies doubled their buffers as they grew. Up to 10,000 connections were accepted, and beyond that the newest was closed. The allocator raised its threshold after the first long body and kept the memory.

Ruled out: announced lengths over the limit were rejected from the head before; this case exceeded only the descriptors.

Change: HttpServer counts the requests it holds with the capacity of their buffers and headers, complete ones with their copies until the handler releases the reply. Beyond the limit it rejects the incomplete request without progress (408), and a complete one with 503 before the handler. An eighth is kept for small requests. Queued replies have a limit of their own, and so has the input that is discarded after a rejection. At the limit of connections, the one that is needed least is closed.

Tests: the crowd and the bounds are unchanged. A new test serves 300 connections and bodies of 4 MiB with the limits of the smallest host.

--- a/bench/tests/untrustedclientstest.cpp
+++ b/bench/tests/untrustedclientstest.cpp
@@ -125,6 +125,16 @@
     RawClient(const RawClient &) = delete;
     RawClient &operator=(const RawClient &) = delete;
 
+    /// Sends a request and returns the beginning of the response; empty if the connection ended.
+    std::string exchange(std::string_view bytes)
+    {
+        send(bytes);
+        std::string received(4096, '\0');
+        const ssize_t n = m_isOpen ? ::recv(m_socket, received.data(), received.size(), 0) : 0;
+        received.resize(static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+        return received;
+    }
+
     void send(std::string_view bytes)
     {
         while (m_isOpen && !bytes.empty()) {
@@ -140,24 +150,41 @@
     bool m_isOpen = false;
 };
 
-/// A real entry process with limits far below those of the smallest host. The store and one backend
-/// server are simulated.
+/// The [limits] of a machine far below the smallest host.
+std::string smallMachine()
+{
+    return "memory_mb = " + std::to_string(MachineMegabytes)
+           + "\ndescriptors = " + std::to_string(MachineDescriptors)
+           + "\nclient_connections = " + std::to_string(ClientConnections) + '\n';
+}
+
+/// A real entry process. The store and one backend server are simulated.
 class EntryUnderTest
 {
 public:
-    EntryUnderTest()
-        : m_folder("untrusted-clients-" + std::to_string(getpid()))
+    /// \a limits are the settings of the section [limits].
+    explicit EntryUnderTest(std::string limits = smallMachine(), std::size_t bodyLimit = 1'000'000)
+        : m_limits(std::move(limits))
+        , m_folder("untrusted-clients-" + std::to_string(getpid()))
         , m_processes(m_folder)
         , m_store(m_io)
     {
         // A sanitizer would keep freed memory for a while otherwise, as if the process used it.
-        ::setenv("ASAN_OPTIONS", "quarantine_size_mb=0:thread_local_quarantine_size_kb=0", 0);
+        constexpr const char *ReturnFreedMemory = "quarantine_size_mb=0:"
+                                                  "thread_local_quarantine_size_kb=0:"
+                                                  "allocator_release_to_os_interval_ms=0";
+        ::setenv("ASAN_OPTIONS", ReturnFreedMemory, 0);
         std::filesystem::create_directories(m_folder);
         startBackend();
         standin::FleetConfiguration configuration;
         configuration.origin = "127.0.0.1:1";
         configuration.customers = {{"customer-0", {"key-0"}}};
-        m_store.put(standin::ConfigurationKey, standin::configurationJson(configuration));
+        std::string text = standin::configurationJson(configuration);
+        const std::string_view defaultLimit = "\"max_body_bytes\":1000000";
+        const auto at = text.find(defaultLimit);
+        REQUIRE(at != std::string::npos);
+        text.replace(at, defaultLimit.size(), "\"max_body_bytes\":" + std::to_string(bodyLimit));
+        m_store.put(standin::ConfigurationKey, text);
         m_thread = std::thread([this] { m_io.run(); });
         startProcess();
     }
@@ -193,15 +220,16 @@
     }
 
     /// Checks what must hold with any clients. The crowd is still connected.
-    void check()
+    void check(std::size_t megabytes = MachineMegabytes,
+               std::size_t descriptors = MachineDescriptors)
     {
         waitUntilRead();
         CHECK(answersOrdinaryRequest());
         REQUIRE(m_processes.isRunning(Name));
         const std::size_t before = ComparesGrowth ? m_idleMemory : 0;
         m_descriptors = std::max(m_descriptors, descriptorCount(m_pid));
-        CHECK((peakMemory(m_pid) - before) / BytesPerMegabyte < MachineMegabytes);
-        CHECK(m_descriptors < MachineDescriptors);
+        CHECK((peakMemory(m_pid) - before) / BytesPerMegabyte < megabytes);
+        CHECK(m_descriptors < descriptors);
     }
 
 private:
@@ -232,9 +260,8 @@
                             << "region = \"region-0\"\nstore = \"" << toString(m_store.endpoint())
                             << "\"\n[listen]\npeers = \"" << m_address << ':' << PeerPort
                             << "\"\ncallers = \"" << m_address << ':' << CallerPort
-                            << "\"\n[bounds]\nretry_slack = 100\n[limits]\nmemory_mb = "
-                            << MachineMegabytes << "\ndescriptors = " << MachineDescriptors
-                            << "\nclient_connections = " << ClientConnections << '\n';
+                            << "\"\n[bounds]\nretry_slack = 100\n[limits]\n"
+                            << m_limits;
         const auto started = capture([&] {
             return m_processes.start(Name, GODWITD_PROGRAM, {"--fleet", "--settings=" + file});
         });
@@ -277,6 +304,7 @@
         return false;
     }
 
+    std::string m_limits;
     std::string m_folder;
     std::string m_address = "127." + std::to_string(20 + getpid() % 200) + ".9.1";
     ProcessGroup m_processes;
@@ -420,3 +448,31 @@
     });
     entry.check();
 }
+
+// Guards against limits that reject ordinary clients in calm. The settings are those of the
+// smallest host, with the limits that follow from them.
+TEST_CASE("Entry process serves ordinary clients and a longest body on the smallest host")
+{
+    constexpr std::size_t Megabytes = 112;
+    constexpr std::size_t Descriptors = 2870;
+    constexpr std::size_t MaxBody = 4'194'304;
+    constexpr std::string_view Served = "HTTP/1.1 200";
+    EntryUnderTest entry("memory_mb = 112\ndescriptors = 2870\n", MaxBody);
+    const std::string lookup = "GET /look/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: calm"
+                               "\r\nX-Deadline-Ms: 5000\r\nAuthorization: Token key-0\r\n\r\n";
+    std::vector<RawClient *> clients;
+    for (std::size_t i = 0; i < CrowdSize; ++i) {
+        clients.push_back(&entry.connect());
+        REQUIRE(clients.back()->exchange(lookup).starts_with(Served));
+    }
+    CHECK(entry.connect()
+                  .exchange(headWithLength(MaxBody) + std::string(MaxBody, 'x'))
+                  .starts_with(Served));
+    CHECK(entry.connect()
+                  .exchange(chunkedHead() + chunks(MaxBody, LargeChunk) + std::string(LastChunk))
+                  .starts_with(Served));
+    // All connections are still open.
+    for (RawClient *it : clients)
+        REQUIRE(it->exchange(lookup).starts_with(Served));
+    entry.check(Megabytes, Descriptors);
+}
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -2,6 +2,10 @@
 
 #include <godwit/observe/log.h>
 
+#include <malloc.h>
+
+#include <algorithm>
+
 namespace godwit {
 
 namespace {
@@ -14,6 +18,11 @@
 /// Time to receive the body of a request, in addition to the time for its headers.
 constexpr Duration BodyTimeout = std::chrono::seconds(20);
 constexpr int ExitIncomplete = 3;
+/// The request itself and the call to a backend server.
+constexpr std::size_t RequestCopies = 2;
+/// Allocations above this size are returned to the system as soon as they are freed. The allocator
+/// would raise its threshold after the first long body otherwise, and keep the memory.
+constexpr int MappedAllocationBytes = 128 * 1024;
 
 GatewayOptions gatewayOptions(const FleetSettings &settings)
 {
@@ -27,6 +36,8 @@
     options.maxDenialAge = maxDenialAge(bounds);
     if (bounds.strictRevocation)
         options.maxKeyAge = bounds.keyRevocationLimit - RevocationMargin;
+    options.bufferedBytesLimit =
+            std::min<std::size_t>(options.bufferedBytesLimit, settings.limits.requestMemoryBytes);
     return options;
 }
 
@@ -67,6 +78,7 @@
     : FleetProcessBase(std::move(settings), std::move(settingsFile), platform)
     , m_backendClient(m_io, backendClientOptions())
     , m_gatewayMetrics(m_metrics)
+    , m_clientRejections(m_metrics)
     , m_gateway(gatewayOptions(m_settings),
                 {m_scheduler, m_platform.callerProtocol(), m_gatewayMetrics,
                  [this](HttpCall call, HttpStreamHandlers handlers) {
@@ -119,12 +131,21 @@
 {
     HttpServerOptions options;
     options.listen = toHttpEndpoint(m_settings.listen.callers);
+    options.connectionLimit = m_settings.limits.clientConnections;
+    options.requestMemoryLimit = m_settings.limits.requestMemoryBytes;
+    options.outputMemoryLimit = m_settings.limits.requestMemoryBytes;
+    options.handlerCopies = RequestCopies;
+    mallopt(M_MMAP_THRESHOLD, MappedAllocationBytes);
+    mallopt(M_TRIM_THRESHOLD, MappedAllocationBytes);
     BOOST_LEAF_ASSIGN(
             m_clientServer,
             HttpServer::listen(m_io, options,
                                [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
                                    m_gateway.handle(std::move(request), std::move(reply));
                                }));
+    m_clientServer->setOnRejected([this](ServerRejection reason) {
+        m_clientRejections.record(reason, m_scheduler.now());
+    });
     BOOST_LEAF_ASSIGN(m_readinessServer,
                       serveStatus(m_settings.listen.readiness, "/readyz", [this] {
                           HttpResponse response;
--- a/modules/fleet/src/entryprocess.h
+++ b/modules/fleet/src/entryprocess.h
@@ -4,6 +4,7 @@
 #include "gracefulstop.h"
 
 #include <godwit/fleet/backendfeed.h>
+#include <godwit/fleet/clientrejections.h>
 #include <godwit/fleet/crashreportexchange.h>
 #include <godwit/fleet/operatorfeed.h>
 #include <godwit/gateway/gateway.h>
@@ -29,6 +30,7 @@
 
     HttpClient m_backendClient;
     GatewayMetrics m_gatewayMetrics;
+    ClientRejections m_clientRejections;
     Gateway m_gateway;
     std::unique_ptr<KeyValuePort> m_operatorStore;
     std::unique_ptr<KeyValuePort> m_backendStore;
--- a/modules/gateway/include/godwit/gateway/gatewayoptions.h
+++ b/modules/gateway/include/godwit/gateway/gatewayoptions.h
@@ -4,6 +4,7 @@
 #include <godwit/base/time.h>
 #include <godwit/gateway/windowedretrybudget.h>
 
+#include <cstddef>
 #include <map>
 
 namespace godwit {
@@ -22,6 +23,8 @@
     Duration maxDenialAge = std::chrono::milliseconds(1500);
     /// For requests that state no timeout.
     Duration defaultClientTimeout = std::chrono::seconds(30);
+    /// Maximum size of the response bodies of all requests that are buffered at a time.
+    std::size_t bufferedBytesLimit = 32UL * 1024 * 1024;
 
     friend bool operator==(const GatewayOptions &, const GatewayOptions &) = default;
 };
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-/// Maximum size of the response bodies of all requests that are buffered at a time.
-constexpr std::size_t MaxBufferedBytes = 32UL * 1024 * 1024;
 /// Retry-After while no configuration is known, or while it is too old to deny a request.
 constexpr Duration UnconfiguredRetryAfter = std::chrono::milliseconds(500);
 /// Retry-After in a process that shuts down; the others serve the request at once.
@@ -169,7 +167,7 @@
 
 bool Gateway::reserveBuffer(const ForwardedRequest &request, std::size_t bytes)
 {
-    while (m_bufferedBytes + bytes > MaxBufferedBytes) {
+    while (m_bufferedBytes + bytes > m_options.bufferedBytesLimit) {
         const auto longest = *std::ranges::max_element(
                 m_requests, {}, [](const auto &it) { return it->bufferedBytes(); });
         if (longest->bufferedBytes() <= request.bufferedBytes() + bytes)
--- a/modules/ports/include/godwit/ports/httpserver.h
+++ b/modules/ports/include/godwit/ports/httpserver.h
@@ -4,6 +4,7 @@
 #include <godwit/ports/httpreply.h>
 #include <godwit/ports/httprequest.h>
 #include <godwit/ports/httpserveroptions.h>
+#include <godwit/ports/serverrejection.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -18,7 +19,12 @@
 /// persistent connections and serves the requests of a connection one after the other.
 ///
 /// Rejects without calling the handler: malformed requests (400), requests that are not received in
-/// time (408), oversized bodies (413) and oversized headers (431).
+/// time (408), oversized bodies (413) and oversized headers (431). An announced length over the
+/// limit is rejected before the body is read.
+///
+/// If the requests together exceed HttpServerOptions::requestMemoryLimit, rejects the incomplete
+/// ones that have gone longest without progress (408), and complete ones for which that leaves no
+/// memory (503). An eighth of the limit is kept for small requests.
 ///
 /// The server must be created and destroyed on the thread of the io_context or while the io_context
 /// does not run. The same holds for all functions except boundPort() and endpoint(). Destruction
@@ -40,8 +46,15 @@
     HttpEndpoint endpoint() const;
     std::size_t openConnections() const;
 
+    /// Bytes of requests that count towards HttpServerOptions::requestMemoryLimit.
+    std::size_t requestBytes() const;
+
+    /// Calls \a callback for each request that is rejected without the handler and each connection
+    /// that is closed because of a limit. It must not use the server.
+    void setOnRejected(std::function<void(ServerRejection)> callback);
+
     /// Replaces the limits and timeouts for requests that begin from now on. The address and the
-    /// connection limit are not changed.
+    /// limits of connections and memory are not changed.
     void setOptions(const HttpServerOptions &options);
 
     /// Closes each connection, including new ones, after its next reply. Idle connections stay
--- a/modules/ports/src/httpserver.cpp
+++ b/modules/ports/src/httpserver.cpp
@@ -26,6 +26,16 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr int ListenBacklog = 1024;
+/// Pause after a connection could not be accepted.
+constexpr Duration AcceptRetryInterval = std::chrono::milliseconds(100);
+
+/// Returns whether a connection could not be accepted for lack of descriptors or memory.
+bool isExhausted(const ErrorCode &ec)
+{
+    return ec == asio::error::no_descriptors || ec == asio::error::no_memory
+           || ec == asio::error::no_buffer_space
+           || ec == boost::system::errc::too_many_files_open_in_system;
+}
 
 /// Binds \a acceptor and starts to listen. Returns an error message, empty on success.
 std::string bindAndListen(tcp::acceptor &acceptor, const HttpServerOptions &options)
@@ -58,6 +68,11 @@
     Private(asio::io_context &io, HttpServerOptions options, Handler handler)
         : m_io(io)
         , m_acceptor(io)
+        , m_acceptTimer(io,
+                        [this] {
+                            if (m_shared->accepting)
+                                accept();
+                        })
         , m_shared(std::make_shared<ServerState>())
     {
         m_shared->options = std::move(options);
@@ -66,7 +81,7 @@
 
     std::string bind() { return bindAndListen(m_acceptor, m_shared->options); }
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
-    const ServerState &shared() const { return *m_shared; }
+    ServerState &shared() const { return *m_shared; }
 
     void accept()
     {
@@ -77,7 +92,13 @@
             // A connection that was accepted just before stop() is served like those before it.
             if (!ec)
                 self->add(std::move(socket));
-            if (self->m_shared->accepting)
+            if (!self->m_shared->accepting)
+                return;
+            // The connection stays in the queue of the system if no descriptor is left. Accepting
+            // it again at once would occupy the thread.
+            if (isExhausted(ec) && !self->m_shared->closeOneConnection())
+                self->m_acceptTimer.set(AcceptRetryInterval);
+            else
                 self->accept();
         });
     }
@@ -89,6 +110,9 @@
         m_shared->options.listen = previous.listen;
         m_shared->options.reusePort = previous.reusePort;
         m_shared->options.connectionLimit = previous.connectionLimit;
+        m_shared->options.requestMemoryLimit = previous.requestMemoryLimit;
+        m_shared->options.outputMemoryLimit = previous.outputMemoryLimit;
+        m_shared->options.handlerCopies = previous.handlerCopies;
     }
 
     void closeAfterReplies() { m_shared->keepAlive = false; }
@@ -109,7 +133,7 @@
         // The end of a connection changes the set.
         const auto connections = m_shared->connections;
         for (const auto &connection : connections)
-            connection->rejectIncomplete();
+            connection->rejectIncomplete(ServerRejection::Timeout);
     }
 
     void closeAll(bool withCallbacks)
@@ -127,6 +151,7 @@
         m_acceptor.close(ec);
         closeAll(false);
         m_shared->handler = nullptr;
+        m_shared->onRejected = nullptr;
     }
 
 private:
@@ -146,8 +171,11 @@
 
     void add(tcp::socket socket)
     {
-        if (m_shared->connections.size() >= m_shared->options.connectionLimit)
+        if (m_shared->connections.size() >= m_shared->options.connectionLimit
+            && !m_shared->closeOneConnection()) {
+            m_shared->recordRejection(ServerRejection::Connection);
             return;
+        }
         const auto connection =
                 std::make_shared<ServerConnection>(m_io, std::move(socket), m_shared);
         m_shared->connections.insert(connection);
@@ -156,6 +184,7 @@
 
     asio::io_context &m_io;
     tcp::acceptor m_acceptor;
+    DeadlineTimer m_acceptTimer;
     std::shared_ptr<ServerState> m_shared;
     bool m_isShutDown = false;
 };
@@ -197,6 +226,16 @@
     return m_private->shared().connections.size();
 }
 
+std::size_t HttpServer::requestBytes() const
+{
+    return m_private->shared().requestBytes;
+}
+
+void HttpServer::setOnRejected(std::function<void(ServerRejection)> callback)
+{
+    m_private->shared().onRejected = std::move(callback);
+}
+
 void HttpServer::setOptions(const HttpServerOptions &options)
 {
     m_private->setOptions(options);
--- a/modules/ports/src/serverconnection.cpp
+++ b/modules/ports/src/serverconnection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace godwit {
@@ -16,7 +17,6 @@
 using tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-constexpr std::size_t ReadSize = 16UL * 1024;
 /// Read size while a request is being handled. Such a read only detects that the caller closes the
 /// connection, or receives the start of the next request. It is small so that a long streamed reply
 /// does not hold a full read buffer.
@@ -28,6 +28,38 @@
 /// a socket with unread input resets the connection, and the caller could lose the reply.
 constexpr Duration LingerTimeout = std::chrono::seconds(1);
 
+/// Number of bytes after which the server discards no more. A caller that sends on after its
+/// rejection would occupy the thread.
+constexpr std::size_t LingerBytes = 4UL * 1024 * 1024;
+
+/// Requests up to this size may use the part of the request memory that is kept for them. It is
+/// several times the limit of the headers of the operators.
+constexpr std::size_t SmallRequest = 64UL * 1024;
+constexpr std::size_t SmallRequestShare = 8; ///< One of this number of parts of the limit.
+
+/// A body of unknown length grows by one of this number of parts of its size, and at least by
+/// MinBodyGrowth. Doubling would hold up to twice the length.
+constexpr std::size_t BodyGrowthParts = 4;
+constexpr std::size_t MinBodyGrowth = 1024;
+
+/// Unused bytes of the receive buffer above which it is reallocated.
+constexpr std::size_t UnusedBufferBytes = 1024;
+
+constexpr std::string_view TimeoutReply =
+        "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+constexpr const char *MemoryRetryAfter = "1"; ///< In seconds, for requests without memory.
+
+constexpr std::array<std::string_view, 10> RejectionNames{"malformed",
+                                                          "timeout",
+                                                          "body_limit",
+                                                          "header_limit",
+                                                          "incomplete_for_memory",
+                                                          "complete_for_memory",
+                                                          "output_memory",
+                                                          "idle_for_connection",
+                                                          "incomplete_for_connection",
+                                                          "connection"};
+
 /// Time for the next request of a connection that is open when the server stops and on which a
 /// request may be in transit: the first one, or one after a reply that left the connection open.
 constexpr Duration LastRequestTimeout = std::chrono::milliseconds(500);
@@ -59,18 +91,51 @@
     return 400;
 }
 
+ServerRejection rejectionFor(int status)
+{
+    switch (status) {
+    case 413:
+        return ServerRejection::BodyLimit;
+    case 431:
+        return ServerRejection::HeaderLimit;
+    default:
+        return ServerRejection::Malformed;
+    }
+}
+
+/// Returns the memory that \a text has allocated.
+std::size_t allocatedBytes(const std::string &text)
+{
+    static const std::size_t inlineCapacity = std::string().capacity();
+    return text.capacity() > inlineCapacity ? text.capacity() : 0;
+}
+
+/// Returns the memory of \a headers. Short fields take far more of it than bytes of the message.
+std::size_t memoryOf(const HttpHeaders &headers)
+{
+    std::size_t bytes = 0;
+    // The vector of the fields may have twice the capacity that it needs.
+    for (const auto &[name, value] : headers)
+        bytes += 2 * sizeof(HttpHeaders::Field) + allocatedBytes(name) + allocatedBytes(value);
+    return bytes;
+}
+
 /// Reply to one request of a connection.
 class ServerReply : public HttpReply
 {
 public:
-    ServerReply(std::shared_ptr<ServerConnection> connection, std::uint64_t serial)
+    ServerReply(std::shared_ptr<ServerConnection> connection, std::uint64_t serial,
+                std::size_t requestBytes)
         : m_connection(std::move(connection))
         , m_serial(serial)
+        , m_requestBytes(requestBytes)
     {}
 
     ~ServerReply() override
     {
-        run([serial = m_serial](ServerConnection &c) { c.onReplyDropped(serial); });
+        run([serial = m_serial, bytes = m_requestBytes](ServerConnection &c) {
+            c.onReplyDropped(serial, bytes);
+        });
     }
 
     void send(HttpResponse response) override
@@ -134,10 +199,68 @@
 
     std::shared_ptr<ServerConnection> m_connection;
     std::uint64_t m_serial;
+    std::size_t m_requestBytes;
 };
 
 } // namespace
 
+std::string_view toString(ServerRejection rejection)
+{
+    return RejectionNames[static_cast<std::size_t>(rejection)];
+}
+
+void ServerState::recordRejection(ServerRejection rejection) const
+{
+    if (onRejected)
+        onRejected(rejection);
+}
+
+bool ServerState::makeRequestRoom(std::size_t more, std::size_t size)
+{
+    const std::size_t limit = options.requestMemoryLimit;
+    if (limit == 0)
+        return true;
+    const bool isSmall = size <= SmallRequest;
+    const std::size_t available = isSmall ? limit : limit - limit / SmallRequestShare;
+    while (requestBytes + more > available) {
+        // Small requests do not give way to long ones.
+        const auto victim = std::ranges::find_if(receiving, [isSmall](ServerConnection *it) {
+            return isSmall || it->heldBytes() > SmallRequest;
+        });
+        if (victim == receiving.end())
+            return false;
+        (*victim)->rejectIncomplete(ServerRejection::IncompleteForMemory);
+    }
+    return true;
+}
+
+void ServerState::makeOutputRoom()
+{
+    while (options.outputMemoryLimit > 0 && outputBytes > options.outputMemoryLimit
+           && writing.size() > 1) {
+        recordRejection(ServerRejection::OutputMemory);
+        writing.front()->close();
+    }
+}
+
+bool ServerState::closeOneConnection()
+{
+    if (!lingering.empty()) {
+        lingering.front()->close();
+        return true;
+    }
+    const auto unused = std::ranges::find_if_not(idle, &ServerConnection::hasUnreadBytes);
+    if (unused != idle.end()) {
+        recordRejection(ServerRejection::IdleForConnection);
+        (*unused)->close();
+        return true;
+    }
+    if (receiving.empty())
+        return false;
+    receiving.front()->rejectAndClose(ServerRejection::IncompleteForConnection);
+    return true;
+}
+
 ServerConnection::ServerConnection(asio::io_context &io, tcp::socket socket,
                                    std::shared_ptr<ServerState> shared)
     : m_io(io)
@@ -150,6 +273,9 @@
 {
     ErrorCode ec;
     m_socket.set_option(tcp::no_delay(true), ec);
+    m_socket.non_blocking(true, ec);
+    m_queue = &m_shared->busy;
+    m_position = m_queue->insert(m_queue->end(), this);
     m_peer = m_socket.remote_endpoint(ec).address().to_string();
     nextRequest();
 }
@@ -203,8 +329,9 @@
         close();
 }
 
-void ServerConnection::onReplyDropped(std::uint64_t serial)
+void ServerConnection::onReplyDropped(std::uint64_t serial, std::size_t requestBytes)
 {
+    m_shared->requestBytes -= requestBytes;
     if (!isCurrent(serial))
         return;
     if (m_streaming)
@@ -240,10 +367,20 @@
         closeIdle();
 }
 
-void ServerConnection::rejectIncomplete()
+void ServerConnection::rejectIncomplete(ServerRejection reason)
 {
-    if (m_phase == Phase::Receiving && !m_closed)
-        rejectRequest(408);
+    if (m_phase != Phase::Receiving || m_closed)
+        return;
+    m_shared->recordRejection(reason);
+    rejectRequest(408);
+}
+
+void ServerConnection::rejectAndClose(ServerRejection reason)
+{
+    m_shared->recordRejection(reason);
+    ErrorCode ec;
+    m_socket.write_some(asio::buffer(TimeoutReply), ec);
+    close();
 }
 
 void ServerConnection::closeIdle()
@@ -273,6 +410,12 @@
     m_onDrained = nullptr;
     const auto self = shared_from_this();
     m_shared->connections.erase(self);
+    if (m_queue)
+        std::exchange(m_queue, nullptr)->erase(m_position);
+    endWriting();
+    m_shared->outputBytes -= std::exchange(m_outputBytes, 0);
+    m_pending.clear();
+    releaseRequest();
     if (m_onClosed) {
         const auto callback = std::exchange(m_onClosed, nullptr);
         callback();
@@ -290,18 +433,66 @@
     return serial == m_serial && m_phase == Phase::Handling && !m_closed;
 }
 
+void ServerConnection::setPhase(Phase phase)
+{
+    m_phase = phase;
+    if (!m_queue)
+        return;
+    ConnectionQueue *queue = phase == Phase::Idle        ? &m_shared->idle
+                             : phase == Phase::Receiving ? &m_shared->receiving
+                             : phase == Phase::Lingering ? &m_shared->lingering
+                                                         : &m_shared->busy;
+    queue->splice(queue->end(), *m_queue, m_position);
+    m_queue = queue;
+}
+
+void ServerConnection::endWriting()
+{
+    if (m_writingPosition)
+        m_shared->writing.erase(*m_writingPosition);
+    m_writingPosition.reset();
+}
+
+void ServerConnection::countRequest()
+{
+    if (m_buffer.size() == 0 || m_buffer.capacity() > m_buffer.size() + UnusedBufferBytes)
+        m_buffer.shrink_to_fit();
+    const std::size_t held =
+            m_closed ? 0 : m_buffer.capacity() + allocatedBytes(m_body) + m_headBytes;
+    m_shared->requestBytes = m_shared->requestBytes - m_heldBytes + held;
+    m_heldBytes = held;
+}
+
+void ServerConnection::releaseBody()
+{
+    // An assignment of an empty string would keep the memory.
+    std::string().swap(m_body);
+}
+
+void ServerConnection::releaseRequest()
+{
+    releaseBody();
+    m_buffer.clear();
+    m_headBytes = 0;
+    if (m_parser)
+        m_parser->headers = HttpHeaders();
+    countRequest();
+}
+
 void ServerConnection::nextRequest()
 {
-    m_phase = Phase::Idle;
+    setPhase(Phase::Idle);
     m_streaming = false;
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(m_shared->options.headerLimit);
     m_parser->body_limit(m_shared->options.bodyLimit);
-    m_body.clear();
-    m_parser->onBody = [this](std::string_view data) { m_body.append(data); };
+    releaseBody();
+    m_headBytes = 0;
+    m_parser->onBody = [this](std::string_view data) { appendBody(data); };
     m_parser->onHeader = [this] { onHeader(); };
     m_timer.set(m_shared->accepting ? m_shared->options.idleTimeout : LastRequestTimeout);
+    countRequest();
     if (m_buffer.size() > 0)
         parse();
     else
@@ -310,26 +501,56 @@
 
 void ServerConnection::onHeader()
 {
+    m_headBytes = memoryOf(m_parser->headers) + allocatedBytes(m_parser->target);
     if (m_parser->headers.value("Expect") == "100-continue")
         enqueue("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+void ServerConnection::appendBody(std::string_view data)
+{
+    const std::size_t needed = m_body.size() + data.size();
+    if (needed > m_body.capacity()) {
+        std::size_t capacity = needed + std::max(needed / BodyGrowthParts, MinBodyGrowth);
+        if (const auto rest = m_parser->content_length_remaining())
+            capacity = std::min<std::size_t>(capacity, m_body.size() + *rest);
+        // Reserving in place would at least double the capacity.
+        std::string grown;
+        grown.reserve(std::max(capacity, needed));
+        grown.append(m_body);
+        m_body.swap(grown);
+    }
+    m_body.append(data);
+}
+
 void ServerConnection::read()
 {
     if (m_readPending || m_closed)
         return;
     m_readPending = true;
-    m_socket.async_read_some(
-            m_buffer.prepare(m_phase == Phase::Handling ? HandlingReadSize : ReadSize),
-            [self = shared_from_this()](ErrorCode ec, std::size_t n) { self->onRead(ec, n); });
+    // A connection that waits for bytes holds no buffer for them.
+    m_socket.async_wait(tcp::socket::wait_read,
+                        [self = shared_from_this()](ErrorCode ec) { self->onReadable(ec); });
 }
 
-void ServerConnection::onRead(const ErrorCode &ec, std::size_t n)
+void ServerConnection::onReadable(const ErrorCode &waitError)
 {
     m_readPending = false;
     if (m_closed)
         return;
-    if (ec == asio::error::operation_aborted && m_phase == Phase::Idle && hasUnreadBytes()) {
+    if (waitError == asio::error::operation_aborted && m_phase == Phase::Idle && hasUnreadBytes()) {
+        read();
+        return;
+    }
+    ErrorCode ec = waitError;
+    std::size_t n = 0;
+    if (!ec) {
+        const bool isReading = m_phase != Phase::Handling && m_phase != Phase::Draining;
+        n = m_socket.read_some(
+                asio::buffer(m_shared->readBuffer.data(),
+                             isReading ? m_shared->readBuffer.size() : HandlingReadSize),
+                ec);
+    }
+    if (ec == asio::error::would_block) {
         read();
         return;
     }
@@ -337,21 +558,30 @@
         close();
         return;
     }
+    if (m_phase == Phase::Lingering) {
+        linger(n);
+        return;
+    }
+    asio::buffer_copy(m_buffer.prepare(n), asio::buffer(m_shared->readBuffer.data(), n));
     m_buffer.commit(n);
+    onRead();
+}
+
+void ServerConnection::onRead()
+{
     if (m_phase == Phase::Idle || m_phase == Phase::Receiving)
         parse();
-    else if (m_phase == Phase::Lingering)
-        linger();
+    else
+        countRequest();
     // A pipelined request stays in the buffer until the current reply has ended. Reading on would
     // use unbounded memory.
 }
 
 void ServerConnection::parse()
 {
-    if (m_phase == Phase::Idle) {
-        m_phase = Phase::Receiving;
+    if (m_phase == Phase::Idle)
         m_timer.set(m_shared->options.requestTimeout);
-    }
+    setPhase(Phase::Receiving);
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
         ErrorCode ec;
         m_buffer.consume(m_parser->put(m_buffer.data(), ec));
@@ -361,46 +591,85 @@
         if (ec == http::error::need_more)
             break;
         if (ec) {
-            rejectRequest(parseErrorStatus(ec));
+            const int status = parseErrorStatus(ec);
+            m_shared->recordRejection(rejectionFor(status));
+            rejectRequest(status);
             return;
         }
     }
-    if (m_parser->is_done())
+    countRequest();
+    if (m_parser->is_done()) {
         handle();
-    else
+        return;
+    }
+    m_shared->makeRequestRoom(0, m_heldBytes);
+    // Otherwise this request itself has been rejected.
+    if (m_phase == Phase::Receiving)
         read();
 }
 
 void ServerConnection::rejectRequest(int status)
 {
     m_keepAlive = false;
-    m_phase = Phase::Handling;
+    setPhase(Phase::Handling);
     ++m_serial;
+    releaseRequest();
     send(m_serial, HttpResponse{status, {}, {}});
 }
 
+void ServerConnection::refuseRequest()
+{
+    m_shared->recordRejection(ServerRejection::CompleteForMemory);
+    releaseBody();
+    m_headBytes = 0;
+    m_parser->headers = HttpHeaders();
+    countRequest();
+    send(m_serial, HttpResponse{503, {{"Retry-After", MemoryRetryAfter}}, {}});
+}
+
 void ServerConnection::handle()
 {
-    m_phase = Phase::Handling;
+    setPhase(Phase::Handling);
     m_timer.clear();
     ++m_serial;
     m_keepAlive = m_parser->keep_alive() && m_shared->accepting && m_shared->keepAlive;
     m_headRequest = m_parser->method == "HEAD";
+    const std::size_t size = allocatedBytes(m_body) + m_headBytes;
+    const std::size_t copies = std::max<std::size_t>(m_shared->options.handlerCopies, 1);
+    if (!m_shared->makeRequestRoom((copies - 1) * size, copies * size)) {
+        refuseRequest();
+        return;
+    }
     HttpRequest request{std::move(m_parser->method), std::move(m_parser->target),
                         std::move(m_parser->headers), std::move(m_body), m_peer};
-    m_body = std::string();
+    releaseBody();
+    m_headBytes = 0;
+    countRequest();
+    m_shared->requestBytes += copies * size;
     // Detects that the caller closes the connection while its request is being handled.
-    if (m_buffer.size() == 0) {
-        m_buffer.shrink_to_fit();
+    if (m_buffer.size() == 0)
         read();
-    }
     m_shared->handler(std::move(request),
-                      std::make_shared<ServerReply>(shared_from_this(), m_serial));
+                      std::make_shared<ServerReply>(shared_from_this(), m_serial, copies * size));
+}
+
+void ServerConnection::countOutput(OutputSegment &segment, std::size_t n)
+{
+    segment.countedBytes += n;
+    m_outputBytes += n;
+    m_shared->outputBytes += n;
+    const std::size_t limit = m_shared->options.outputMemoryLimit;
+    if (limit == 0 || m_shared->outputBytes <= limit)
+        return;
+    // Not now, since the end of other connections calls back into the handler that queues this.
+    asio::post(m_io, [shared = m_shared] { shared->makeOutputRoom(); });
 }
 
 void ServerConnection::enqueue(std::string bytes, std::size_t payloadBytes)
 {
+    const std::size_t size = bytes.capacity();
     m_pending.push_back({std::move(bytes), payloadBytes});
+    countOutput(m_pending.back(), size);
     if (m_inFlight.empty())
         flush();
 }
@@ -410,10 +679,12 @@
     if (m_pending.empty() || m_pending.back().bytes.size() > CoalescedBytes)
         m_pending.emplace_back();
     OutputSegment &segment = m_pending.back();
+    const std::size_t before = segment.bytes.capacity();
     segment.bytes += chunkPrefix(data.size());
     segment.bytes += data;
     segment.bytes += "\r\n";
     segment.payloadBytes += data.size();
+    countOutput(segment, segment.bytes.capacity() - before);
     if (m_inFlight.empty())
         flush();
 }
@@ -440,18 +711,35 @@
     for (const OutputSegment &segment : m_inFlight)
         buffers.emplace_back(segment.bytes.data(), segment.bytes.size());
     m_timer.set(m_shared->options.writeTimeout);
-    asio::async_write(m_socket, buffers, [self = shared_from_this()](ErrorCode ec, std::size_t) {
-        self->onWritten(ec);
-    });
+    m_writingPosition = m_shared->writing.insert(m_shared->writing.end(), this);
+    const auto onProgress = [self = shared_from_this()](const ErrorCode &ec, std::size_t n) {
+        self->onWriting();
+        return asio::transfer_all()(ec, n);
+    };
+    asio::async_write(
+            m_socket, buffers, onProgress,
+            [self = shared_from_this()](ErrorCode ec, std::size_t) { self->onWritten(ec); });
+}
+
+void ServerConnection::onWriting()
+{
+    if (m_writingPosition)
+        m_shared->writing.splice(m_shared->writing.end(), m_shared->writing, *m_writingPosition);
 }
 
 void ServerConnection::onWritten(const ErrorCode &ec)
 {
-    for (const OutputSegment &segment : m_inFlight)
+    endWriting();
+    std::size_t counted = 0;
+    for (const OutputSegment &segment : m_inFlight) {
         m_queuedBytes.fetch_sub(segment.payloadBytes, std::memory_order_relaxed);
+        counted += segment.countedBytes;
+    }
     m_inFlight.clear();
     if (m_closed)
         return;
+    m_outputBytes -= counted;
+    m_shared->outputBytes -= counted;
     if (ec) {
         close();
         return;
@@ -474,7 +762,7 @@
 
 void ServerConnection::endReply()
 {
-    m_phase = Phase::Draining;
+    setPhase(Phase::Draining);
     m_onDrained = nullptr;
     m_onClosed = nullptr;
     if (m_inFlight.empty() && m_pending.empty())
@@ -486,26 +774,28 @@
     if (!m_keepAlive) {
         ErrorCode ec;
         m_socket.shutdown(tcp::socket::shutdown_send, ec);
-        m_phase = Phase::Lingering;
+        setPhase(Phase::Lingering);
         m_timer.set(LingerTimeout);
-        linger();
+        releaseRequest();
+        read();
         return;
     }
     nextRequest();
 }
 
-void ServerConnection::linger()
+void ServerConnection::linger(std::size_t n)
 {
-    if (m_readPending)
-        return;
-    m_buffer.clear();
-    read();
+    m_lingeredBytes += n;
+    if (m_lingeredBytes > LingerBytes)
+        close();
+    else
+        read();
 }
 
 void ServerConnection::onDeadline()
 {
     if (m_phase == Phase::Receiving)
-        rejectIncomplete();
+        rejectIncomplete(ServerRejection::Timeout);
     else if (m_phase == Phase::Idle)
         closeIdle();
     else
--- a/modules/settings/include/godwit/settings/fleetsettings.h
+++ b/modules/settings/include/godwit/settings/fleetsettings.h
@@ -49,13 +49,14 @@
     friend bool operator==(const LocalEngineSettings &, const LocalEngineSettings &) = default;
 };
 
-/// Limits of the machine, and what a process may use of them for its clients.
+/// Limits of the machine, and what a process may use of them for its clients. Parsing derives what
+/// the settings do not state.
 struct FleetLimits
 {
-    std::uint64_t memoryBytes = 0;        ///< Of the machine; 0 means unknown.
-    std::uint32_t descriptors = 0;        ///< Of the machine; 0 means unknown.
-    std::uint64_t requestMemoryBytes = 0; ///< For requests and queued responses of clients.
-    std::uint32_t clientConnections = 0;
+    std::uint64_t memoryBytes = 0;                         ///< Of the machine; 0 means unknown.
+    std::uint32_t descriptors = 0;                         ///< Of the machine; 0 means unknown.
+    std::uint64_t requestMemoryBytes = 64UL * 1024 * 1024; ///< For all requests of clients.
+    std::uint32_t clientConnections = 10'000;
 
     friend bool operator==(const FleetLimits &, const FleetLimits &) = default;
 };
--- a/modules/settings/src/settingsparser.cpp
+++ b/modules/settings/src/settingsparser.cpp
@@ -186,6 +186,26 @@
     reader.seconds("retry_window_s", bounds.retryBudgetWindow, 0, LongestSeconds);
 }
 
+/// Sets the defaults that follow from the limits of the machine.
+void deriveLimits(FleetLimits &limits)
+{
+    // Requests, responses in the gateway and queued replies take at most a quarter each, and the
+    // process itself the rest.
+    constexpr std::uint64_t MemoryParts = 4;
+    // For files, listening sockets and connections to the store.
+    constexpr std::uint32_t ReservedDescriptors = 200;
+    // Each client connection has one request at a time, which takes one connection to a backend
+    // server; others are idle in the pool or belong to calls that were given up.
+    constexpr std::uint32_t DescriptorsPerClient = 3;
+    if (limits.memoryBytes > 0)
+        limits.requestMemoryBytes = limits.memoryBytes / MemoryParts;
+    if (limits.descriptors > 0)
+        limits.clientConnections =
+                (limits.descriptors - std::min(limits.descriptors - 1, ReservedDescriptors))
+                / DescriptorsPerClient;
+    limits.clientConnections = std::max(limits.clientConnections, 1U);
+}
+
 void readLimits(SettingsReader &reader, FleetLimits &limits)
 {
     constexpr double BytesPerMegabyte = 1e6;
@@ -194,6 +214,7 @@
     reader.number("memory_mb", megabytes, 0, 1e6);
     limits.memoryBytes = static_cast<std::uint64_t>(megabytes * BytesPerMegabyte);
     reader.integer("descriptors", limits.descriptors, 0, MaxDescriptors);
+    deriveLimits(limits);
     reader.integer("request_memory_bytes", limits.requestMemoryBytes, 1024LL * 1024, MaxBytes);
     reader.integer("client_connections", limits.clientConnections, 1, MaxDescriptors);
 }
--- a/modules/settings/tests/fleetsettingstest.cpp
+++ b/modules/settings/tests/fleetsettingstest.cpp
@@ -78,3 +78,52 @@
             CHECK(std::find(keys.begin(), keys.end(), key) != keys.end());
     }
 }
+
+// Guards against defaults that an ordinary client reaches on the smallest host, and against ones
+// that exceed its memory or its descriptors.
+TEST_CASE("parseFleetSettings derives the limits for clients from those of the machine")
+{
+    const auto limitsOf = [](const std::string &text) {
+        const auto parsed =
+                parseFleetSettings("role = \"entry\"\n" + Common + Listen + text, "f.toml");
+        REQUIRE(parsed.index() == 0);
+        return std::get<0>(parsed).limits;
+    };
+    constexpr std::uint64_t MaxBody = 4'194'304;
+
+    SECTION("the smallest host")
+    {
+        const FleetLimits it = limitsOf("[limits]\nmemory_mb = 112\ndescriptors = 2870\n");
+        CHECK(it.memoryBytes == 112'000'000);
+        CHECK(it.requestMemoryBytes == 28'000'000);
+        CHECK(it.clientConnections == 890);
+        // A body with its copy and the room to grow, in the part for long requests.
+        CHECK(2 * MaxBody / 4 * 5 < it.requestMemoryBytes / 8 * 7);
+    }
+    SECTION("unknown limits")
+    {
+        CHECK(limitsOf("") == FleetLimits());
+        CHECK(limitsOf("[limits]\nmemory_mb = 0\ndescriptors = 0\n") == FleetLimits());
+    }
+    SECTION("stated limits take precedence")
+    {
+        const FleetLimits it = limitsOf("[limits]\nmemory_mb = 112.5\ndescriptors = 100\n"
+                                        "request_memory_bytes = 2000000\n"
+                                        "client_connections = 7\n");
+        CHECK(it.memoryBytes == 112'500'000);
+        CHECK(it.requestMemoryBytes == 2'000'000);
+        CHECK(it.clientConnections == 7);
+    }
+    SECTION("fewer descriptors than are reserved")
+    {
+        CHECK(limitsOf("[limits]\ndescriptors = 100\n").clientConnections == 1);
+    }
+    SECTION("invalid values")
+    {
+        CHECK(problemsOf("role = \"entry\"\n" + Common + Listen
+                         + "[limits]\nmemory_mb = -1\nrequest_memory_bytes = 5\n"
+                           "client_connections = 0\n")
+              == std::vector<std::string>{"limits.memory_mb", "limits.request_memory_bytes",
+                                          "limits.client_connections"});
+    }
+}
