Reject responses whose status is not one of HTTP

Cause: the parser of HTTP/1.1 and the library of HTTP/2 accept any three digits as a status. 000 to 099 was taken for an interim response of HTTP/1.1, so that the call waited for a further one; 600 to 999 was passed on as a response.

Ruled out: four digits, fewer than three, signs and blanks were rejected before by both.

Change: the parser of HTTP/1.1, which all clients share, fails on a status outside 100 to 599. The call ends as broken and its connection is closed. The reader of HTTP/2 resets the stream; other streams of the connection are sound and go on. Interim responses are read as before.

--- a/modules/ports/src/httpparser.h
+++ b/modules/ports/src/httpparser.h
@@ -13,6 +13,12 @@
 
 namespace godwit {
 
+/// Whether \a status is one of HTTP. A response with another one is broken.
+constexpr bool isHttpStatus(int status)
+{
+    return status >= 100 && status <= 599;
+}
+
 /// Whether \a text contains the beginning of a status line, such as "HTTP/1.1 200".
 inline bool containsStatusLine(std::string_view text)
 {
@@ -32,7 +38,8 @@
 /// Incremental parser of one HTTP message. Collects the start line and the headers, and delivers
 /// the body in parts. Trailers are ignored. Fails if the body has an encoding other than chunked.
 /// Fails if the head of a response contains a second status line: it has run together with a
-/// response of which only a part was sent, and its headers may be those of either one.
+/// response of which only a part was sent, and its headers may be those of either one. Fails if the
+/// status of a response is not three digits from 100 to 599.
 template <bool IsRequest>
 class HttpParser : public boost::beast::http::basic_parser<IsRequest>
 {
@@ -60,7 +67,9 @@
     void on_response_impl(int code, View reason, int, Code &ec) override
     {
         status = code;
-        if (containsStatusLine(view(reason)))
+        if (!isHttpStatus(code))
+            ec = boost::beast::http::error::bad_status;
+        else if (containsStatusLine(view(reason)))
             ec = boost::beast::http::error::bad_reason;
     }
     void on_field_impl(boost::beast::http::field field, View name, View value, Code &ec) override
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -494,3 +494,120 @@
     runUntil(io, [&] { return isDone; });
     CHECK(received.ends_with("/a"));
 }
+
+namespace {
+
+/// Server that answers each request with given bytes and leaves the connections open.
+class FixedReplyServer
+{
+public:
+    FixedReplyServer(boost::asio::io_context &io, std::string bytes)
+        : m_io(io)
+        , m_acceptor(io, {Loopback, 0})
+        , m_bytes(std::move(bytes))
+    {
+        accept();
+    }
+
+    HttpCall call() const
+    {
+        HttpCall call;
+        call.endpoint = {"127.0.0.1", m_acceptor.local_endpoint().port()};
+        call.idleTimeout = 5s;
+        return call;
+    }
+
+    std::size_t connections = 0;
+    std::size_t requests = 0;
+
+private:
+    void accept()
+    {
+        auto socket = std::make_shared<tcp::socket>(m_io);
+        m_acceptor.async_accept(*socket, [this, socket](auto ec) {
+            if (ec)
+                return;
+            ++connections;
+            read(socket);
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<tcp::socket> &socket)
+    {
+        socket->async_read_some(boost::asio::buffer(m_request),
+                                [this, socket](auto ec, std::size_t) {
+                                    if (ec)
+                                        return;
+                                    ++requests;
+                                    boost::asio::write(*socket, boost::asio::buffer(m_bytes), ec);
+                                    read(socket);
+                                });
+    }
+
+    boost::asio::io_context &m_io;
+    tcp::acceptor m_acceptor;
+    std::string m_bytes;
+    std::array<char, 4096> m_request{};
+};
+
+} // namespace
+
+// Guards against a broken response that is passed on as if it were one. The store, the origin and
+// plain services are read as a whole, backend servers as a stream.
+TEST_CASE("A call fails if the status of its response is not one of HTTP")
+{
+    const std::string status = GENERATE("000", "001", "099", "600", "999", "1000", "+200", "-20",
+                                        "2 0", "   ", "", "20", " 200");
+    CAPTURE(status);
+    boost::asio::io_context io;
+    FixedReplyServer server(io, "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok");
+    HttpClient client(io);
+
+    SECTION("read as a whole")
+    {
+        for (std::size_t calls = 1; calls <= 2; ++calls) {
+            std::optional<Outcome<HttpResponse>> result;
+            client.call(server.call(), [&](auto outcome) { result = std::move(outcome); });
+            runUntil(io, [&] { return result.has_value(); });
+            REQUIRE_FALSE(succeeded(*result));
+            CHECK(std::get<Error>(*result).code == ResultCode::PlatformBadReply);
+            // The connection is not used again, and the request may have run: no retry.
+            CHECK(server.connections == calls);
+            CHECK(server.requests == calls);
+        }
+    }
+    SECTION("read as a stream")
+    {
+        bool hasHead = false;
+        std::string data;
+        std::optional<Outcome<std::monostate>> result;
+        HttpStreamHandlers handlers;
+        handlers.onHeader = [&](int, const HttpHeaders &) { hasHead = true; };
+        handlers.onOtherHeader = [&](int, const HttpHeaders &) { hasHead = true; };
+        handlers.onData = [&](std::string_view bytes) { data += bytes; };
+        handlers.onEnd = [&](const auto &outcome) { result = outcome; };
+        const auto call = client.stream(server.call(), std::move(handlers));
+        runUntil(io, [&] { return result.has_value(); });
+        REQUIRE_FALSE(succeeded(*result));
+        CHECK(std::get<Error>(*result).code == ResultCode::PlatformBadReply);
+        CHECK_FALSE(hasHead);
+        CHECK(data.empty());
+    }
+}
+
+TEST_CASE("A call accepts each status of HTTP, and interim responses before it")
+{
+    const int status = GENERATE(200, 299, 404, 503, 599);
+    boost::asio::io_context io;
+    FixedReplyServer server(io, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Other\r\n\r\nHTTP/1.1 "
+                                        + std::to_string(status)
+                                        + " OK\r\nContent-Length: 2\r\n\r\nok");
+    HttpClient client(io);
+    std::optional<Outcome<HttpResponse>> result;
+    client.call(server.call(), [&](auto outcome) { result = std::move(outcome); });
+    runUntil(io, [&] { return result.has_value(); });
+    REQUIRE(succeeded(*result));
+    CHECK(std::get<0>(*result).status == status);
+    CHECK(std::get<0>(*result).body == "ok");
+}
--- a/modules/wire/src/http2connection.cpp
+++ b/modules/wire/src/http2connection.cpp
@@ -39,6 +39,17 @@
     return static_cast<Http2Connection *>(userData);
 }
 
+/// Reads a status of three digits from 100 to 599. Returns false for anything else: the response is
+/// broken.
+bool parseStatus(std::string_view text, int &status)
+{
+    constexpr std::size_t Digits = 3;
+    const char *last = text.data() + text.size();
+    const auto [end, ec] = std::from_chars(text.data(), last, status);
+    return text.size() == Digits && ec == std::errc() && end == last && status >= 100
+           && status <= 599;
+}
+
 Error streamError(std::uint32_t code)
 {
     if (code == NGHTTP2_REFUSED_STREAM)
@@ -386,7 +397,7 @@
     else if (name == ":path")
         headers.path = std::move(value);
     else if (name == ":status")
-        std::from_chars(value.data(), value.data() + value.size(), headers.status);
+        return parseStatus(value, headers.status) ? 0 : NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     else if (!name.starts_with(':'))
         headers.fields.emplace_back(std::move(name), std::move(value));
     return 0;
--- a/modules/wire/tests/wiretest.cpp
+++ b/modules/wire/tests/wiretest.cpp
@@ -521,3 +521,32 @@
         CHECK(peer.hasFailed);
     }
 }
+
+// Guards against a broken response that is passed on as if it were one.
+TEST_CASE("A stream fails if the status of its response is not one of HTTP")
+{
+    constexpr std::uint8_t Headers = 1;
+    constexpr std::uint8_t Settings = 4;
+    constexpr std::uint8_t Data = 0;
+    constexpr std::uint8_t EndHeaders = 4;
+    const std::string status = GENERATE("000", "001", "099", "600", "999", "1000", "+200", "-20",
+                                        "2 0", "   ", "", "20", " 200");
+    CAPTURE(status);
+    const std::string field =
+            std::string("\x08") + static_cast<char>(status.size()) + status; // :status
+    boost::asio::io_context io{1};
+    EndlessPeer peer(io, frame(Settings, 0, {}) + frame(Headers, EndHeaders, field),
+                     frame(Data, 0, "ok"));
+    WireClient client(io, "127.0.0.1", peer.port());
+    bool hasHeaders = false;
+    Received received;
+    StreamEvents events = received.events();
+    events.onHeaders = [&](const WireHeaders &) { hasHeaders = true; };
+    const auto stream = client.open("/x", {}, std::move(events));
+    stream->finish();
+    constexpr std::size_t MaxAccepted = 16UL * 1024 * 1024; // mostly socket buffers
+    REQUIRE(runUntil(io, [&] { return received.done() || peer.sent > MaxAccepted; }));
+    CHECK(received.error.has_value());
+    CHECK_FALSE(hasHeaders);
+    CHECK(received.body.empty());
+}
