--- a/modules/settings/src/settingsparser.cpp
+++ b/modules/settings/src/settingsparser.cpp
@@ -189,6 +189,39 @@
     reader.integer("entry_processes", bounds.entryProcesses, 1, 100'000);
 }
 
+/// Sets the defaults that follow from the limits of the machine.
+void deriveLimits(FleetLimits &limits)
+{
+    // Requests, responses in the gateway and queued replies take at most a quarter each, and the
+    // process itself the rest.
+    constexpr std::uint64_t MemoryParts = 4;
+    // For files, listening sockets and connections to the store.
+    constexpr std::uint32_t ReservedDescriptors = 200;
+    // Each client connection has one request at a time, which takes one connection to a backend
+    // server; others are idle in the pool or belong to calls that were given up.
+    constexpr std::uint32_t DescriptorsPerClient = 3;
+    if (limits.memoryBytes > 0)
+        limits.requestMemoryBytes = limits.memoryBytes / MemoryParts;
+    if (limits.descriptors > 0)
+        limits.clientConnections =
+                (limits.descriptors - std::min(limits.descriptors - 1, ReservedDescriptors))
+                / DescriptorsPerClient;
+    limits.clientConnections = std::max(limits.clientConnections, 1U);
+}
+
+void readLimits(SettingsReader &reader, FleetLimits &limits)
+{
+    constexpr double BytesPerMegabyte = 1e6;
+    constexpr std::int64_t MaxDescriptors = 1'000'000;
+    double megabytes = 0;
+    reader.number("memory_mb", megabytes, 0, 1e6);
+    limits.memoryBytes = static_cast<std::uint64_t>(megabytes * BytesPerMegabyte);
+    reader.integer("descriptors", limits.descriptors, 0, MaxDescriptors);
+    deriveLimits(limits);
+    reader.integer("request_memory_bytes", limits.requestMemoryBytes, 1024LL * 1024, MaxBytes);
+    reader.integer("client_connections", limits.clientConnections, 1, MaxDescriptors);
+}
+
 void readLocalEngine(SettingsReader &reader, std::optional<LocalEngineSettings> &engine)
 {
     engine.emplace();
@@ -218,6 +251,7 @@
     reader.number("link_bits_per_second", settings.linkBitsPerSecond, 0, 1e12);
     reader.section("listen", [&](SettingsReader &it) { readFleetListen(it, settings.listen); });
     reader.section("bounds", [&](SettingsReader &it) { readBounds(it, settings.bounds); });
+    reader.section("limits", [&](SettingsReader &it) { readLimits(it, settings.limits); });
     reader.section("engine", [&](SettingsReader &it) { readLocalEngine(it, settings.engine); });
     if (hasRole)
         checkFleetRole(reader, settings);
