Retry no request that has hardly any time left

Cause, by a trace of such a request: a server rejected it 3 ms after its client's deadline, a fraction of a millisecond before the deadline as this process knows it, and it was sent once more, over a congested link. Ruled out: requests that were sent in time, which the close of the connection follows.

Change: a retry needs 50 ms until the deadline. The time on a congested link remains.

Measured: the new test case fails without the change (two of three sections) and passes with it.

--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -20,6 +20,9 @@
 /// Attempts allowed in addition to those of the route, because rejected ones do not count towards
 /// that limit.
 constexpr std::size_t MaxRejectedAttempts = 2;
+/// An attempt with less time than this could not be answered before the client gives up, and on a
+/// congested link it would reach its backend server long after that.
+constexpr Duration MinRetryTime = std::chrono::milliseconds(50);
 /// Retry-After if the time until a backend server has a free slot is unknown.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(1500);
 /// Time after the start deadline of a backend server with outdated weights at which a request that
@@ -371,7 +374,8 @@
         || m_possibleRuns + 1 >= m_admission.route->maxAttempts)
         return false;
     // If no retry is possible, the error response at hand is sent to the client.
-    return now() < m_deadline && m_gateway.m_retryBudget.tryAcquire(m_admission.service, now());
+    return now() + MinRetryTime < m_deadline
+           && m_gateway.m_retryBudget.tryAcquire(m_admission.service, now());
 }
 
 void ForwardedRequest::endAttempt(AttemptOutcome outcome)
@@ -414,7 +418,7 @@
     const bool canRun = m_possibleRuns < route.maxAttempts;
     const bool allowed = !mayHaveRun || route.isRepeatable();
     return allowed && canRun && sentAttempts() < route.maxAttempts + MaxRejectedAttempts
-           && now() < m_deadline;
+           && now() + MinRetryTime < m_deadline;
 }
 
 void ForwardedRequest::fail(AttemptOutcome outcome, std::string detail)
--- a/modules/gateway/tests/gatewaytest.cpp
+++ b/modules/gateway/tests/gatewaytest.cpp
@@ -134,6 +134,37 @@
     }
 }
 
+// Guards against a request that reaches a backend server after its client has given up: rejected
+// just before its deadline, it was sent once more, with nothing left of its time.
+TEST_CASE("Gateway retries no request that has no time left")
+{
+    Fixture it;
+    it.configure();
+    const auto view = it.sendRequest("/safe/x", "k", 150ms);
+    REQUIRE(it.backendCalls.size() == 1);
+
+    SECTION("after a rejection just before the deadline")
+    {
+        it.scheduler.advance(130ms);
+        it.backendCalls[0]->reject(503);
+        CHECK(it.backendCalls.size() == 1);
+        CHECK(view->status == 503);
+    }
+    SECTION("after a failure just before the deadline")
+    {
+        it.scheduler.advance(130ms);
+        it.backendCalls[0]->respond(500, "failed");
+        CHECK(it.backendCalls.size() == 1);
+        CHECK(view->status == 500);
+    }
+    SECTION("but one that has some")
+    {
+        it.scheduler.advance(50ms);
+        it.backendCalls[0]->reject(503);
+        CHECK(it.backendCalls.size() == 2);
+    }
+}
+
 TEST_CASE("Gateway cancels requests whose client has disconnected")
 {
     Fixture it;
