Learn the speed of backend servers

Callers need requests to start in time and streams without long gaps, also while engines are slow by turns, slow for good, or slow with many requests.

Cause: the choice of a backend server knew only a mean event gap with a memory of seconds, and ignored the work time that responses report.

Change: ServerSpeed learns a factor and the comfortable slots of each backend server from reports, event gaps and start delays; predicted wait, hold and prefill are multiplied by the factor. It replaces eventGapPenalty and absorbs the lateness of starts. Holding times are kept for the usual speed. Backend servers that are held to fewer requests are logged and counted.

Ruled out: reports alone (old after 0.3 s, while a process gets one in two seconds from an engine).

--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -7,12 +7,16 @@
 #include <godwit/gateway/backendrecord.h>
 #include <godwit/gateway/gatewayconfiguration.h>
 #include <godwit/gateway/loadschedule.h>
+#include <godwit/gateway/route.h>
+#include <godwit/gateway/serverspeed.h>
+#include <godwit/gateway/usualeventgap.h>
 #include <godwit/gateway/zoneplacement.h>
 
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -103,6 +107,16 @@
     friend bool operator==(const NoBackend &, const NoBackend &) = default;
 };
 
+/// A backend server is held to fewer requests than it has slots, or no longer.
+struct HoldChange
+{
+    BackendId id;
+    bool isHeld = false;
+    double comfortableSlots = 0;
+
+    friend bool operator==(const HoldChange &, const HoldChange &) = default;
+};
+
 /// Backend servers known to an entry process, with the load and health that its own requests
 /// observe, and load balancing among them. Has no sockets and no clock.
 ///
@@ -121,6 +135,10 @@
 
     void setServices(const std::vector<ServiceDescription> &services);
 
+    /// Sets the longest event gaps that callers accept. A service of several routes has the
+    /// shortest of theirs.
+    void setEventGapLimits(const std::vector<Route> &routes);
+
     /// Engines that serve an older version of \a model get no new requests from \a deadline on.
     /// Gateway::requireVersion() applies it to requests in progress as well.
     void requireVersion(const ModelId &model, std::uint64_t version, TimePoint deadline);
@@ -187,6 +205,12 @@
     /// When something of a response of \a id arrived last; TimePoint() if nothing has.
     TimePoint lastActivity(const BackendId &id) const;
 
+    /// Factor by which work at \a id takes longer than usual at this moment; 1 if it is unknown.
+    double speedFactor(const BackendId &id, TimePoint now) const;
+
+    /// Changes since the last call.
+    std::vector<HoldChange> takeHoldChanges() { return std::exchange(m_holdChanges, {}); }
+
     /// Usual time between two deliveries of events in the streams of \a id; 0 if unknown.
     Duration eventGap(const BackendId &id) const;
 
@@ -209,11 +233,8 @@
         int consecutiveRejections = 0;
         /// Moving average of the event gaps of its streams; 0 if unknown.
         double eventGapSeconds = 0;
-        TimePoint eventGapAt;
-        TimePoint activeAt; ///< Arrival of the last part of a response.
-        /// Moving average of the delay beyond the predicted start of responses.
-        double startLatenessSeconds = 0;
-        TimePoint startLatenessAt;
+        ServerSpeed speed;
+        TimePoint activeAt;         ///< Arrival of the last part of a response.
         double failureRate = 0;     ///< Moving average over the attempts.
         TimePoint backoffUntil;     ///< After failures and rejections.
         TimePoint answeredSentAt;   ///< Of the last sent attempt whose response has begun.
@@ -230,6 +251,10 @@
         /// Moving average of the delay of the first event, beyond the prediction, of requests that
         /// found a free slot. It covers the prefill pass of the engine and the tokens of one event.
         double startDelaySeconds = 0;
+        /// By the first model that a backend server serves: models differ in their usual gaps.
+        std::map<ModelId, UsualEventGap> usualEventGaps;
+        Duration maxEventGap{0};       ///< That callers accept; 0 if they accept any.
+        double meanRemoteRequests = 0; ///< At the last choice of a backend server.
     };
     struct VersionRule
     {
@@ -244,10 +269,17 @@
     std::uint64_t requiredVersion(const ModelId &model, TimePoint now) const;
     static std::optional<std::uint64_t> servedVersion(const BackendRecord &record,
                                                       const ModelId &model);
-    /// Penalty, in seconds, for a backend server whose event gaps exceed the median.
-    double eventGapPenalty(const Backend &backend, double medianGap, TimePoint now) const;
-    /// Delay, in seconds, beyond the predicted start of a response of \a backend.
-    static double expectedStartLateness(const Backend &backend, TimePoint now);
+    /// Penalty, in seconds, for a backend server that works \a factor times as long as usual.
+    static double slownessPenalty(double factor);
+    /// Penalty, in seconds, for a request at \a backend with \a load requests beyond its
+    /// comfortable slots.
+    static double discomfortPenalty(const Backend &backend, double load, double slots,
+                                    TimePoint now);
+    /// Ends the holds of the backend servers that have recovered.
+    void updateHolds(TimePoint now);
+    /// Forgets the speed of \a backend.
+    void resetSpeed(Backend &backend);
+    void updateSpeed(Backend &backend, Duration gap, TimePoint now);
     void updateSchedules();
     /// Penalty, in seconds, for an engine that is due to load a newer version before a request of
     /// \a duration completes.
@@ -268,7 +300,6 @@
     /// Weight, from 0 to 1, of the last load report of \a backend; decays with its age.
     static double loadReportWeight(const Backend &backend, TimePoint now);
     static double meanRemoteRequests(const std::vector<const Backend *> &backends, TimePoint now);
-    double medianEventGap(const std::vector<const Backend *> &backends) const;
     Backend *find(const BackendId &id);
     std::uint32_t slotCount(const Backend &backend, const Service *service) const;
     const Service *findService(const std::string &name) const;
@@ -281,6 +312,7 @@
     std::map<ModelId, LoadSchedule> m_schedules;
     AvailabilityTracker m_availability;
     ZonePlacement m_placement;
+    std::vector<HoldChange> m_holdChanges;
     bool m_enginesChanged = false; ///< The schedules have to be updated.
 };
 
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -107,6 +107,9 @@
     /// Sends an error response to a request for which no attempt was made.
     void refuse(HttpReply &reply, const RequestId &id, int status, const Error &error,
                 Duration retryAfter);
+    /// Logs and counts the backend servers that are held to fewer requests, and those that are not
+    /// any more.
+    void recordHoldChanges();
     Duration withJitter(Duration duration);
     /// Makes room for \a bytes more of the response body of \a request by ending the attempts with
     /// longer bodies, the longest first: a backend server that sends bytes without end must not end
--- a/modules/gateway/include/godwit/gateway/gatewaymetrics.h
+++ b/modules/gateway/include/godwit/gateway/gatewaymetrics.h
@@ -37,6 +37,8 @@
     void recordSuspended() { m_suspended.add(1); }
     /// \a change more availability zones are being evacuated.
     void recordEvacuations(int change) { m_evacuatedZones.add(change); }
+    /// A backend server was held to fewer requests than it has slots, or no longer.
+    void recordHold(bool isHeld) { m_heldBackends.add(isHeld ? 1 : -1); }
     /// A response started with weights that were outdated by then.
     void recordOutdatedStart() { m_outdatedStarts.add(1); }
 
@@ -47,6 +49,7 @@
     Counter &m_outdatedStarts;
     Counter &m_suspended;
     Gauge &m_evacuatedZones;
+    Gauge &m_heldBackends;
     Summary &m_responseTime;
     Summary &m_firstEventTime;
 };
--- a/modules/gateway/src/backendmeasurements.cpp
+++ b/modules/gateway/src/backendmeasurements.cpp
@@ -18,11 +18,6 @@
 /// Lateness beyond the usual start delay of the service that is ignored. A congested link or a slow
 /// machine adds more.
 constexpr double ToleratedLatenessSeconds = 0.1;
-constexpr double LatenessWeight = 0.3;
-constexpr double MaxLatenessSeconds = 1.0;
-/// Time constant with which a measured lateness decays, so that a backend server that was late is
-/// tried again.
-constexpr double LatenessDecaySeconds = 2.0;
 /// Longer delays are caused by unknown load rather than by the prefill pass of the engine.
 constexpr double MaxStartDelaySeconds = 0.25;
 /// Weight of the newest gap in the moving average of a backend server.
@@ -70,7 +65,7 @@
                     ? backend->eventGapSeconds
                               + EventGapWeight * (seconds - backend->eventGapSeconds)
                     : seconds;
-    backend->eventGapAt = now;
+    updateSpeed(*backend, gap, now);
 }
 
 void BackendPool::onAnswered(const BackendId &id, TimePoint sentAt)
@@ -128,23 +123,14 @@
         removeFromQueue(*backend, urgency);
 }
 
-double BackendPool::expectedStartLateness(const Backend &backend, TimePoint now)
-{
-    const double age = toSeconds(now - backend.startLatenessAt);
-    return std::min(MaxLatenessSeconds,
-                    backend.startLatenessSeconds * std::exp(-age / LatenessDecaySeconds));
-}
-
 void BackendPool::recordStartDelay(const BackendId &id, Duration delay, TimePoint now)
 {
     Backend *backend = find(id);
     if (!backend)
         return;
     Service &service = m_services[backend->record.service];
-    const double late =
-            std::max(0.0, toSeconds(delay) - service.startDelaySeconds - ToleratedLatenessSeconds);
-    backend->startLatenessSeconds += LatenessWeight * (late - backend->startLatenessSeconds);
-    backend->startLatenessAt = now;
+    backend->speed.recordStart(
+            delay - fromSeconds(service.startDelaySeconds + ToleratedLatenessSeconds), now);
     const double seconds = std::clamp(toSeconds(delay), 0.0, MaxStartDelaySeconds);
     service.startDelaySeconds += StartDelayWeight * (seconds - service.startDelaySeconds);
 }
@@ -192,7 +178,9 @@
         return;
     case AttemptOutcome::Complete: {
         Service &service = m_services[backend->record.service];
-        const double seconds = toSeconds(held) + service.startDelaySeconds;
+        // The holding time is kept for the usual speed; predictions multiply it by the factor.
+        const double seconds =
+                toSeconds(held) / backend->speed.meanFactor(now) + service.startDelaySeconds;
         service.holdSeconds =
                 service.holdSeconds > 0
                         ? service.holdSeconds + HoldWeight * (seconds - service.holdSeconds)
@@ -228,6 +216,8 @@
     backend->remoteRequests = std::max(0.0, static_cast<double>(load.running) + load.waiting
                                                     - static_cast<double>(backend->localRequests));
     backend->loadReportedAt = now;
+    if (load.workTimePercent)
+        backend->speed.recordReport(*load.workTimePercent, now);
 }
 
 } // namespace godwit
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -28,14 +28,6 @@
 /// Range of the random term of the cost, in seconds. Keeps entry processes with the same view from
 /// all selecting the same backend server.
 constexpr double JitterSeconds = 0.005;
-/// Average gap, in multiples of the median of all backend servers, up to which there is no penalty.
-constexpr double ToleratedEventGapRatio = 1.5;
-/// Penalty per median of excess gap, in seconds.
-constexpr double EventGapPenaltySeconds = 0.15;
-constexpr double MaxEventGapPenaltySeconds = 0.4;
-/// Time constant with which a measured gap decays, so that a backend server that was slow is tried
-/// again.
-constexpr double EventGapDecaySeconds = 3.0;
 
 /// An engine that is about to load new weights waits for its longest request with most of its slots
 /// empty. A request that would still be running then is penalised by this much per second of that
@@ -102,10 +94,13 @@
     backend.loadReportedAt.reset();
     backend.remoteRequests = 0;
     backend.unansweredSentAt = {};
+    resetSpeed(backend);
 }
 
 void BackendPool::remove(const BackendId &id)
 {
+    if (Backend *backend = find(id))
+        resetSpeed(*backend);
     m_backends.erase(id);
     m_enginesChanged = true;
 }
@@ -200,29 +195,6 @@
     return sum / weights * std::exp(-overdue / RemoteLoadDecaySeconds);
 }
 
-double BackendPool::medianEventGap(const std::vector<const Backend *> &backends) const
-{
-    std::vector<double> gaps;
-    for (const Backend *it : backends) {
-        if (it->eventGapSeconds > 0)
-            gaps.push_back(it->eventGapSeconds);
-    }
-    if (gaps.empty())
-        return 0;
-    const auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
-    std::ranges::nth_element(gaps, middle);
-    return *middle;
-}
-
-double BackendPool::eventGapPenalty(const Backend &backend, double medianGap, TimePoint now) const
-{
-    if (medianGap <= 0 || backend.eventGapSeconds <= medianGap * ToleratedEventGapRatio)
-        return 0;
-    const double weight = std::exp(-toSeconds(now - backend.eventGapAt) / EventGapDecaySeconds);
-    const double excess = backend.eventGapSeconds / medianGap - ToleratedEventGapRatio;
-    return weight * std::min(MaxEventGapPenaltySeconds, excess * EventGapPenaltySeconds);
-}
-
 double BackendPool::estimateRequests(const Backend &backend, double meanRemote, TimePoint now) const
 {
     if (!backend.loadReportedAt)
@@ -321,6 +293,7 @@
 std::variant<BackendChoice, NoBackend> BackendPool::choose(const BackendQuery &query, TimePoint now)
 {
     updateSchedules();
+    updateHolds(now);
     recordOutputTokens(query);
     const Service *service = findService(query.service);
     std::vector<const Backend *> serving;
@@ -366,7 +339,9 @@
     const double hold =
             service && service->holdSeconds > 0 ? service->holdSeconds : DefaultHoldSeconds;
     const double meanRemote = meanRemoteRequests(candidates, now);
-    const double medianGap = medianEventGap(candidates);
+    m_services[query.service].meanRemoteRequests = meanRemote;
+    const bool anyHeld =
+            std::ranges::any_of(candidates, [](const Backend *it) { return it->speed.isHeld(); });
     const EngineProfile *engine = service && service->engine ? &*service->engine : nullptr;
     const double prefill = engine && engine->prefillTokensPerSecond > 0
                                    ? query.promptTokens / engine->prefillTokensPerSecond
@@ -380,11 +355,12 @@
             continue;
         const double slots = slotCount(*it, service);
         const double load = estimateRequests(*it, meanRemote, now);
-        const double wait = waitSeconds(*it, query.urgency, load, slots, hold);
+        const double factor = it->speed.factor(now);
+        const double wait = factor * waitSeconds(*it, query.urgency, load, slots, hold);
         shortestWait = std::min(shortestWait, wait);
         if (it->isHalfOpen() && it->queuedRequests > 0)
             continue;
-        const double start = wait + prefill;
+        const double start = wait + prefill * factor;
         // A free slot is used whatever the start delay; otherwise the delay could not be measured
         // again.
         const Duration delay = fromSeconds(wait > 0 ? wait + startDelay : 0);
@@ -396,9 +372,10 @@
             continue;
         const double cost = start + load / slots * UtilizationPenaltySeconds
                             + (it->record.zone == m_zone ? 0 : CrossZonePenaltySeconds)
-                            + it->failureRate * FailurePenaltySeconds
-                            + eventGapPenalty(*it, medianGap, now) + expectedStartLateness(*it, now)
-                            + reloadPenalty(it->record, query.model, start + ownHold, now)
+                            + it->failureRate * FailurePenaltySeconds + slownessPenalty(factor)
+                            + it->speed.startLateness(now)
+                            + (anyHeld ? discomfortPenalty(*it, load, slots, now) : 0)
+                            + reloadPenalty(it->record, query.model, start + ownHold * factor, now)
                             + m_random.uniform() * JitterSeconds;
         if (!best || cost < bestCost) {
             best = BackendChoice{
--- /dev/null
+++ b/modules/gateway/src/backendspeed.cpp
@@ -0,0 +1,91 @@
+// The part of BackendPool that takes the speed of the backend servers into account.
+#include <godwit/gateway/backendpool.h>
+
+#include <algorithm>
+
+namespace godwit {
+
+namespace {
+
+/// Penalty per unit of the factor above 1, in seconds.
+constexpr double SlownessPenaltySeconds = 0.15;
+constexpr double MaxSlownessPenaltySeconds = 0.4;
+/// Penalty for a request beyond the comfortable slots, in seconds. It exceeds the penalties for
+/// utilization and zone, so that other backend servers fill up first, and is far below the one for
+/// failures.
+constexpr double DiscomfortPenaltySeconds = 0.5;
+
+} // namespace
+
+double BackendPool::slownessPenalty(double factor)
+{
+    return std::min(MaxSlownessPenaltySeconds, (factor - 1) * SlownessPenaltySeconds);
+}
+
+double BackendPool::discomfortPenalty(const Backend &backend, double load, double slots,
+                                      TimePoint now)
+{
+    return load + 1 > backend.speed.comfortableSlots(slots, now) ? DiscomfortPenaltySeconds : 0;
+}
+
+void BackendPool::setEventGapLimits(const std::vector<Route> &routes)
+{
+    for (auto &[name, service] : m_services)
+        service.maxEventGap = Duration::zero();
+    for (const Route &route : routes) {
+        if (route.maxEventGap <= Duration::zero())
+            continue;
+        for (const RouteTarget &target : route.targets) {
+            Duration &limit = m_services[target.service].maxEventGap;
+            limit = limit > Duration::zero() ? std::min(limit, route.maxEventGap)
+                                             : route.maxEventGap;
+        }
+    }
+}
+
+double BackendPool::speedFactor(const BackendId &id, TimePoint now) const
+{
+    const auto it = m_backends.find(id);
+    return it == m_backends.end() ? 1 : it->second.speed.factor(now);
+}
+
+void BackendPool::updateSpeed(Backend &backend, Duration gap, TimePoint now)
+{
+    Service &service = m_services[backend.record.service];
+    const auto &models = backend.record.models;
+    UsualEventGap &usual =
+            service.usualEventGaps[models.empty() ? ModelId() : models.front().model];
+    const double slots = slotCount(backend, &service);
+    const double load = estimateRequests(backend, service.meanRemoteRequests, now);
+    // Measured factors are relative to the usual gap and must not determine it. False reports of a
+    // few backend servers do not move the median.
+    usual.record(gap, load / slots, backend.speed.reportedMean(now));
+    const bool wasHeld = backend.speed.isHeld();
+    backend.speed.recordEventGap({gap, usual.at(load / slots), load, slots, service.maxEventGap},
+                                 now);
+    if (backend.speed.isHeld() && !wasHeld)
+        m_holdChanges.push_back(
+                {backend.record.id, true, backend.speed.comfortableSlots(slots, now)});
+}
+
+void BackendPool::updateHolds(TimePoint now)
+{
+    for (auto &[id, backend] : m_backends) {
+        if (!backend.speed.isHeld())
+            continue;
+        const double slots = slotCount(backend, findService(backend.record.service));
+        if (backend.speed.releaseIfRecovered(slots, now))
+            m_holdChanges.push_back({id, false, slots});
+    }
+}
+
+void BackendPool::resetSpeed(Backend &backend)
+{
+    if (backend.speed.isHeld()) {
+        const double slots = slotCount(backend, findService(backend.record.service));
+        m_holdChanges.push_back({backend.record.id, false, slots});
+    }
+    backend.speed = {};
+}
+
+} // namespace godwit
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -201,6 +201,7 @@
         return;
     }
     const auto found = chooseBackend();
+    m_gateway.recordHoldChanges();
     if (const auto *choice = std::get_if<BackendChoice>(&found)) {
         startAttemptAt(*choice);
         return;
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -55,6 +55,7 @@
                     {"routes", table->configuration().routes.size()},
                     {"customers", table->configuration().customers.size()}});
     m_backends.setServices(table->configuration().services);
+    m_backends.setEventGapLimits(table->configuration().routes);
     m_routeTable = std::move(table);
 }
 
@@ -80,6 +81,16 @@
                    {{"zone", zone.value()}, {"requests", m_requests.size()}});
 }
 
+void Gateway::recordHoldChanges()
+{
+    for (const HoldChange &it : m_backends.takeHoldChanges()) {
+        m_environment.metrics.recordHold(it.isHeld);
+        logRequest(it.isHeld ? RequestLogKind::BackendHeld : RequestLogKind::BackendReleased,
+                   {{"backend", it.id.value()}, {"comfortable_slots", it.comfortableSlots}},
+                   m_environment.scheduler.now());
+    }
+}
+
 void Gateway::beginShutdown(const ShutdownTimes &times)
 {
     m_shutdown = times;
--- a/modules/gateway/src/gatewaymetrics.cpp
+++ b/modules/gateway/src/gatewaymetrics.cpp
@@ -32,6 +32,8 @@
                                    "Requests with content that crashes backend servers."))
     , m_evacuatedZones(
               registry.gauge("godwit_evacuated_zones", "Availability zones that get no requests."))
+    , m_heldBackends(registry.gauge("godwit_held_backends",
+                                    "Backend servers held to fewer requests than they have slots."))
     , m_responseTime(registry.summary("godwit_answer_seconds",
                                       "Time from a request to the end of its answer."))
     , m_firstEventTime(registry.summary("godwit_first_event_seconds",
--- a/modules/gateway/src/requestlog.cpp
+++ b/modules/gateway/src/requestlog.cpp
@@ -9,12 +9,12 @@
 
 namespace {
 
-constexpr std::size_t KindCount = 5;
+constexpr std::size_t KindCount = 7;
 /// Rate limits, by RequestLogKind. Answers are sampled; the others are only dropped in bursts.
-constexpr std::array<double, KindCount> LinesPerSecond{5, 40, 40, 40, 5};
-constexpr std::array<std::string_view, KindCount> EventNames{"request_answered", "request_failed",
-                                                             "backend_leaving", "backend_paused",
-                                                             "retry_after_malformed"};
+constexpr std::array<double, KindCount> LinesPerSecond{5, 40, 40, 40, 10, 10, 5};
+constexpr std::array<std::string_view, KindCount> EventNames{
+        "request_answered", "request_failed",   "backend_leaving",      "backend_paused",
+        "backend_held",     "backend_released", "retry_after_malformed"};
 
 struct LineBudget
 {
--- a/modules/gateway/src/requestlog.h
+++ b/modules/gateway/src/requestlog.h
@@ -12,6 +12,8 @@
     Failure,
     BackendLeaving,      ///< A response stated that its backend server leaves.
     BackendPaused,       ///< A response stated that its backend server wants no requests.
+    BackendHeld,         ///< A backend server is held to fewer requests than it has slots.
+    BackendReleased,     ///< It is not any more.
     RetryAfterMalformed, ///< A response stated a retry time that could not be read.
 };
 
