--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -269,6 +269,7 @@
     std::uint64_t requiredVersion(const ModelId &model, TimePoint now) const;
     static std::optional<std::uint64_t> servedVersion(const BackendRecord &record,
                                                       const ModelId &model);
+    static double currentFactor(const Backend &backend, TimePoint now);
     /// Penalty, in seconds, for a backend server that works \a factor times as long as usual.
     static double slownessPenalty(double factor);
     /// Penalty, in seconds, for a request at \a backend with \a load requests beyond its
--- a/modules/gateway/include/godwit/gateway/serverspeed.h
+++ b/modules/gateway/include/godwit/gateway/serverspeed.h
@@ -23,8 +23,9 @@
     struct EventGap
     {
         Duration gap{0};
-        Duration usual{0}; ///< Of the service at similar load, see UsualEventGap.
-        double load = 0;   ///< Requests at the backend server.
+        Duration usual{0};     ///< Of the service at similar load, see UsualEventGap.
+        Duration usualIdle{0}; ///< Of the service without load.
+        double load = 0;       ///< Requests at the backend server.
         double slots = 0;
         Duration max{0}; ///< Longest gap that callers accept; 0 if any is accepted.
     };
@@ -36,8 +37,10 @@
     /// of the service, including the tolerance.
     void recordStart(Duration late, TimePoint now);
 
-    /// Factor by which work takes longer than usual at this moment.
-    double factor(TimePoint now) const;
+    /// Factor by which work takes longer than usual at this moment. \a quietFor is the time since
+    /// the last event if streams are in progress, otherwise 0: a gap that has not ended shows slow
+    /// work already.
+    double factor(TimePoint now, Duration quietFor = Duration::zero()) const;
     /// Mean factor over the last seconds.
     double meanFactor(TimePoint now) const;
     /// Mean of the reported factors over the last seconds, whether they are true or not; 1 without
@@ -59,6 +62,8 @@
     double measuredFactor(TimePoint now) const;
     /// Weight, from 0 to 1, of reports against measured gaps.
     double reportTrust(TimePoint now) const;
+    /// Adds the \a ratio of a gap that began at \a gapBeganAt to the usual gap.
+    void updateMeanGapRatio(double ratio, TimePoint gapBeganAt, TimePoint now);
     void updateComfort(const EventGap &gap, double sinceLastGap, TimePoint now);
 
     /// Factor according to the last reports and gaps, at m_currentAt.
@@ -68,6 +73,8 @@
     std::optional<TimePoint> m_reportedAt;
     double m_meanGapRatio = 1; ///< Moving average of gaps in multiples of the usual, at m_gapAt.
     std::optional<TimePoint> m_gapAt;
+    std::uint64_t m_gapCount = 0;
+    Duration m_usualGap{0};       ///< At m_gapAt.
     double m_gapLevelSeconds = 0; ///< Moving average of the last gaps.
     /// Comfortable slots at m_comfortAt; none if there is no limit below the slots.
     std::optional<double> m_comfort;
--- a/modules/gateway/include/godwit/gateway/usualeventgap.h
+++ b/modules/gateway/include/godwit/gateway/usualeventgap.h
@@ -16,7 +16,8 @@
     /// if all slots are taken) and whose work took \a factor times as long as usual.
     void record(Duration gap, double utilization, double factor);
 
-    /// Median at \a utilization; 0 before the first gap. A range without gaps uses the nearest one.
+    /// Median at \a utilization, or that at a higher one if it is shorter; 0 before the first gap.
+    /// A range without gaps uses another one.
     Duration at(double utilization) const;
 
 private:
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -355,7 +355,7 @@
             continue;
         const double slots = slotCount(*it, service);
         const double load = estimateRequests(*it, meanRemote, now);
-        const double factor = it->speed.factor(now);
+        const double factor = currentFactor(*it, now);
         const double wait = factor * waitSeconds(*it, query.urgency, load, slots, hold);
         shortestWait = std::min(shortestWait, wait);
         if (it->isHalfOpen() && it->queuedRequests > 0)
--- a/modules/gateway/src/backendspeed.cpp
+++ b/modules/gateway/src/backendspeed.cpp
@@ -17,6 +17,13 @@
 
 } // namespace
 
+double BackendPool::currentFactor(const Backend &backend, TimePoint now)
+{
+    const bool hasStreams = backend.localRequests > backend.queuedRequests;
+    const bool isQuiet = hasStreams && backend.activeAt != TimePoint();
+    return backend.speed.factor(now, isQuiet ? now - backend.activeAt : Duration::zero());
+}
+
 double BackendPool::slownessPenalty(double factor)
 {
     return std::min(MaxSlownessPenaltySeconds, (factor - 1) * SlownessPenaltySeconds);
@@ -46,7 +53,7 @@
 double BackendPool::speedFactor(const BackendId &id, TimePoint now) const
 {
     const auto it = m_backends.find(id);
-    return it == m_backends.end() ? 1 : it->second.speed.factor(now);
+    return it == m_backends.end() ? 1 : currentFactor(it->second, now);
 }
 
 void BackendPool::updateSpeed(Backend &backend, Duration gap, TimePoint now)
@@ -61,7 +68,12 @@
     // few backend servers do not move the median.
     usual.record(gap, load / slots, backend.speed.reportedMean(now));
     const bool wasHeld = backend.speed.isHeld();
-    backend.speed.recordEventGap({gap, usual.at(load / slots), load, slots, service.maxEventGap},
+    backend.speed.recordEventGap({.gap = gap,
+                                  .usual = usual.at(load / slots),
+                                  .usualIdle = usual.at(0),
+                                  .load = load,
+                                  .slots = slots,
+                                  .max = service.maxEventGap},
                                  now);
     if (backend.speed.isHeld() && !wasHeld)
         m_holdChanges.push_back(
--- a/modules/gateway/src/serverspeed.cpp
+++ b/modules/gateway/src/serverspeed.cpp
@@ -25,6 +25,8 @@
 /// memory to a few events, and a single long gap after a pause must not exceed the tolerance.
 constexpr double MinMeanGapWeight = 0.03;
 constexpr double MaxMeanGapWeight = 0.1;
+/// Number of usual gaps that are assumed before the first one is measured.
+constexpr double AssumedGaps = 2;
 /// Bound of the weight of one report in the mean; reports of a single turn must not dominate it.
 constexpr double MaxMeanReportWeight = 0.3;
 /// Mean gap, in multiples of the usual, up to which a backend server counts as equally fast. It
@@ -126,13 +128,18 @@
     return clampFactor(mean < 1 ? 1 + (mean - 1) * fastWeight : mean);
 }
 
-double ServerSpeed::factor(TimePoint now) const
+double ServerSpeed::factor(TimePoint now, Duration quietFor) const
 {
     const double mean = meanFactor(now);
     if (!m_currentAt)
         return mean;
     const double weight = std::exp(-toSeconds(now - *m_currentAt) / CurrentDecaySeconds);
-    return clampFactor(mean + (m_current - mean) * weight);
+    const double known = mean + (m_current - mean) * weight;
+    const bool isQuiet = quietFor > ToleratedEventGapRatio * m_usualGap;
+    if (!isQuiet || m_usualGap <= Duration::zero())
+        return clampFactor(known);
+    const double quietRatio = toSeconds(quietFor) / toSeconds(m_usualGap);
+    return clampFactor(std::max(known, withTolerance(quietRatio)));
 }
 
 void ServerSpeed::recordReport(std::uint32_t percent, TimePoint now)
@@ -158,14 +165,9 @@
     const double ratio = gap.usual > Duration::zero()
                                  ? clampFactor(toSeconds(gap.gap) / toSeconds(gap.usual))
                                  : 1;
+    m_usualGap = gap.usual;
     const double current = factor(now);
-    // The time of the gap itself is not a time without information.
-    const double mean =
-            m_gapAt ? 1 + (m_meanGapRatio - 1) * remainingWeight(now - gap.gap - *m_gapAt) : 1;
-    const double weight =
-            std::clamp(newWeight(sinceLast, MeanSeconds), MinMeanGapWeight, MaxMeanGapWeight);
-    m_meanGapRatio = mean + weight * (ratio - mean);
-    m_gapAt = now;
+    updateMeanGapRatio(ratio, now - gap.gap, now);
     if (!m_reportedAt)
         return;
     // The events of all streams of an engine arrive together and count as one.
@@ -176,6 +178,26 @@
     m_currentAt = now;
 }
 
+void ServerSpeed::updateMeanGapRatio(double ratio, TimePoint gapBeganAt, TimePoint now)
+{
+    double mean = 1;
+    double sinceLast = MeanSeconds;
+    if (m_gapAt) {
+        // An old mean is forgotten as far as the new gap contradicts it. If the gap confirms it, it
+        // is not learned again, so that each trial of a slow backend server costs few requests.
+        const double forgotten =
+                std::clamp(ratio, std::min(1.0, m_meanGapRatio), std::max(1.0, m_meanGapRatio));
+        mean = forgotten + (m_meanGapRatio - forgotten) * remainingWeight(gapBeganAt - *m_gapAt);
+        sinceLast = toSeconds(now - *m_gapAt);
+    }
+    const double usualWeight =
+            std::clamp(newWeight(sinceLast, MeanSeconds), MinMeanGapWeight, MaxMeanGapWeight);
+    const double weight =
+            std::max(usualWeight, 1 / (static_cast<double>(++m_gapCount) + AssumedGaps));
+    m_meanGapRatio = mean + weight * (ratio - mean);
+    m_gapAt = now;
+}
+
 void ServerSpeed::recordStart(Duration late, TimePoint now)
 {
     const double seconds = std::max(0.0, toSeconds(late));
@@ -207,9 +229,9 @@
     m_gapLevelSeconds += weight * (seconds - m_gapLevelSeconds);
     if (gap.max <= Duration::zero())
         return;
-    // Gaps that are usual for the service do not improve with fewer requests on this server.
+    // Gaps that are usual also without load do not improve with fewer requests.
     const double comfortable = std::max(ComfortableGapShare * toSeconds(gap.max),
-                                        ToleratedEventGapRatio * toSeconds(gap.usual));
+                                        ToleratedEventGapRatio * toSeconds(gap.usualIdle));
     const double comfort = comfortableSlots(gap.slots, now);
     if (m_gapLevelSeconds <= comfortable) {
         if (m_comfort && gap.load > comfort - 1) {
--- a/modules/gateway/src/usualeventgap.cpp
+++ b/modules/gateway/src/usualeventgap.cpp
@@ -11,6 +11,8 @@
 /// the smallest one bounds how much the gaps of a single backend server can move it.
 constexpr double FirstStep = 1;
 constexpr double MinStep = 0.01;
+/// Number of gaps from which the median of a range can be compared with that of another one.
+constexpr std::uint32_t MinCount = 16;
 
 std::size_t rangeOf(double utilization, std::size_t count)
 {
@@ -38,17 +40,18 @@
 
 Duration UsualEventGap::at(double utilization) const
 {
-    const auto wanted = static_cast<int>(rangeOf(utilization, m_ranges.size()));
-    const Range *nearest = nullptr;
-    int nearestDistance = 0;
-    for (std::size_t i = 0; i < m_ranges.size(); ++i) {
-        const int distance = std::abs(static_cast<int>(i) - wanted);
-        if (m_ranges[i].count > 0 && (!nearest || distance < nearestDistance)) {
-            nearest = &m_ranges[i];
-            nearestDistance = distance;
-        }
+    const std::size_t own = rangeOf(utilization, m_ranges.size());
+    double seconds = m_ranges[own].seconds;
+    for (std::size_t i = own; seconds <= 0 && i > 0; --i)
+        seconds = m_ranges[i - 1].seconds;
+    // A server with fewer requests is not slower for that. Slow ones get few requests, so that the
+    // lower ranges may know no others.
+    for (std::size_t i = own + 1; i < m_ranges.size(); ++i) {
+        const Range &busier = m_ranges[i];
+        if (seconds <= 0 || (busier.count >= MinCount && busier.seconds < seconds))
+            seconds = busier.seconds;
     }
-    return nearest ? fromSeconds(nearest->seconds) : Duration::zero();
+    return fromSeconds(seconds);
 }
 
 } // namespace godwit
