Weigh the first event gaps of a backend server equally

A process gets few events of each engine, and the mean began at two assumed usual gaps.

Ruled out by trials: the time for which a mean is kept, the comfortable slots, the size of the penalty.

Change: the first gaps have equal weights, so that the first one sets the mean, as before ServerSpeed.

--- a/modules/gateway/src/serverspeed.cpp
+++ b/modules/gateway/src/serverspeed.cpp
@@ -25,8 +25,6 @@
 /// memory to a few events, and a single long gap after a pause must not exceed the tolerance.
 constexpr double MinMeanGapWeight = 0.03;
 constexpr double MaxMeanGapWeight = 0.1;
-/// Number of usual gaps that are assumed before the first one is measured.
-constexpr double AssumedGaps = 2;
 /// Bound of the weight of one report in the mean; reports of a single turn must not dominate it.
 constexpr double MaxMeanReportWeight = 0.3;
 /// Mean gap, in multiples of the usual, up to which a backend server counts as equally fast. It
@@ -192,8 +190,9 @@
     }
     const double usualWeight =
             std::clamp(newWeight(sinceLast, MeanSeconds), MinMeanGapWeight, MaxMeanGapWeight);
-    const double weight =
-            std::max(usualWeight, 1 / (static_cast<double>(++m_gapCount) + AssumedGaps));
+    // The first gaps have equal weights: a process with few streams would otherwise take many
+    // requests to learn that a backend server is slow.
+    const double weight = std::max(usualWeight, 1 / static_cast<double>(++m_gapCount));
     m_meanGapRatio = mean + weight * (ratio - mean);
     m_gapAt = now;
 }
--- a/modules/gateway/tests/serverspeedtest.cpp
+++ b/modules/gateway/tests/serverspeedtest.cpp
@@ -65,6 +65,12 @@
         CHECK(it.factor() == 1);
         CHECK_FALSE(it.speed.isHeld());
     }
+    // Guards against many requests at a slow server in a process that gets few events.
+    SECTION("the first gaps count most")
+    {
+        it.runEvents(SlowGap, 3 * SlowGap);
+        CHECK(it.factor() > 2);
+    }
     SECTION("slow for good")
     {
         it.runEvents(SlowGap, 10s);
