Learn the speed of backend servers only where the settings ask for it

Change: the setting routing.learned_speed, off by default, switches the feature on. Without it the penalty for long event gaps is that of before, and reports of the work time have no effect.

--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -33,6 +33,7 @@
         options.zoneRegions.emplace(it.id, it.region);
     options.retryBudget = {bounds.retryBudgetRatio, bounds.retryBudgetSlack,
                            bounds.retryBudgetWindow};
+    options.learnsSpeed = settings.learnsSpeed;
     options.warmup = {bounds.coldOverage, bounds.coldSlack, bounds.entryProcesses};
     options.maxDenialAge = maxDenialAge(bounds);
     if (bounds.strictRevocation)
--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -138,6 +138,10 @@
     BackendPool(ZoneId zone, Random random, ZonePlacement placement = {},
                 WarmupLimiter warmup = {});
 
+    /// Whether the learned speed of the backend servers determines the predicted times and how many
+    /// requests they get. Otherwise long event gaps are penalized only. Off by default.
+    void setLearnsSpeed(bool isOn) { m_learnsSpeed = isOn; }
+
     /// Adds a backend server or replaces its record. Health statistics are reset if the process
     /// behind the record has changed.
     void update(const BackendRecord &record, TimePoint now);
@@ -250,6 +254,7 @@
         int consecutiveRejections = 0;
         /// Moving average of the event gaps of its streams; 0 if unknown.
         double eventGapSeconds = 0;
+        TimePoint eventGapAt; ///< Of the last sample.
         ServerSpeed speed;
         TimePoint activeAt;         ///< Arrival of the last part of a response.
         double failureRate = 0;     ///< Moving average over the attempts.
@@ -287,6 +292,10 @@
     static std::optional<std::uint64_t> servedVersion(const BackendRecord &record,
                                                       const ModelId &model);
     static double currentFactor(const Backend &backend, TimePoint now);
+    /// Median of the mean event gaps, in seconds; 0 if there are none.
+    static double medianEventGap(const std::vector<const Backend *> &backends);
+    /// Penalty, in seconds, for a backend server whose event gaps exceed the median.
+    static double eventGapPenalty(const Backend &backend, double medianGap, TimePoint now);
     /// Penalty, in seconds, for a backend server that works \a factor times as long as usual.
     static double slownessPenalty(double factor);
     /// Penalty, in seconds, for a request at \a backend with \a load requests beyond its
@@ -346,6 +355,7 @@
     WarmupLimiter m_warmup;
     std::map<ZoneId, TimePoint> m_zoneReturns; ///< Ends of the evacuations.
     std::vector<HoldChange> m_holdChanges;
+    bool m_learnsSpeed = false;
     bool m_enginesChanged = false; ///< The schedules have to be updated.
 };
 
--- a/modules/gateway/include/godwit/gateway/gatewayoptions.h
+++ b/modules/gateway/include/godwit/gateway/gatewayoptions.h
@@ -17,6 +17,7 @@
     std::map<ZoneId, RegionId> zoneRegions; ///< Regions of all zones of the fleet.
     RetryBudgetLimits retryBudget;
     WarmupBounds warmup;
+    bool learnsSpeed = false; ///< See BackendPool::setLearnsSpeed().
     /// Requests with a key are refused if the configuration has not been confirmed for longer than
     /// this, because the key may have been revoked meanwhile. Zero disables the check.
     Duration maxKeyAge{0};
--- a/modules/gateway/src/backendmeasurements.cpp
+++ b/modules/gateway/src/backendmeasurements.cpp
@@ -65,7 +65,9 @@
                     ? backend->eventGapSeconds
                               + EventGapWeight * (seconds - backend->eventGapSeconds)
                     : seconds;
-    updateSpeed(*backend, gap, now);
+    backend->eventGapAt = now;
+    if (m_learnsSpeed)
+        updateSpeed(*backend, gap, now);
 }
 
 void BackendPool::onAnswered(const BackendId &id, TimePoint sentAt)
@@ -218,7 +220,7 @@
     backend->remoteRequests = std::max(0.0, static_cast<double>(load.running) + load.waiting
                                                     - static_cast<double>(backend->localRequests));
     backend->loadReportedAt = now;
-    if (load.workTimePercent)
+    if (m_learnsSpeed && load.workTimePercent)
         backend->speed.recordReport(*load.workTimePercent, now);
 }
 
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -405,6 +405,7 @@
             service && service->holdSeconds > 0 ? service->holdSeconds : DefaultHoldSeconds;
     const double meanRemote = meanRemoteRequests(candidates, now);
     m_services[query.service].meanRemoteRequests = meanRemote;
+    const double medianGap = m_learnsSpeed ? 0 : medianEventGap(candidates);
     const bool anyHeld =
             std::ranges::any_of(candidates, [](const Backend *it) { return it->speed.isHeld(); });
     const EngineProfile *engine = service && service->engine ? &*service->engine : nullptr;
@@ -420,7 +421,7 @@
             continue;
         const double slots = slotCount(*it, service);
         const double load = estimateRequests(*it, meanRemote, now);
-        const double factor = currentFactor(*it, now);
+        const double factor = m_learnsSpeed ? currentFactor(*it, now) : 1;
         const double wait = factor * waitSeconds(*it, query.urgency, load, slots, hold);
         shortestWait = std::min(shortestWait, wait);
         if (it->isHalfOpen() && it->queuedRequests > 0)
@@ -435,13 +436,15 @@
         const TimePoint firstEventAt = now + fromSeconds(start + startDelay);
         if (delay > query.maxQueueDelay || (startDeadline && firstEventAt > *startDeadline))
             continue;
-        const double cost = start + load / slots * UtilizationPenaltySeconds
-                            + (it->record.zone == m_zone ? 0 : CrossZonePenaltySeconds)
-                            + it->failureRate * FailurePenaltySeconds + slownessPenalty(factor)
-                            + it->speed.startLateness(now)
-                            + (anyHeld ? discomfortPenalty(*it, load, slots, now) : 0)
-                            + reloadPenalty(it->record, query.model, start + ownHold * factor, now)
-                            + m_random.uniform() * JitterSeconds;
+        const double cost =
+                start + load / slots * UtilizationPenaltySeconds
+                + (it->record.zone == m_zone ? 0 : CrossZonePenaltySeconds)
+                + it->failureRate * FailurePenaltySeconds
+                + (m_learnsSpeed ? slownessPenalty(factor) : eventGapPenalty(*it, medianGap, now))
+                + it->speed.startLateness(now)
+                + (anyHeld ? discomfortPenalty(*it, load, slots, now) : 0)
+                + reloadPenalty(it->record, query.model, start + ownHold * factor, now)
+                + m_random.uniform() * JitterSeconds;
         if (!best || cost < bestCost) {
             best = BackendChoice{
                     it->record.id, it->record.endpoint,   fromSeconds(start), wait <= 0,
--- a/modules/gateway/src/backendspeed.cpp
+++ b/modules/gateway/src/backendspeed.cpp
@@ -2,6 +2,9 @@
 #include <godwit/gateway/backendpool.h>
 
 #include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <vector>
 
 namespace godwit {
 
@@ -10,6 +13,11 @@
 /// Penalty per unit of the factor above 1, in seconds.
 constexpr double SlownessPenaltySeconds = 0.15;
 constexpr double MaxSlownessPenaltySeconds = 0.4;
+/// Average gap, in multiples of the median of all backend servers, up to which there is no penalty.
+constexpr double ToleratedEventGapRatio = 1.5;
+/// Time constant with which a measured gap decays, so that a backend server that was slow is tried
+/// again.
+constexpr double EventGapDecaySeconds = 3.0;
 /// Penalty for a request beyond the comfortable slots, in seconds. It exceeds the penalties for
 /// utilization and zone, so that other backend servers fill up first, and is far below the one for
 /// failures.
@@ -17,6 +25,29 @@
 
 } // namespace
 
+double BackendPool::medianEventGap(const std::vector<const Backend *> &backends)
+{
+    std::vector<double> gaps;
+    for (const Backend *it : backends) {
+        if (it->eventGapSeconds > 0)
+            gaps.push_back(it->eventGapSeconds);
+    }
+    if (gaps.empty())
+        return 0;
+    const auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
+    std::ranges::nth_element(gaps, middle);
+    return *middle;
+}
+
+double BackendPool::eventGapPenalty(const Backend &backend, double medianGap, TimePoint now)
+{
+    if (medianGap <= 0 || backend.eventGapSeconds <= medianGap * ToleratedEventGapRatio)
+        return 0;
+    const double weight = std::exp(-toSeconds(now - backend.eventGapAt) / EventGapDecaySeconds);
+    const double excess = backend.eventGapSeconds / medianGap - ToleratedEventGapRatio;
+    return weight * std::min(MaxSlownessPenaltySeconds, excess * SlownessPenaltySeconds);
+}
+
 double BackendPool::currentFactor(const Backend &backend, TimePoint now)
 {
     const bool hasStreams = backend.localRequests > backend.queuedRequests;
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -40,7 +40,9 @@
     , m_backends(options.zone, Random(random()), ZonePlacement(options.zoneRegions),
                  WarmupLimiter(options.warmup, m_environment.scheduler.now()))
     , m_retryBudget(options.retryBudget)
-{}
+{
+    m_backends.setLearnsSpeed(options.learnsSpeed);
+}
 
 Gateway::~Gateway() = default;
 
--- a/modules/gateway/tests/serverspeedgatewaytest.cpp
+++ b/modules/gateway/tests/serverspeedgatewaytest.cpp
@@ -13,6 +13,7 @@
 {
     Fixture it;
     it.configure();
+    it.gateway.backends().setLearnsSpeed(true);
     const BackendId slow("b1");
     const auto runEvents = [&](Duration gap, Duration duration) {
         for (const TimePoint end = it.scheduler.now() + duration; it.scheduler.now() < end;) {
--- a/modules/gateway/tests/serverspeedtest.cpp
+++ b/modules/gateway/tests/serverspeedtest.cpp
@@ -372,6 +372,7 @@
     PoolFixture()
     {
         pool.setServices({engineService()});
+        pool.setLearnsSpeed(true);
         pool.setEventGapLimits({streamRoute()});
         for (int i = 1; i <= 4; ++i) {
             pool.update(engine(i), now);
@@ -549,6 +550,7 @@
         for (int p = 0; p < PoolCount; ++p) {
             m_pools.emplace_back(ZoneId("z"), Random(options.seed * PoolCount + p));
             m_pools.back().setServices({engineService()});
+            m_pools.back().setLearnsSpeed(true);
             m_pools.back().setEventGapLimits({streamRoute()});
             for (int e = 0; e < EngineCount; ++e)
                 m_pools.back().update(engine(e), m_now);
--- a/modules/settings/include/godwit/settings/fleetsettings.h
+++ b/modules/settings/include/godwit/settings/fleetsettings.h
@@ -80,6 +80,8 @@
     FleetListenSettings listen;
     FleetBounds bounds;
     FleetLimits limits;
+    /// Whether an entry process learns the speed of the backend servers, see ServerSpeed.
+    bool learnsSpeed = false;
     std::optional<LocalEngineSettings> engine; ///< Host role only.
 
     friend bool operator==(const FleetSettings &, const FleetSettings &) = default;
--- a/modules/settings/src/settingsparser.cpp
+++ b/modules/settings/src/settingsparser.cpp
@@ -252,6 +252,8 @@
     reader.section("listen", [&](SettingsReader &it) { readFleetListen(it, settings.listen); });
     reader.section("bounds", [&](SettingsReader &it) { readBounds(it, settings.bounds); });
     reader.section("limits", [&](SettingsReader &it) { readLimits(it, settings.limits); });
+    reader.section("routing",
+                   [&](SettingsReader &it) { it.boolean("learned_speed", settings.learnsSpeed); });
     reader.section("engine", [&](SettingsReader &it) { readLocalEngine(it, settings.engine); });
     if (hasRole)
         checkFleetRole(reader, settings);
