--- a/modules/gateway/include/godwit/gateway/gatewaymetrics.h
+++ b/modules/gateway/include/godwit/gateway/gatewaymetrics.h
@@ -42,6 +42,8 @@
     /// An attempt was placed elsewhere, or refused, because cold backend servers had got as many
     /// requests as they may.
     void recordColdPassedOver() { m_coldPassedOver.add(1); }
+    /// A backend server was held to fewer requests than it has slots, or no longer.
+    void recordHold(bool isHeld) { m_heldBackends.add(isHeld ? 1 : -1); }
     /// A response started with weights that were outdated by then.
     void recordOutdatedStart() { m_outdatedStarts.add(1); }
 
@@ -54,6 +56,7 @@
     Gauge &m_evacuatedZones;
     Gauge &m_coldBackends;
     Counter &m_coldPassedOver;
+    Gauge &m_heldBackends;
     Summary &m_responseTime;
     Summary &m_firstEventTime;
 };
--- a/modules/gateway/src/gatewaymetrics.cpp
+++ b/modules/gateway/src/gatewaymetrics.cpp
@@ -37,6 +37,8 @@
     , m_coldPassedOver(
               registry.counter("godwit_cold_passed_over_total",
                                "Attempts that cold backend servers at their limit did not get."))
+    , m_heldBackends(registry.gauge("godwit_held_backends",
+                                    "Backend servers held to fewer requests than they have slots."))
     , m_responseTime(registry.summary("godwit_answer_seconds",
                                       "Time from a request to the end of its answer."))
     , m_firstEventTime(registry.summary("godwit_first_event_seconds",
