--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -33,6 +33,8 @@
         options.zoneRegions.emplace(it.id, it.region);
     options.retryBudget = {bounds.retryBudgetRatio, bounds.retryBudgetSlack,
                            bounds.retryBudgetWindow};
+    options.ranksCallers = settings.ranksCallers;
+    options.learnsSpeed = settings.learnsSpeed;
     options.warmup = {bounds.coldOverage, bounds.coldSlack, bounds.entryProcesses};
     options.maxDenialAge = maxDenialAge(bounds);
     if (bounds.strictRevocation)
--- a/modules/gateway/include/godwit/gateway/queueposition.h
+++ b/modules/gateway/include/godwit/gateway/queueposition.h
@@ -51,6 +51,8 @@
     bool remove(const QueuePosition &position);
 
     std::uint32_t count() const { return m_count; }
+    /// Those of them that are late.
+    std::uint32_t lateCount() const { return m_lateCount; }
     /// Share of the requests that are admitted before one that arrives now at \a position; 1 if
     /// there are none.
     double shareAhead(const QueuePosition &position) const;
@@ -60,6 +62,7 @@
 
     std::array<std::uint32_t, LeastUrgentPriority + 1> m_counts{};
     std::uint32_t m_count = 0;
+    std::uint32_t m_lateCount = 0;
 };
 
 /// Shares of the effective priorities in the requests that wait for the backend servers of a
--- a/modules/gateway/src/gatewaydemand.cpp
+++ b/modules/gateway/src/gatewaydemand.cpp
@@ -22,6 +22,8 @@
 
 DemandTreatment Gateway::recordDemand(const std::string &service, const Demand &demand)
 {
+    if (!m_options.ranksCallers)
+        return {.priority = demand.priority};
     const TimePoint now = m_environment.scheduler.now();
     auto tracker = m_demandTrackers.find(service);
     if (tracker == m_demandTrackers.end())
@@ -37,6 +39,8 @@
                               const std::variant<BackendChoice, NoBackend> &found,
                               RequestUrgency urgency)
 {
+    if (!m_options.ranksCallers)
+        return;
     m_environment.metrics.recordAdmission(classify(treatment, found, urgency));
     const TimePoint now = m_environment.scheduler.now();
     DemandTracker &tracker = m_demandTrackers.at(service);
--- a/modules/gateway/src/queueposition.cpp
+++ b/modules/gateway/src/queueposition.cpp
@@ -31,6 +31,7 @@
 {
     ++m_counts[indexOf(position.effectivePriority())];
     ++m_count;
+    m_lateCount += position.urgency == RequestUrgency::Late;
 }
 
 bool QueuedRequests::remove(const QueuePosition &position)
@@ -40,6 +41,8 @@
         return false;
     --count;
     --m_count;
+    if (position.urgency == RequestUrgency::Late && m_lateCount > 0)
+        --m_lateCount;
     return true;
 }
 
--- a/modules/gateway/tests/backendpooltest.cpp
+++ b/modules/gateway/tests/backendpooltest.cpp
@@ -552,6 +552,7 @@
     {
         auto urgent = query();
         urgent.priority = 2;
+        it.pool.setRanksCallers(true);
         fill(Slots, RequestUrgency::OnTime);
         for (int i = 0; i < Slots; ++i)
             it.pool.onResponseStarted(BackendId("e" + std::to_string(i % 4 + 1)),
@@ -572,6 +573,7 @@
     {
         auto urgent = query();
         urgent.priority = 2;
+        it.pool.setRanksCallers(true);
         for (int i = 1; i <= 4; ++i)
             it.pool.recordLoad(BackendId("e" + std::to_string(i)), {16, 8, 16}, it.now);
         CHECK(it.choose(urgent) == "none");
--- a/modules/gateway/tests/overloadtest.cpp
+++ b/modules/gateway/tests/overloadtest.cpp
@@ -138,7 +138,9 @@
         Process(Random poolRandom, Random trackerRandom)
             : pool(ZoneId("z"), poolRandom)
             , tracker(trackerRandom)
-        {}
+        {
+            pool.setRanksCallers(true);
+        }
 
         BackendPool pool;
         DemandTracker tracker;
--- a/modules/settings/include/godwit/settings/fleetsettings.h
+++ b/modules/settings/include/godwit/settings/fleetsettings.h
@@ -80,6 +80,10 @@
     FleetListenSettings listen;
     FleetBounds bounds;
     FleetLimits limits;
+    /// Whether callers compete by priority and share when a service is short, see DemandTracker.
+    bool ranksCallers = false;
+    /// Whether an entry process learns the speed of the backend servers, see ServerSpeed.
+    bool learnsSpeed = false;
     std::optional<LocalEngineSettings> engine; ///< Host role only.
 
     friend bool operator==(const FleetSettings &, const FleetSettings &) = default;
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -29,3 +29,7 @@
     *) echo "unknown kind of test run: $kind" >&2; exit 2 ;;
     esac
 done
+
+# Tests that may fail, by their entries. They carry a tag that lets CTest pass over them.
+echo "known to fail, see KNOWN-RED.txt:"
+grep '^- test:' KNOWN-RED.txt | grep -v 'not in CI' || echo "none"
