--- a/modules/gateway/include/godwit/gateway/backendpool.h
+++ b/modules/gateway/include/godwit/gateway/backendpool.h
@@ -7,6 +7,7 @@
 #include <godwit/gateway/backendrecord.h>
 #include <godwit/gateway/gatewayconfiguration.h>
 #include <godwit/gateway/loadschedule.h>
+#include <godwit/gateway/queueposition.h>
 #include <godwit/gateway/route.h>
 #include <godwit/gateway/serverspeed.h>
 #include <godwit/gateway/usualeventgap.h>
@@ -37,12 +38,6 @@
     Withdrawn,   ///< Cancelled before any byte was sent; not executed.
 };
 
-/// Whether the response can start within the latency objective of its route.
-enum class RequestUrgency {
-    OnTime,
-    Late, ///< Queued behind all requests that can still meet their objective.
-};
-
 /// Properties of a request that determine which backend server can take it.
 struct BackendQuery
 {
@@ -58,6 +53,9 @@
     Duration maxQueueDelay = Duration::max();
     /// Requests that are on time overtake the late ones in the queue of a backend server.
     RequestUrgency urgency = RequestUrgency::OnTime;
+    std::uint32_t priority = DefaultPriority; ///< More urgent requests overtake it in the queue.
+
+    QueuePosition position() const { return {urgency, priority}; }
 };
 
 /// A backend server that could take a request but for what it has stated itself, or because it is
@@ -138,6 +136,10 @@
     BackendPool(ZoneId zone, Random random, ZonePlacement placement = {},
                 WarmupLimiter warmup = {});
 
+    /// Whether predicted waits count only the requests that are admitted before, by priority.
+    /// Otherwise requests on time overtake late ones only. Off by default.
+    void setRanksCallers(bool isOn) { m_ranksCallers = isOn; }
+
     /// Whether the learned speed of the backend servers determines the predicted times and how many
     /// requests they get. Otherwise long event gaps are penalized only. Off by default.
     void setLearnsSpeed(bool isOn) { m_learnsSpeed = isOn; }
@@ -187,9 +189,9 @@
                    std::optional<std::uint64_t> version) const;
 
     /// An attempt was sent to \a id.
-    void onAttemptStarted(const BackendId &id, RequestUrgency urgency, TimePoint now);
+    void onAttemptStarted(const BackendId &id, QueuePosition position, TimePoint now);
     /// The first event of its response arrived.
-    void onResponseStarted(const BackendId &id, RequestUrgency urgency);
+    void onResponseStarted(const BackendId &id, QueuePosition position);
     /// The response to a request that found a free slot started \a delay later than predicted.
     void recordStartDelay(const BackendId &id, Duration delay, TimePoint now);
     /// An attempt has had no answer for unusually long and goes on. Counts as a failure until
@@ -204,7 +206,7 @@
                            TimePoint now);
     /// The attempt ended before an event of its response arrived; called in addition to
     /// onAttemptFinished().
-    void onFinishedBeforeResponse(const BackendId &id, RequestUrgency urgency);
+    void onFinishedBeforeResponse(const BackendId &id, QueuePosition position);
     /// A response reported \a load, which includes the request that it answers.
     void recordLoad(const BackendId &id, const BackendLoad &load, TimePoint now);
 
@@ -237,6 +239,9 @@
 
     std::size_t size() const { return m_backends.size(); }
 
+    /// Usual delay of the first event of a request for \a service beyond the prediction.
+    Duration startDelay(const std::string &service) const;
+
     /// Number of requests of this process in progress at \a id.
     std::uint32_t inProgress(const BackendId &id) const;
 
@@ -244,10 +249,9 @@
     struct Backend
     {
         BackendRecord record;
-        std::uint32_t localRequests = 0;      ///< Requests of this process in progress.
-        std::uint32_t queuedRequests = 0;     ///< Those of them whose response has not started.
-        std::uint32_t queuedLateRequests = 0; ///< Those of the queued ones that are late.
-        double remoteRequests = 0;            ///< Requests of other processes at loadReportedAt.
+        std::uint32_t localRequests = 0; ///< Requests of this process in progress.
+        QueuedRequests queued;           ///< Those of them whose response has not started.
+        double remoteRequests = 0;       ///< Requests of other processes at loadReportedAt.
         std::optional<TimePoint> loadReportedAt;
         std::uint32_t reportedSlots = 0;
         int consecutiveFailures = 0;
@@ -273,6 +277,9 @@
         /// Moving average of the delay of the first event, beyond the prediction, of requests that
         /// found a free slot. It covers the prefill pass of the engine and the tokens of one event.
         double startDelaySeconds = 0;
+        QueuedRequests queued; ///< Requests of this process whose response has not started.
+        PriorityMix queuedMix; ///< Of the requests above.
+        AttemptMix attempts;   ///< Of this process.
         /// By the first model that a backend server serves: models differ in their usual gaps.
         std::map<ModelId, UsualEventGap> usualEventGaps;
         Duration maxEventGap{0};       ///< That callers accept; 0 if they accept any.
@@ -331,12 +338,18 @@
                           std::vector<const Backend *> &candidates);
     /// Counts \a record as cold because its zone has returned from an evacuation.
     void recordZoneReturn(const BackendRecord &record, TimePoint now);
-    /// Time until \a backend with \a load requests has a free slot for a request of \a urgency.
-    static double waitSeconds(const Backend &backend, RequestUrgency urgency, double load,
-                              double slots, double hold);
+    /// Time until \a backend with \a load requests has a free slot for a request at \a position.
+    double waitSeconds(const Backend &backend, const Service *service, QueuePosition position,
+                       double load, double slots, double hold) const;
+    /// The same if priorities do not count.
+    static double unrankedWaitSeconds(const Backend &backend, RequestUrgency urgency, double load,
+                                      double slots, double hold);
+    /// How many of \a waiting requests at \a backend are admitted before one at \a position.
+    static double countAhead(const Backend &backend, const Service *service, QueuePosition position,
+                             double waiting);
+    void removeFromQueue(const BackendId &id, QueuePosition position);
     void recordOutputTokens(const BackendQuery &query);
     static void recordFailure(Backend &backend, TimePoint now);
-    static void removeFromQueue(Backend &backend, RequestUrgency urgency);
     /// Weight, from 0 to 1, of the last load report of \a backend; decays with its age.
     static double loadReportWeight(const Backend &backend, TimePoint now);
     static double meanRemoteRequests(const std::vector<const Backend *> &backends, TimePoint now);
@@ -356,6 +369,7 @@
     std::map<ZoneId, TimePoint> m_zoneReturns; ///< Ends of the evacuations.
     std::vector<HoldChange> m_holdChanges;
     bool m_learnsSpeed = false;
+    bool m_ranksCallers = false;
     bool m_enginesChanged = false; ///< The schedules have to be updated.
 };
 
--- a/modules/gateway/src/backendmeasurements.cpp
+++ b/modules/gateway/src/backendmeasurements.cpp
@@ -101,7 +101,7 @@
     return it == m_backends.end() ? Duration::zero() : fromSeconds(it->second.eventGapSeconds);
 }
 
-void BackendPool::onAttemptStarted(const BackendId &id, RequestUrgency urgency, TimePoint now)
+void BackendPool::onAttemptStarted(const BackendId &id, QueuePosition position, TimePoint now)
 {
     Backend *backend = find(id);
     if (!backend)
@@ -109,22 +109,25 @@
     if (m_warmup.isLimited(backend->record.service))
         m_warmup.recordAttempt(id, backend->record.service, now);
     ++backend->localRequests;
-    ++backend->queuedRequests;
-    backend->queuedLateRequests += urgency == RequestUrgency::Late;
+    backend->queued.add(position);
+    Service &service = m_services[backend->record.service];
+    service.queued.add(position);
+    service.queuedMix.record(service.queued);
+    service.attempts.record(position);
 }
 
-void BackendPool::removeFromQueue(Backend &backend, RequestUrgency urgency)
+void BackendPool::removeFromQueue(const BackendId &id, QueuePosition position)
 {
-    if (backend.queuedRequests > 0)
-        --backend.queuedRequests;
-    if (urgency == RequestUrgency::Late && backend.queuedLateRequests > 0)
-        --backend.queuedLateRequests;
+    Backend *backend = find(id);
+    if (!backend)
+        return;
+    if (backend->queued.remove(position))
+        m_services[backend->record.service].queued.remove(position);
 }
 
-void BackendPool::onResponseStarted(const BackendId &id, RequestUrgency urgency)
+void BackendPool::onResponseStarted(const BackendId &id, QueuePosition position)
 {
-    if (Backend *backend = find(id))
-        removeFromQueue(*backend, urgency);
+    removeFromQueue(id, position);
 }
 
 void BackendPool::recordStartDelay(const BackendId &id, Duration delay, TimePoint now)
@@ -139,10 +142,9 @@
     service.startDelaySeconds += StartDelayWeight * (seconds - service.startDelaySeconds);
 }
 
-void BackendPool::onFinishedBeforeResponse(const BackendId &id, RequestUrgency urgency)
+void BackendPool::onFinishedBeforeResponse(const BackendId &id, QueuePosition position)
 {
-    if (Backend *backend = find(id))
-        removeFromQueue(*backend, urgency);
+    removeFromQueue(id, position);
 }
 
 void BackendPool::onSilence(const BackendId &id, TimePoint now)
--- a/modules/gateway/src/backendpool.cpp
+++ b/modules/gateway/src/backendpool.cpp
@@ -41,6 +41,9 @@
 /// Bounds of that time. Load reports are late by up to about a second if requests are few.
 constexpr double MinFillSeconds = 1;
 constexpr double MaxFillSeconds = 10;
+/// Upper bound of the assumed share of attempts that overtake a waiting request, which keeps the
+/// predicted wait finite.
+constexpr double MaxOvertakingShare = 0.9;
 /// Upper bound of the predicted wait for a slot.
 constexpr double MaxWaitSeconds = 60;
 
@@ -422,9 +425,9 @@
         const double slots = slotCount(*it, service);
         const double load = estimateRequests(*it, meanRemote, now);
         const double factor = m_learnsSpeed ? currentFactor(*it, now) : 1;
-        const double wait = factor * waitSeconds(*it, query.urgency, load, slots, hold);
+        const double wait = factor * waitSeconds(*it, service, query.position(), load, slots, hold);
         shortestWait = std::min(shortestWait, wait);
-        if (it->isHalfOpen() && it->queuedRequests > 0)
+        if (it->isHalfOpen() && it->queued.count() > 0)
             continue;
         const double start = wait + prefill * factor;
         // A free slot is used whatever the start delay; otherwise the delay could not be measured
@@ -461,17 +464,45 @@
     return it == m_backends.end() ? nullptr : &it->second;
 }
 
-double BackendPool::waitSeconds(const Backend &backend, RequestUrgency urgency, double load,
-                                double slots, double hold)
+double BackendPool::countAhead(const Backend &backend, const Service *service,
+                               QueuePosition position, double waiting)
+{
+    if (waiting <= 0)
+        return 0;
+    // Of the requests of other processes only their number is known. Their priorities are assumed
+    // to be those of the own ones at all backend servers of the service, if there are any.
+    const double own = std::min(1.0, backend.queued.count() / waiting);
+    const bool isMixKnown = service && service->queued.count() > 0;
+    const double others = isMixKnown ? service->queuedMix.shareAhead(position) : 1;
+    return waiting * (own * backend.queued.shareAhead(position) + (1 - own) * others);
+}
+
+double BackendPool::unrankedWaitSeconds(const Backend &backend, RequestUrgency urgency, double load,
+                                        double slots, double hold)
 {
     double ahead = std::max(0.0, load - slots);
     // Assumes the same share of late requests in the queues of the other processes.
-    if (urgency == RequestUrgency::OnTime && backend.queuedRequests > 0)
-        ahead *= 1 - static_cast<double>(backend.queuedLateRequests) / backend.queuedRequests;
+    if (urgency == RequestUrgency::OnTime && backend.queued.count() > 0)
+        ahead *= 1 - static_cast<double>(backend.queued.lateCount()) / backend.queued.count();
     const bool isFull = load + 1 > slots;
     return isFull ? (ahead + std::min(1.0, load + 1 - slots)) * hold / slots : 0;
 }
 
+double BackendPool::waitSeconds(const Backend &backend, const Service *service,
+                                QueuePosition position, double load, double slots,
+                                double hold) const
+{
+    if (!m_ranksCallers)
+        return unrankedWaitSeconds(backend, position.urgency, load, slots, hold);
+    const double ahead = countAhead(backend, service, position, load - slots);
+    const bool isFull = load + 1 > slots;
+    const double wait = isFull ? (ahead + std::min(1.0, load + 1 - slots)) * hold / slots : 0;
+    // While a request waits, more urgent ones arrive and take their share of the slots that become
+    // free.
+    const double overtaking = service ? service->attempts.shareOvertaking(position) : 0;
+    return wait / (1 - std::min(overtaking, MaxOvertakingShare));
+}
+
 bool BackendPool::isCurrent(const BackendInstance &instance, const ModelId &model,
                             std::optional<std::uint64_t> version) const
 {
@@ -480,6 +511,12 @@
            && servedVersion(it->second.record, model) == version;
 }
 
+Duration BackendPool::startDelay(const std::string &service) const
+{
+    const Service *found = findService(service);
+    return found ? fromSeconds(found->startDelaySeconds) : Duration::zero();
+}
+
 std::uint32_t BackendPool::inProgress(const BackendId &id) const
 {
     const auto it = m_backends.find(id);
--- a/modules/gateway/src/backendspeed.cpp
+++ b/modules/gateway/src/backendspeed.cpp
@@ -50,7 +50,7 @@
 
 double BackendPool::currentFactor(const Backend &backend, TimePoint now)
 {
-    const bool hasStreams = backend.localRequests > backend.queuedRequests;
+    const bool hasStreams = backend.localRequests > backend.queued.count();
     const bool isQuiet = hasStreams && backend.activeAt != TimePoint();
     return backend.speed.factor(now, isQuiet ? now - backend.activeAt : Duration::zero());
 }
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -41,6 +41,7 @@
                  WarmupLimiter(options.warmup, m_environment.scheduler.now()))
     , m_retryBudget(options.retryBudget)
 {
+    m_backends.setRanksCallers(options.ranksCallers);
     m_backends.setLearnsSpeed(options.learnsSpeed);
 }
 
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -147,13 +147,18 @@
 
 struct Fixture
 {
+    explicit Fixture(const GatewayOptions &given = options())
+        : gatewayOptions(given)
+    {}
+
+    GatewayOptions gatewayOptions;
     VirtualScheduler scheduler;
     TestProtocol protocol;
     MetricsRegistry registry;
     GatewayMetrics metrics{registry};
     std::vector<std::shared_ptr<BackendCall>> backendCalls;
     std::vector<CrashReport> crashReports;
-    Gateway gateway{options(),
+    Gateway gateway{gatewayOptions,
                     {scheduler, protocol, metrics,
                      [this](HttpCall call, HttpStreamHandlers handlers) {
                          auto backendCall = std::make_shared<BackendCall>();
--- a/modules/settings/tests/fleetsettingstest.cpp
+++ b/modules/settings/tests/fleetsettingstest.cpp
@@ -100,6 +100,22 @@
     }
 }
 
+// Guards against features that change how a deployment is served although its settings do not ask
+// for them.
+TEST_CASE("parseFleetSettings switches features of routing on only if they are asked for")
+{
+    const auto settingsOf = [](const std::string &text) {
+        const auto parsed =
+                parseFleetSettings("role = \"entry\"\n" + Common + Listen + text, "f.toml");
+        REQUIRE(parsed.index() == 0);
+        return std::get<0>(parsed);
+    };
+    CHECK_FALSE(settingsOf("").ranksCallers);
+    CHECK_FALSE(settingsOf("").learnsSpeed);
+    CHECK(settingsOf("[routing]\nranked_callers = true\n").ranksCallers);
+    CHECK(settingsOf("[routing]\nlearned_speed = true\n").learnsSpeed);
+}
+
 // Guards against defaults that an ordinary client reaches on the smallest host, and against ones
 // that exceed its memory or its descriptors.
 TEST_CASE("parseFleetSettings derives the limits for clients from those of the machine")
