--- a/modules/gateway/tests/warmuplimitertest.cpp
+++ b/modules/gateway/tests/warmuplimitertest.cpp
@@ -312,16 +312,9 @@
 /// one request in a window while they are cold.
 struct WarmupFixture : Fixture
 {
-    Gateway gateway{warmupOptions(),
-                    {scheduler, protocol, metrics,
-                     [this](HttpCall call, HttpStreamHandlers handlers) {
-                         auto backendCall = std::make_shared<BackendCall>();
-                         backendCall->call = std::move(call);
-                         backendCall->handlers = std::move(handlers);
-                         backendCalls.push_back(backendCall);
-                         return backendCall;
-                     }},
-                    Random(5)};
+    WarmupFixture()
+        : Fixture(warmupOptions())
+    {}
 
     static GatewayOptions warmupOptions()
     {
--- a/modules/gateway/tests/zoneplacementtest.cpp
+++ b/modules/gateway/tests/zoneplacementtest.cpp
@@ -18,16 +18,9 @@
 /// Two backend servers in each of the zones n (north), s (south) and x, whose region is unknown.
 struct PlacementFixture : Fixture
 {
-    Gateway gateway{placementOptions(),
-                    {scheduler, protocol, metrics,
-                     [this](HttpCall call, HttpStreamHandlers handlers) {
-                         auto backendCall = std::make_shared<BackendCall>();
-                         backendCall->call = std::move(call);
-                         backendCall->handlers = std::move(handlers);
-                         backendCalls.push_back(backendCall);
-                         return backendCall;
-                     }},
-                    Random(5)};
+    PlacementFixture()
+        : Fixture(placementOptions())
+    {}
 
     static GatewayOptions placementOptions()
     {
--- a/modules/ports/src/serverconnection.cpp
+++ b/modules/ports/src/serverconnection.cpp
@@ -1,12 +1,9 @@
 #include "serverconnection.h"
 
 #include <boost/asio/dispatch.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace godwit {
 
@@ -21,9 +18,6 @@
 /// connection, or receives the start of the next request. It is small so that a long streamed reply
 /// does not hold a full read buffer.
 constexpr std::size_t HandlingReadSize = 256;
-/// Chunks of a streamed reply are coalesced up to about this size. One system call writes up to 64
-/// buffers, and a chunk that is not coalesced would need three of them.
-constexpr std::size_t CoalescedBytes = 16UL * 1024;
 /// How long the server discards input after its last reply before it closes the connection. Closing
 /// a socket with unread input resets the connection, and the caller could lose the reply.
 constexpr Duration LingerTimeout = std::chrono::seconds(1);
@@ -32,11 +26,6 @@
 /// rejection would occupy the thread.
 constexpr std::size_t LingerBytes = 4UL * 1024 * 1024;
 
-/// Requests up to this size may use the part of the request memory that is kept for them. It is
-/// several times the limit of the headers of the operators.
-constexpr std::size_t SmallRequest = 64UL * 1024;
-constexpr std::size_t SmallRequestShare = 8; ///< One of this number of parts of the limit.
-
 /// A body of unknown length grows by one of this number of parts of its size, and at least by
 /// MinBodyGrowth. Doubling would hold up to twice the length.
 constexpr std::size_t BodyGrowthParts = 4;
@@ -49,38 +38,10 @@
         "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 constexpr const char *MemoryRetryAfter = "1"; ///< In seconds, for requests without memory.
 
-constexpr std::array<std::string_view, 10> RejectionNames{"malformed",
-                                                          "timeout",
-                                                          "body_limit",
-                                                          "header_limit",
-                                                          "incomplete_for_memory",
-                                                          "complete_for_memory",
-                                                          "output_memory",
-                                                          "idle_for_connection",
-                                                          "incomplete_for_connection",
-                                                          "connection"};
-
 /// Time for the next request of a connection that is open when the server stops and on which a
 /// request may be in transit: the first one, or one after a reply that left the connection open.
 constexpr Duration LastRequestTimeout = std::chrono::milliseconds(500);
 
-std::string formatHeader(int status, const HttpHeaders &headers)
-{
-    std::string text = "HTTP/1.1 " + std::to_string(status) + ' ';
-    text += httpReason(status);
-    text += "\r\n";
-    for (const auto &[name, value] : headers)
-        text += name + ": " + value + "\r\n";
-    return text;
-}
-
-std::string chunkPrefix(std::size_t size)
-{
-    char digits[2 * sizeof size];
-    const auto [end, ec] = std::to_chars(std::begin(digits), std::end(digits), size, 16);
-    return std::string(std::begin(digits), end) + "\r\n";
-}
-
 /// Returns the HTTP status of the reply to a request that the parser rejected with \a ec.
 int parseErrorStatus(const ErrorCode &ec)
 {
@@ -204,63 +165,6 @@
 
 } // namespace
 
-std::string_view toString(ServerRejection rejection)
-{
-    return RejectionNames[static_cast<std::size_t>(rejection)];
-}
-
-void ServerState::recordRejection(ServerRejection rejection) const
-{
-    if (onRejected)
-        onRejected(rejection);
-}
-
-bool ServerState::makeRequestRoom(std::size_t more, std::size_t size)
-{
-    const std::size_t limit = options.requestMemoryLimit;
-    if (limit == 0)
-        return true;
-    const bool isSmall = size <= SmallRequest;
-    const std::size_t available = isSmall ? limit : limit - limit / SmallRequestShare;
-    while (requestBytes + more > available) {
-        // Small requests do not give way to long ones.
-        const auto victim = std::ranges::find_if(receiving, [isSmall](ServerConnection *it) {
-            return isSmall || it->heldBytes() > SmallRequest;
-        });
-        if (victim == receiving.end())
-            return false;
-        (*victim)->rejectIncomplete(ServerRejection::IncompleteForMemory);
-    }
-    return true;
-}
-
-void ServerState::makeOutputRoom()
-{
-    while (options.outputMemoryLimit > 0 && outputBytes > options.outputMemoryLimit
-           && writing.size() > 1) {
-        recordRejection(ServerRejection::OutputMemory);
-        writing.front()->close();
-    }
-}
-
-bool ServerState::closeOneConnection()
-{
-    if (!lingering.empty()) {
-        lingering.front()->close();
-        return true;
-    }
-    const auto unused = std::ranges::find_if_not(idle, &ServerConnection::hasUnreadBytes);
-    if (unused != idle.end()) {
-        recordRejection(ServerRejection::IdleForConnection);
-        (*unused)->close();
-        return true;
-    }
-    if (receiving.empty())
-        return false;
-    receiving.front()->rejectAndClose(ServerRejection::IncompleteForConnection);
-    return true;
-}
-
 ServerConnection::ServerConnection(asio::io_context &io, tcp::socket socket,
                                    std::shared_ptr<ServerState> shared)
     : m_io(io)
@@ -280,49 +184,6 @@
     nextRequest();
 }
 
-void ServerConnection::send(std::uint64_t serial, HttpResponse response)
-{
-    if (!isCurrent(serial) || m_streaming)
-        return;
-    std::string text = formatHeader(response.status, response.headers);
-    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-    text += headerEnd();
-    if (m_headRequest)
-        response.body.clear();
-    enqueue(std::move(text));
-    if (!response.body.empty())
-        enqueue(std::move(response.body));
-    endReply();
-}
-
-void ServerConnection::startStream(std::uint64_t serial, int status, const HttpHeaders &headers)
-{
-    if (!isCurrent(serial) || m_streaming)
-        return;
-    m_streaming = true;
-    enqueue(formatHeader(status, headers) + "Transfer-Encoding: chunked\r\n" + headerEnd());
-}
-
-void ServerConnection::writeStream(std::uint64_t serial, std::string data)
-{
-    if (!isCurrent(serial) || !m_streaming || data.empty() || m_headRequest) {
-        m_queuedBytes.fetch_sub(data.size(), std::memory_order_relaxed);
-        return;
-    }
-    enqueueChunk(data);
-    if (queuedBytes() > m_shared->options.queueLimit)
-        close();
-}
-
-void ServerConnection::finishStream(std::uint64_t serial)
-{
-    if (!isCurrent(serial) || !m_streaming)
-        return;
-    if (!m_headRequest)
-        enqueue("0\r\n\r\n");
-    endReply();
-}
-
 void ServerConnection::abort(std::uint64_t serial)
 {
     if (isCurrent(serial))
@@ -653,122 +514,6 @@
                       std::make_shared<ServerReply>(shared_from_this(), m_serial, copies * size));
 }
 
-void ServerConnection::countOutput(OutputSegment &segment, std::size_t n)
-{
-    segment.countedBytes += n;
-    m_outputBytes += n;
-    m_shared->outputBytes += n;
-    const std::size_t limit = m_shared->options.outputMemoryLimit;
-    if (limit == 0 || m_shared->outputBytes <= limit)
-        return;
-    // Not now, since the end of other connections calls back into the handler that queues this.
-    asio::post(m_io, [shared = m_shared] { shared->makeOutputRoom(); });
-}
-
-void ServerConnection::enqueue(std::string bytes, std::size_t payloadBytes)
-{
-    const std::size_t size = bytes.capacity();
-    m_pending.push_back({std::move(bytes), payloadBytes});
-    countOutput(m_pending.back(), size);
-    if (m_inFlight.empty())
-        flush();
-}
-
-void ServerConnection::enqueueChunk(std::string_view data)
-{
-    if (m_pending.empty() || m_pending.back().bytes.size() > CoalescedBytes)
-        m_pending.emplace_back();
-    OutputSegment &segment = m_pending.back();
-    const std::size_t before = segment.bytes.capacity();
-    segment.bytes += chunkPrefix(data.size());
-    segment.bytes += data;
-    segment.bytes += "\r\n";
-    segment.payloadBytes += data.size();
-    countOutput(segment, segment.bytes.capacity() - before);
-    if (m_inFlight.empty())
-        flush();
-}
-
-void ServerConnection::flush()
-{
-    // Segments that are queued in one iteration of the event loop are written by one system call.
-    if (m_flushPosted || m_closed)
-        return;
-    m_flushPosted = true;
-    asio::post(m_io, [self = shared_from_this()] {
-        self->m_flushPosted = false;
-        self->writePending();
-    });
-}
-
-void ServerConnection::writePending()
-{
-    if (m_closed || m_pending.empty() || !m_inFlight.empty())
-        return;
-    m_inFlight.swap(m_pending);
-    std::vector<asio::const_buffer> buffers;
-    buffers.reserve(m_inFlight.size());
-    for (const OutputSegment &segment : m_inFlight)
-        buffers.emplace_back(segment.bytes.data(), segment.bytes.size());
-    m_timer.set(m_shared->options.writeTimeout);
-    m_writingPosition = m_shared->writing.insert(m_shared->writing.end(), this);
-    const auto onProgress = [self = shared_from_this()](const ErrorCode &ec, std::size_t n) {
-        self->onWriting();
-        return asio::transfer_all()(ec, n);
-    };
-    asio::async_write(
-            m_socket, buffers, onProgress,
-            [self = shared_from_this()](ErrorCode ec, std::size_t) { self->onWritten(ec); });
-}
-
-void ServerConnection::onWriting()
-{
-    if (m_writingPosition)
-        m_shared->writing.splice(m_shared->writing.end(), m_shared->writing, *m_writingPosition);
-}
-
-void ServerConnection::onWritten(const ErrorCode &ec)
-{
-    endWriting();
-    std::size_t counted = 0;
-    for (const OutputSegment &segment : m_inFlight) {
-        m_queuedBytes.fetch_sub(segment.payloadBytes, std::memory_order_relaxed);
-        counted += segment.countedBytes;
-    }
-    m_inFlight.clear();
-    if (m_closed)
-        return;
-    m_outputBytes -= counted;
-    m_shared->outputBytes -= counted;
-    if (ec) {
-        close();
-        return;
-    }
-    if (!m_pending.empty()) {
-        writePending();
-        return;
-    }
-    if (m_phase == Phase::Draining) {
-        afterReply();
-        return;
-    }
-    if (m_phase == Phase::Handling)
-        m_timer.clear();
-    if (m_onDrained) {
-        const auto callback = m_onDrained;
-        callback();
-    }
-}
-
-void ServerConnection::endReply()
-{
-    setPhase(Phase::Draining);
-    m_onDrained = nullptr;
-    m_onClosed = nullptr;
-    if (m_inFlight.empty() && m_pending.empty())
-        afterReply();
-}
-
 void ServerConnection::afterReply()
 {
     if (!m_keepAlive) {
