--- a/review/standin-2/kit.cpp
+++ b/review/standin-2/kit.cpp
@@ -184,10 +184,12 @@
 }
 
 void Deployment::putConfiguration(std::uint64_t version, const HttpEndpoint &origin,
-                                  const std::vector<std::string> &keys)
+                                  const std::vector<std::string> &keys,
+                                  const std::string &llmService,
+                                  const std::vector<std::string> &llmServices)
 {
     const auto route = [](const char *name, const char *prefix, const char *kind, int timeout,
-                          int objective, const char *service) {
+                          int objective, const std::string &service) {
         json::object result{{"name", name},      {"host", Host},          {"prefix", prefix},
                             {"kind", kind},      {"timeout_ms", timeout}, {"slo_ms", objective},
                             {"priority", 1},     {"service", service},    {"attempts", 2},
@@ -221,17 +223,12 @@
             {"chunk_bytes", 24576},
             {"models", json::array{json::object{{"name", Model}, {"warm_s", 0.3}}}},
             {"usual", json::object{{"prompt", 964}, {"answer", 119}}}};
-    json::array services{json::object{{"name", LlmService},
-                                      {"health_check", "/healthz"},
-                                      {"max_conns", 204},
-                                      {"protocol", "h1"},
-                                      {"tls", false},
-                                      {"engine", engine}},
-                         json::object{{"name", DeskService},
-                                      {"health_check", "/healthz"},
-                                      {"max_conns", 51},
-                                      {"protocol", "h1"},
-                                      {"tls", false}}};
+    json::array services{json::object{{"name", DeskService}, {"health_check", "/healthz"},
+                                      {"max_conns", 51}, {"protocol", "h1"}, {"tls", false}}};
+    for (const std::string &it : llmServices)
+        services.push_back(json::object{{"name", it}, {"health_check", "/healthz"},
+                                        {"max_conns", 204}, {"protocol", "h1"}, {"tls", false},
+                                        {"engine", engine}});
     if (origin.port > 0)
         services.push_back(json::object{{"name", OriginService},
                                         {"origin", toString(origin)},
@@ -240,7 +237,7 @@
                                         {"max_conns", 48}});
     const json::object body{
             {"version", version},
-            {"routes", json::array{route("labels", "/levo940/", "streaming", 6000, 400, LlmService),
+            {"routes", json::array{route("labels", "/levo940/", "streaming", 6000, 400, llmService),
                                    route("booking", "/filo73/", "unsafe", 1500, 200, DeskService),
                                    route("lookup", "/boye614/", "safe", 1500, 200, DeskService)}},
             {"services", services},
@@ -251,7 +248,7 @@
             {"tenants",
              json::array{json::object{{"name", Tenant}, {"api_keys", keyList}, {"priority", 1}}}}};
     m_store.put("op/config", json::serialize(body));
-    record("configuration " + std::to_string(version) + " acknowledged");
+    record("configuration " + std::to_string(version) + " acknowledged, streams go to " + llmService);
 }
 
 void Deployment::whenReady(int entries, std::function<void()> function)
--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.h
@@ -99,9 +99,11 @@
     /// Describes how a process ended; empty while it runs.
     std::string ending(const std::string &name);
 
-    /// Writes op/config. \a lines are added to the routes.
+    /// Writes op/config. The streaming route goes to \a llmService, which is one of \a llmServices.
     void putConfiguration(std::uint64_t version, const HttpEndpoint &origin,
-                          const std::vector<std::string> &keys);
+                          const std::vector<std::string> &keys,
+                          const std::string &llmService = LlmService,
+                          const std::vector<std::string> &llmServices = {LlmService});
 
     /// Calls \a function when all \a entries say that they are ready.
     void whenReady(int entries, std::function<void()> function);
