--- a/review/standin-2/case9.cpp
+++ b/review/standin-2/case9.cpp
@@ -1,252 +1,31 @@
-// A request that crashes each engine that begins to run it, while its route moves between services.
+// A machine freezes while the order for the last layer is on its way, and a staged piece turns bad.
 #include "kit.h"
 
-#include <boost/json.hpp>
+#include <godwit/standin/fleetenginestandin.h>
 
-#include <cstdlib>
+#include <csignal>
 
 namespace {
 
 using namespace review;
+using namespace godwit::standin;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr int Hosts = 9;
 constexpr int Entries = 5;
-constexpr int EnginesPerService = 4;
-constexpr int SoundClients = 8;
-constexpr std::uint64_t Events = 24;
-const std::vector<std::string> Services{"draft-models", "draft-models-b", "draft-models-c"};
-constexpr const char *PoisonBody = "label text for tape 4711 of set 12";
-
-struct PoisonArrival
-{
-    std::string attempt;
-    TimePoint at;
-};
-
-struct Ledger
-{
-    std::vector<PoisonArrival> arrivals;
-    std::vector<TimePoint> crashes;
-};
-
-/// A model engine. Answers requests as a sound one does, until a request crashes it.
-class Engine
-{
-public:
-    Engine(Deployment &deployment, Ledger &ledger, int index, std::string service)
-        : m_deployment(deployment)
-        , m_ledger(ledger)
-        , m_index(index)
-        , m_service(std::move(service))
-    {
-        start();
-    }
-
-private:
-    struct Run
-    {
-        std::shared_ptr<HttpReply> reply;
-        std::uint64_t next = 1;
-        bool isPoison = false;
-        bool isClosed = false;
-    };
-
-    void start()
-    {
-        ++m_generation;
-        m_id = "i-" + std::to_string(m_index) + "-" + std::to_string(m_generation);
-        godwit::HttpServerOptions options;
-        options.listen = {m_deployment.address(150 + m_index), 8740};
-        auto outcome = godwit::capture([&] {
-            return godwit::HttpServer::listen(
-                    m_deployment.io(), options,
-                    [this](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
-                        handle(request, reply);
-                    });
-        });
-        m_server = std::move(std::get<0>(outcome));
-        const boost::json::object record{
-                {"service", m_service},
-                {"address", godwit::toString(options.listen)},
-                {"zone", "zwolle-hall"},
-                {"version", "v1"},
-                {"slots", 16},
-                {"state", "ready"},
-                {"cold_ms", 0},
-                {"born", wallMs()},
-                {"models",
-                 boost::json::array{boost::json::object{{"name", Model}, {"version", 1}}}},
-                {"layers", boost::json::object{{"from", 0}, {"to", 16}, {"version", 1}}}};
-        m_deployment.store().put("servers/" + m_id, boost::json::serialize(record));
-        m_deployment.record("engine " + m_id + " started");
-    }
-
-    void crash()
-    {
-        m_ledger.crashes.push_back(m_deployment.now());
-        m_deployment.record("engine " + m_id + " crashes, " + std::to_string(m_runs.size() - 1)
-                            + " other requests were running");
-        m_runs.clear();
-        m_server.reset();
-        const std::string key = "servers/" + m_id;
-        m_deployment.clock().after(seconds(3), [this, key] {
-            m_deployment.store().remove(key);
-            start();
-        });
-    }
-
-    void handle(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply)
-    {
-        const std::string attempt(request.headers.value("X-Attempt-Id"));
-        const std::string_view expected = request.headers.value("X-Expect-Instance");
-        if (!expected.empty() && expected != m_id) {
-            reply->send({421, {{"X-Attempt-Id", attempt}, {"X-Not-Executed", "1"}}, {}});
-            return;
-        }
-        const auto run = std::make_shared<Run>();
-        run->reply = reply;
-        run->isPoison = request.body == PoisonBody;
-        const std::string last(request.headers.value("Last-Event-Id"));
-        run->next = last.empty() ? 1 : std::stoull(last) + 1;
-        if (run->isPoison) {
-            m_ledger.arrivals.push_back({attempt, m_deployment.now()});
-            m_deployment.record("request " + attempt
-                                + " with the text that crashes engines reaches " + m_id
-                                + (last.empty() ? "" : ", to go on after event " + last));
-        }
-        m_runs.insert(run);
-        reply->onClosed([weak = std::weak_ptr(run)] {
-            if (const auto it = weak.lock())
-                it->isClosed = true;
-        });
-        const int generation = m_generation;
-        m_deployment.clock().after(milliseconds(60), [this, run, attempt, generation] {
-            if (generation != m_generation || !m_server || !m_runs.contains(run))
-                return;
-            // Like most engines, it drops a request whose connection has been closed.
-            if (run->isClosed) {
-                m_runs.erase(run);
-                return;
-            }
-            if (run->isPoison && m_deployment.hasTrouble()) {
-                crash();
-                return;
-            }
-            run->reply->start(200, {{"Content-Type", "text/event-stream"},
-                                    {"X-Attempt-Id", attempt},
-                                    {"X-Server-Seal", "seal." + attempt},
-                                    {"X-Weight-Versions", "1"}});
-            step(run, generation);
-        });
-    }
-
-    void step(const std::shared_ptr<Run> &run, int generation)
-    {
-        if (generation != m_generation || !m_server || !m_runs.contains(run))
-            return;
-        if (run->isClosed) {
-            m_runs.erase(run);
-            return;
-        }
-        run->reply->write(streamEvent(run->next));
-        if (run->next++ == Events) {
-            run->reply->finish();
-            m_runs.erase(run);
-            return;
-        }
-        m_deployment.clock().after(milliseconds(45),
-                                   [this, run, generation] { step(run, generation); });
-    }
-
-    Deployment &m_deployment;
-    Ledger &m_ledger;
-    int m_index;
-    std::string m_service;
-    int m_generation = 0;
-    std::string m_id;
-    std::unique_ptr<godwit::HttpServer> m_server;
-    std::set<std::shared_ptr<Run>> m_runs;
-};
-
-void moveRoute(Deployment &deployment, std::size_t service)
-{
-    deployment.putConfiguration(4 + 5 * service, {}, {Key}, Services[service], Services);
-}
-
-/// Clients: some with sound requests, and one whose request comes again and again.
-class Clients
+constexpr int Clients = 60;
+constexpr int Versions = 3; ///< Named one after the other.
+constexpr Duration VersionInterval = seconds(14);
+constexpr Duration Freeze = seconds(4);
+/// What the rule excuses.
+constexpr Duration Excused = seconds(3);
+constexpr std::uint32_t BadPiece = FleetPieceCount - 1; ///< A piece of the last layer.
+
+struct Machine
 {
-public:
-    explicit Clients(Deployment &deployment)
-        : m_deployment(deployment)
-    {}
-
-    void start()
-    {
-        for (int i = 0; i < SoundClients; ++i)
-            m_deployment.clock().after(milliseconds(97 * i), [this, i] { sendSound(i); });
-        m_deployment.clock().after(seconds(3), [this] { sendPoison(); });
-        for (std::size_t i = 1; i < Services.size() && std::getenv("MOVES") == nullptr; ++i)
-            m_deployment.clock().after(seconds(10 + 14 * (i - 1)),
-                                       [this, i] { moveRoute(m_deployment, i); });
-        m_deployment.clock().after(seconds(54), [this] { m_deployment.stop(); });
-    }
-
-    int whole = 0;
-    int cut = 0;
-    int refused = 0;
-
-private:
-    godwit::HttpCall call(const std::string &id, int entry, const std::string &body) const
-    {
-        auto result = makeCall(m_deployment.entry(entry), "/levo940/2f", id, body, 6000);
-        result.headers.add("X-Model", Model);
-        result.headers.add("X-Token-Usage", "787,144");
-        result.headers.add("X-Prompt-Prefix", "5c1e07a2:40," + id + ":747");
-        return result;
-    }
-
-    void sendSound(int client)
-    {
-        const int number = ++m_number;
-        const std::string id = "a" + std::to_string(10000 + number);
-        send(m_deployment, call(id, number % Entries, "text " + id),
-             [this, id, client](const Answer &answer) {
-                 const bool isWhole = answer.isComplete && answer.status == 200;
-                 if (isWhole)
-                     ++whole;
-                 else if (answer.status == 200 || answer.status == 0)
-                     ++cut;
-                 else
-                     ++refused;
-                 if (!isWhole)
-                     m_deployment.record("sound request " + id + ": status "
-                                         + std::to_string(answer.status)
-                                         + (answer.isComplete ? "" : ", cut off"));
-                 m_deployment.clock().after(milliseconds(100),
-                                            [this, client] { sendSound(client); });
-             });
-    }
-
-    void sendPoison()
-    {
-        const int number = ++m_poisonNumber;
-        const std::string id = "b" + std::to_string(20000 + number);
-        m_deployment.record("client sends request " + id + " to entry "
-                            + std::to_string(number % Entries));
-        send(m_deployment, call(id, number % Entries, PoisonBody),
-             [this, id](const Answer &answer) {
-                 m_deployment.record("request " + id + " is answered: status "
-                                     + std::to_string(answer.status)
-                                     + (answer.isComplete ? ", whole" : ", cut off"));
-             });
-        m_deployment.clock().after(milliseconds(200), [this] { sendPoison(); });
-    }
-
-    Deployment &m_deployment;
-    int m_number = 0;
-    int m_poisonNumber = 0;
+    std::unique_ptr<FleetEngineStandin> engine;
+    std::size_t loads = 0; ///< Load orders that have ended.
 };
 
 } // namespace
@@ -254,37 +33,129 @@
 int main(int argc, char **argv)
 {
     Deployment deployment(argc, argv);
-    Ledger ledger;
-    std::vector<std::unique_ptr<Engine>> engines;
-    moveRoute(deployment, 0);
-    deployment.store().put("op/version/" + std::string(Model),
-                           "{\"model\":\"" + std::string(Model) + "\",\"version\":1}");
-    int number = 0;
-    for (const std::string &service : Services) {
-        for (int i = 0; i < EnginesPerService; ++i)
-            engines.push_back(std::make_unique<Engine>(deployment, ledger, number++, service));
+    Clock &clock = deployment.clock();
+    FleetLedger ledger;
+    FleetConfiguration configuration;
+    configuration.customers = {{Tenant, {Key}}};
+    godwit::HttpServerOptions originOptions;
+    originOptions.listen = {deployment.address(160), 8744};
+    auto origin = godwit::capture([&] {
+        return godwit::HttpServer::listen(
+                deployment.io(), originOptions,
+                [](const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) {
+                    reply->send(originResponse(request));
+                });
+    });
+    configuration.origin = godwit::toString(originOptions.listen);
+    deployment.store().put(ConfigurationKey, configurationJson(configuration));
+    deployment.store().put(VersionKey, versionJson(1));
+    std::vector<Machine> machines(Hosts);
+    // The first machine whose engine waits for its last layer freezes with that order.
+    int frozen = -1;
+    for (int i = 0; i < Hosts; ++i) {
+        FleetEngineStandin::Options options;
+        options.id = "i-" + std::to_string(i);
+        options.service = std::string(ModelService);
+        options.zone = "zwolle-hall";
+        options.listen = {deployment.hostAddress(i), 8001};
+        options.address = options.listen;
+        options.startTimeMs = wallMs();
+        options.version = 1;
+        for (std::uint32_t piece = 0; piece < FleetPieceCount; ++piece)
+            options.stagedPieces[piece] = {pieceBytes(1, piece), std::nullopt};
+        const std::string name = "side-zwolle-hall-" + std::to_string(i);
+        machines[i].engine = std::make_unique<
+                FleetEngineStandin>(deployment.io(), options, ledger, [&, i, name] {
+            Machine &machine = machines[i];
+            deployment.store().put(machine.engine->recordKey(), machine.engine->recordJson(false));
+            if (++machine.loads != 1 || frozen >= 0 || !deployment.hasTrouble())
+                return;
+            frozen = i;
+            deployment.record("engine i-" + std::to_string(i)
+                              + " holds all layers of the new version but the last");
+            machine.engine->setOrderFault(FleetEngineStandin::OrderFault{Freeze, {BadPiece}});
+        });
+        auto started = godwit::capture([&]() -> godwit::Result<bool> {
+            BOOST_LEAF_CHECK(machines[i].engine->start());
+            return true;
+        });
+        if (!godwit::succeeded(started))
+            return 2;
+        deployment.store().put(machines[i].engine->recordKey(),
+                               machines[i].engine->recordJson(false));
     }
     for (int i = 0; i < Entries; ++i)
         deployment.startEntry(i, deployment.store().endpoint());
-    Clients clients(deployment);
+    for (int i = 0; i < Hosts; ++i)
+        deployment.startHost(i, deployment.store().endpoint(), {deployment.hostAddress(i), 8001},
+                             std::string(ModelService));
+    // The process freezes with its engine, as soon as that has the order.
+    std::function<void()> watchFreeze = [&] {
+        if (frozen >= 0 && frozen < Hosts && !machines[frozen].engine->options().orderFault) {
+            const std::string name = "side-zwolle-hall-" + std::to_string(frozen);
+            deployment.record("the machine of engine i-" + std::to_string(frozen)
+                              + " freezes for 4 s, with the order on its way; piece "
+                              + std::to_string(BadPiece) + " turns bad");
+            deployment.signal(name, SIGSTOP);
+            clock.after(Freeze, [&, name] { deployment.signal(name, SIGCONT); });
+            frozen = Hosts; // No other machine freezes before the next version.
+        }
+        clock.after(milliseconds(1), watchFreeze);
+    };
+    watchFreeze();
+    int number = 0;
+    int served = 0;
+    std::function<void()> ask = [&] {
+        FleetAttempt attempt;
+        attempt.id = "a" + std::to_string(10000 + ++number);
+        attempt.kind = FleetRequestKind::Stream;
+        attempt.key = Key;
+        attempt.deadlineMs = 6000;
+        send(deployment, makeFleetCall(deployment.entry(number % Entries), attempt),
+             [&](const Answer &answer) {
+                 served += answer.status == 200 && answer.isComplete;
+                 clock.after(milliseconds(answer.status == 200 ? number * 37 % 200 : 100), ask);
+             });
+    };
     bool isReady = false;
     deployment.whenReady(Entries, [&] {
         isReady = true;
-        clients.start();
+        for (int i = 0; i < Clients; ++i)
+            ask();
+        for (int i = 0; i < Versions; ++i) {
+            clock.after(seconds(2) + i * VersionInterval, [&, i] {
+                for (Machine &it : machines)
+                    it.loads = 0;
+                frozen = -1;
+                deployment.store().put(VersionKey, versionJson(2 + i));
+                deployment.record("version " + std::to_string(2 + i) + " is named");
+            });
+        }
+        clock.after(seconds(4) + Versions * VersionInterval, [&] { deployment.stop(); });
     });
-    deployment.run(seconds(80));
-    if (!isReady || clients.whole == 0)
-        return 2;
-    int late = 0;
-    if (ledger.crashes.size() >= 3) {
-        for (const PoisonArrival &it : ledger.arrivals)
-            late += it.at > ledger.crashes[2] + ContactTime;
+    deployment.run(seconds(90));
+    int wrong = 0;
+    int newest = 0;
+    for (const FleetRun &run : ledger.runs) {
+        newest += run.version > 1;
+        for (const FleetWrongPiece &it : run.wrongPieces) {
+            const bool isExcused = it.fault == FleetWrongPiece::Fault::Corrupt
+                                   && it.takenAt - it.corruptSince <= Excused;
+            if (isExcused)
+                continue;
+            ++wrong;
+            deployment.record("request " + run.attempt + " runs at engine " + run.engine
+                              + " with layer " + std::to_string(it.layer) + ", taken "
+                              + std::to_string(godwit::toMilliseconds(it.takenAt - it.corruptSince))
+                              + " ms after piece " + std::to_string(it.piece) + " had turned bad");
+            break;
+        }
     }
-    return deployment.finish(
-            late > 3,
-            std::to_string(ledger.crashes.size()) + " crashes of engines; " + std::to_string(late)
-                    + " arrivals at engines later than contact_ms after the third (the "
-                      "rule allows 3); sound streams: "
-                    + std::to_string(clients.whole) + " whole, " + std::to_string(clients.cut)
-                    + " cut off, " + std::to_string(clients.refused) + " refused or failed");
+    if (!isReady || served == 0 || newest == 0 || (deployment.hasTrouble() && frozen < 0))
+        return 2;
+    return deployment.finish(wrong > 0, std::to_string(wrong)
+                                                + " requests ran on a layer that was taken over "
+                                                  "3 s after one of its pieces had turned bad; "
+                                                + std::to_string(newest)
+                                                + " ran on versions after the first in all");
 }
--- a/review/standin-2/kit.cpp
+++ b/review/standin-2/kit.cpp
@@ -119,11 +119,12 @@
     start(name, commonSettings("entry", name, entry(index).address, store));
 }
 
-void Deployment::startHost(int index, const HttpEndpoint &store, const HttpEndpoint &engine)
+void Deployment::startHost(int index, const HttpEndpoint &store, const HttpEndpoint &engine,
+                           const std::string &service)
 {
     const std::string name = "side-zwolle-hall-" + std::to_string(index);
     start(name, commonSettings("host", name, hostAddress(index), store) + "[engine]\nendpoint = \""
-                        + toString(engine) + "\"\nservice = \"" + LlmService + "\"\n");
+                        + toString(engine) + "\"\nservice = \"" + service + "\"\n");
 }
 
 void Deployment::start(const std::string &name, const std::string &settings)
--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.h
@@ -90,7 +90,8 @@
     /// Writes settings as deploy/settings.toml.in gives them and starts the program of
     /// deploy/system.toml.
     void startEntry(int index, const HttpEndpoint &store);
-    void startHost(int index, const HttpEndpoint &store, const HttpEndpoint &engine);
+    void startHost(int index, const HttpEndpoint &store, const HttpEndpoint &engine,
+                   const std::string &service = LlmService);
     HttpEndpoint entry(int index) const { return {address(10 + index), 8005}; }
     HttpEndpoint readiness(int index) const { return {address(10 + index), 8002}; }
     std::string hostAddress(int index) const { return address(100 + index); }
