--- a/review/standin-2/kit.cpp
+++ b/review/standin-2/kit.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
