--- a/review/standin-2/case10.cpp
+++ b/review/standin-2/case10.cpp
@@ -188,7 +188,7 @@
             m_deployment.clock().after(milliseconds(97 * i), [this, i] { sendSound(i); });
         m_deployment.clock().after(seconds(3), [this] { sendPoison(); });
         for (std::size_t i = 1; i < Services.size() && std::getenv("MOVES") == nullptr; ++i)
-            m_deployment.clock().after(seconds(10 + 14 * (i - 1)),
+            m_deployment.clock().after(seconds(18 + 14 * (i - 1)),
                                        [this, i] { moveRoute(m_deployment, i); });
         m_deployment.clock().after(seconds(54), [this] { m_deployment.stop(); });
     }
@@ -241,7 +241,7 @@
                                      + std::to_string(answer.status)
                                      + (answer.isComplete ? ", whole" : ", cut off"));
              });
-        m_deployment.clock().after(milliseconds(200), [this] { sendPoison(); });
+        m_deployment.clock().after(milliseconds(1000), [this] { sendPoison(); });
     }
 
     Deployment &m_deployment;
