--- a/modules/fleet/include/godwit/fleet/crashreportexchange.h
+++ b/modules/fleet/include/godwit/fleet/crashreportexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <godwit/gateway/crashreport.h>
+#include <godwit/gateway/harmlesscontent.h>
 #include <godwit/mirror/prefixmirror.h>
 #include <godwit/ports/keyvalueport.h>
 #include <godwit/ports/scheduler.h>
@@ -19,7 +20,7 @@
 struct CrashKnowledge
 {
     std::vector<CrashReport> crashes;
-    std::vector<ContentKey> harmless; ///< Suspects of others to which an answer has begun here.
+    std::vector<HarmlessContent> harmless; ///< Suspects of others that were answered here.
 
     friend bool operator==(const CrashKnowledge &, const CrashKnowledge &) = default;
 };
@@ -36,7 +37,7 @@
     struct Handlers
     {
         std::function<void(const CrashReport &)> onCrash;
-        std::function<void(const ContentKey &)> onHarmless;
+        std::function<void(const HarmlessContent &)> onHarmless;
     };
 
     static constexpr std::string_view Prefix = "crashes/";
@@ -57,6 +58,9 @@
     static constexpr std::size_t MaxReports = 64;
     /// Of one report. Shared parts are kept before whole requests.
     static constexpr std::size_t MaxSuspects = 64;
+    /// Of one report. The first ones are kept, which a crash has broken before others of the same
+    /// kind were sent again.
+    static constexpr std::size_t MaxRequests = 32;
     static constexpr std::size_t MaxHarmlessKeys = 64;
 
     /// \a name identifies this process among all entry processes.
@@ -66,14 +70,14 @@
     void start() { m_mirror.start(); }
 
     void publish(const CrashReport &report);
-    /// Does nothing if the key was published less than half a ReportLifetime ago.
-    void publishHarmless(const ContentKey &key);
+    /// Does nothing if as much was published less than half a ReportLifetime ago.
+    void publishHarmless(const HarmlessContent &harmless);
 
 private:
-    struct TimedKey
+    struct TimedHarmless
     {
         TimePoint at;
-        ContentKey key;
+        HarmlessContent harmless;
     };
     struct TimedReport
     {
@@ -94,8 +98,8 @@
     void adoptEarlierKnowledge(StoreRevision revision, const CrashKnowledge &knowledge);
     /// Adds \a report, together with what is known of the same crash, as the newest.
     void addReport(const CrashReport &report);
-    /// Adds \a key, which is not known yet, as the newest.
-    void addHarmless(const ContentKey &key);
+    /// Adds \a harmless, in place of what is known of the same content, as the newest.
+    void addHarmless(const HarmlessContent &harmless);
     void scheduleWrite(Duration delay);
     /// Adds what has been refilled since the last call to the writes that are allowed.
     void refillWrites();
@@ -122,9 +126,9 @@
     Scheduler &m_scheduler;
     std::string m_key;
     Handlers m_handlers;
-    std::deque<TimedReport> m_reports; ///< Oldest first.
-    std::deque<TimedKey> m_harmless;   ///< Oldest first.
-    StoreEra m_era;                    ///< In which the lease and the revision are valid.
+    std::deque<TimedReport> m_reports;    ///< Oldest first.
+    std::deque<TimedHarmless> m_harmless; ///< Oldest first.
+    StoreEra m_era;                       ///< In which the lease and the revision are valid.
     std::optional<LeaseId> m_lease;
     TimePoint m_leaseGrantedAt;
     StoreRevision m_revision;   ///< Of the last write of the own key; 0 if it does not exist.
--- a/modules/fleet/src/crashreportexchange.cpp
+++ b/modules/fleet/src/crashreportexchange.cpp
@@ -16,21 +16,106 @@
 };
 
 template <>
-struct JsonFields<CrashReport>
+struct JsonFields<RequestContent>
 {
-    static constexpr auto table = std::tuple{field("instance", &CrashReport::instance),
-                                             field("suspects", &CrashReport::suspects)};
+    static constexpr auto table = std::tuple{field("parts", &RequestContent::sharedParts),
+                                             field("whole", &RequestContent::whole)};
+};
+
+namespace {
+
+/// A CrashReport as it is written. Times of different processes do not compare, so it states the
+/// age of the crash.
+struct StoredReport
+{
+    BackendInstance instance;
+    std::vector<ContentKey> suspects;
+    std::vector<RequestContent> requests;
+    std::uint64_t weightsVersion = 0;
+    Duration age{0};
+};
+
+/// HarmlessContent as it is written.
+struct StoredHarmless
+{
+    ContentKey content;
+    std::uint64_t weightsVersion = 0;
+    bool isComplete = false;
+};
+
+/// CrashKnowledge as it is written. Processes of earlier releases read and write crashes with
+/// suspects alone, and \c harmless instead of \c answered.
+struct StoredKnowledge
+{
+    std::vector<StoredReport> crashes;
+    std::vector<ContentKey> harmless;
+    std::vector<StoredHarmless> answered;
+};
+
+} // namespace
+
+template <>
+struct JsonFields<StoredReport>
+{
+    static constexpr auto table = std::tuple{
+            field("instance", &StoredReport::instance), field("suspects", &StoredReport::suspects),
+            field("requests", &StoredReport::requests),
+            field("weights_version", &StoredReport::weightsVersion),
+            field("age_us", &StoredReport::age)};
 };
 
 template <>
-struct JsonFields<CrashKnowledge>
+struct JsonFields<StoredHarmless>
 {
-    static constexpr auto table = std::tuple{field("crashes", &CrashKnowledge::crashes),
-                                             field("harmless", &CrashKnowledge::harmless)};
+    static constexpr auto table =
+            std::tuple{field("content", &StoredHarmless::content),
+                       field("weights_version", &StoredHarmless::weightsVersion),
+                       field("complete", &StoredHarmless::isComplete)};
+};
+
+template <>
+struct JsonFields<StoredKnowledge>
+{
+    static constexpr auto table = std::tuple{field("crashes", &StoredKnowledge::crashes),
+                                             field("harmless", &StoredKnowledge::harmless),
+                                             field("answered", &StoredKnowledge::answered)};
 };
 
 namespace {
 
+std::string encode(const CrashKnowledge &knowledge, TimePoint now)
+{
+    StoredKnowledge stored;
+    for (const CrashReport &it : knowledge.crashes)
+        stored.crashes.push_back(
+                {it.instance, it.suspects, it.requests, it.weightsVersion, now - it.crashedAt});
+    for (const HarmlessContent &it : knowledge.harmless) {
+        stored.harmless.push_back(it.content);
+        stored.answered.push_back(
+                {it.content, it.weightsVersion, it.progress == AnswerProgress::Complete});
+    }
+    return toJsonText(stored);
+}
+
+/// Fails with JsonMalformed or JsonFieldInvalid.
+Result<CrashKnowledge> decode(std::string_view text, TimePoint now)
+{
+    BOOST_LEAF_AUTO(stored, parseJson<StoredKnowledge>(text));
+    CrashKnowledge knowledge;
+    for (StoredReport &it : stored.crashes)
+        knowledge.crashes.push_back({it.instance, std::move(it.suspects), std::move(it.requests),
+                                     it.weightsVersion, now - it.age});
+    for (const StoredHarmless &it : stored.answered)
+        knowledge.harmless.push_back(
+                {it.content, it.weightsVersion,
+                 it.isComplete ? AnswerProgress::Complete : AnswerProgress::Begun});
+    if (stored.answered.empty()) {
+        for (const ContentKey &it : stored.harmless)
+            knowledge.harmless.push_back({it, HarmlessContent::AnyVersion, AnswerProgress::Begun});
+    }
+    return knowledge;
+}
+
 /// Adds those of \a added that are missing in \a suspects, and removes the oldest beyond the limit.
 void mergeSuspects(std::vector<ContentKey> &suspects, const std::vector<ContentKey> &added)
 {
@@ -44,6 +129,23 @@
     }
 }
 
+/// Adds those of \a added that are missing in \a requests, up to the limit.
+void mergeRequests(std::vector<RequestContent> &requests, const std::vector<RequestContent> &added)
+{
+    for (const RequestContent &it : added) {
+        if (requests.size() >= CrashReportExchange::MaxRequests)
+            return;
+        if (std::ranges::find(requests, it) == requests.end())
+            requests.push_back(it);
+    }
+}
+
+/// Whether \a known says all that \a other says of the same content.
+bool coversAll(const HarmlessContent &known, const HarmlessContent &other)
+{
+    return known.weightsVersion >= other.weightsVersion && known.progress >= other.progress;
+}
+
 } // namespace
 
 CrashReportExchange::CrashReportExchange(KeyValuePort &store, Scheduler &scheduler, Random random,
@@ -68,7 +170,7 @@
     const bool isOwn = entry.key == m_key;
     if (isOwn && (m_knowsOwnKey || m_isWriting))
         return;
-    const auto decoded = capture([&] { return parseJson<CrashKnowledge>(entry.value); });
+    const auto decoded = capture([&] { return decode(entry.value, m_scheduler.now()); });
     if (const auto *error = std::get_if<Error>(&decoded)) {
         logStateChange("crash_report_refused", {{"key", entry.key}, {"problem", toString(*error)}},
                        LogLevel::Warning);
@@ -77,7 +179,7 @@
     const auto &knowledge = std::get<0>(decoded);
     if (isOwn)
         adoptEarlierKnowledge(entry.modified, knowledge);
-    for (const ContentKey &it : knowledge.harmless)
+    for (const HarmlessContent &it : knowledge.harmless)
         m_handlers.onHarmless(it);
     for (const CrashReport &it : knowledge.crashes)
         m_handlers.onCrash(it);
@@ -126,12 +228,10 @@
     for (const TimedReport &it : ownReports)
         addReport(it.report);
     const auto ownHarmless = std::exchange(m_harmless, {});
-    for (const ContentKey &it : knowledge.harmless) {
-        if (std::ranges::find(ownHarmless, it, &TimedKey::key) == ownHarmless.end())
-            addHarmless(it);
-    }
-    for (const TimedKey &it : ownHarmless)
-        addHarmless(it.key);
+    for (const HarmlessContent &it : knowledge.harmless)
+        addHarmless(it);
+    for (const TimedHarmless &it : ownHarmless)
+        addHarmless(it.harmless);
 }
 
 void CrashReportExchange::publish(const CrashReport &report)
@@ -142,7 +242,9 @@
 
 void CrashReportExchange::addReport(const CrashReport &report)
 {
-    TimedReport all{m_scheduler.now(), {report.instance, {}}};
+    TimedReport all{m_scheduler.now(), report};
+    all.report.suspects.clear();
+    all.report.requests.clear();
     const auto known = std::ranges::find_if(m_reports, [&report](const TimedReport &it) {
         return it.report.instance == report.instance;
     });
@@ -151,27 +253,30 @@
         m_reports.erase(known);
     }
     mergeSuspects(all.report.suspects, report.suspects);
+    mergeRequests(all.report.requests, report.requests);
     m_reports.push_back(std::move(all));
     if (m_reports.size() > MaxReports)
         m_reports.pop_front();
 }
 
-void CrashReportExchange::publishHarmless(const ContentKey &key)
+void CrashReportExchange::publishHarmless(const HarmlessContent &harmless)
 {
-    const TimePoint now = m_scheduler.now();
-    const auto known = std::ranges::find(m_harmless, key, &TimedKey::key);
-    if (known != m_harmless.end()) {
-        if (now < known->at + ReportLifetime / 2)
-            return;
-        m_harmless.erase(known);
-    }
-    addHarmless(key);
+    const auto isKnown = [&](const TimedHarmless &it) {
+        return it.harmless.content == harmless.content && coversAll(it.harmless, harmless)
+               && m_scheduler.now() < it.at + ReportLifetime / 2;
+    };
+    if (std::ranges::any_of(m_harmless, isKnown))
+        return;
+    addHarmless(harmless);
     scheduleWrite(BatchDelay);
 }
 
-void CrashReportExchange::addHarmless(const ContentKey &key)
+void CrashReportExchange::addHarmless(const HarmlessContent &harmless)
 {
-    m_harmless.push_back({m_scheduler.now(), key});
+    std::erase_if(m_harmless, [&harmless](const TimedHarmless &it) {
+        return it.harmless.content == harmless.content;
+    });
+    m_harmless.push_back({m_scheduler.now(), harmless});
     if (m_harmless.size() > MaxHarmlessKeys)
         m_harmless.pop_front();
 }
@@ -286,9 +391,9 @@
     CrashKnowledge knowledge;
     for (const TimedReport &it : m_reports)
         knowledge.crashes.push_back(it.report);
-    for (const TimedKey &it : m_harmless)
-        knowledge.harmless.push_back(it.key);
-    return toJsonText(knowledge);
+    for (const TimedHarmless &it : m_harmless)
+        knowledge.harmless.push_back(it.harmless);
+    return encode(knowledge, m_scheduler.now());
 }
 
 void CrashReportExchange::dropExpired()
--- a/modules/fleet/src/entryprocess.cpp
+++ b/modules/fleet/src/entryprocess.cpp
@@ -94,7 +94,7 @@
                      return m_backendClient.stream(std::move(call), std::move(handlers));
                  },
                  [this](const CrashReport &report) { m_crashReports.publish(report); },
-                 [this](const ContentKey &key) { m_crashReports.publishHarmless(key); }},
+                 [this](const HarmlessContent &it) { m_crashReports.publishHarmless(it); }},
                 newRandom())
     // The delay between calls is up to the shared watch.
     , m_store(openStore({entryPollIntervals(m_settings.bounds).longPollTimeout, Duration::zero()}))
@@ -123,7 +123,7 @@
                      }})
     , m_crashReports(m_sharedWatch, m_scheduler, newRandom(), m_settings.listen.callers.address,
                      {[this](const CrashReport &report) { mergeCrashReport(report); },
-                      [this](const ContentKey &key) { m_gateway.recordHarmless(key); }})
+                      [this](const HarmlessContent &it) { m_gateway.recordHarmless(it); }})
     , m_gracefulStop(m_scheduler,
                      {[this](const ShutdownTimes &times) { m_gateway.beginShutdown(times); },
                       [this] { m_clientServer->closeAfterReplies(); },
@@ -179,7 +179,7 @@
 
 void EntryProcess::mergeCrashReport(const CrashReport &report)
 {
-    for (const ContentKey &it : m_gateway.mergeCrashReport(report))
+    for (const HarmlessContent &it : m_gateway.mergeCrashReport(report))
         m_crashReports.publishHarmless(it);
 }
 
--- a/modules/fleet/tests/crashreportexchangetest.cpp
+++ b/modules/fleet/tests/crashreportexchangetest.cpp
@@ -41,14 +41,14 @@
     VirtualScheduler &scheduler;
     RecordingStore store;
     std::vector<CrashReport> crashes;
-    std::vector<ContentKey> harmless;
+    std::vector<HarmlessContent> harmless;
     CrashReportExchange exchange;
 
     Process(VirtualScheduler &scheduler, const std::string &name)
         : scheduler(scheduler)
         , exchange(store, scheduler, Random(1), name,
                    {[this](const CrashReport &it) { crashes.push_back(it); },
-                    [this](const ContentKey &it) { harmless.push_back(it); }})
+                    [this](const HarmlessContent &it) { harmless.push_back(it); }})
     {
         exchange.start();
         store.completeList(10, {});
@@ -91,16 +91,69 @@
         writer.receive(write, 11);
         CHECK(writer.crashes.empty());
     }
+    // Guards against a process that starts later and cannot tell which content crashed with
+    // different requests, or takes crashes of different times for one event.
+    SECTION("with the requests, the weights and the time of each crash")
+    {
+        write.done(StoreRevision{11});
+        CrashReport crash{{BackendId("b3"), 7},
+                          {},
+                          {{{ContentKey("p")}, ContentKey("w1")}},
+                          6,
+                          scheduler.now()};
+        writer.exchange.publish(crash);
+        crash.requests = {{{ContentKey("p")}, ContentKey("w2")}};
+        writer.exchange.publish(crash);
+        const HarmlessContent answered{ContentKey("k3"), 6, AnswerProgress::Complete};
+        writer.exchange.publishHarmless(answered);
+        scheduler.advance(CrashReportExchange::BatchDelay);
+        REQUIRE(writer.store.writes.size() == 2);
+        reader.receive(writer.store.writes[1], 12);
+        crash.requests = {{{ContentKey("p")}, ContentKey("w1")},
+                          {{ContentKey("p")}, ContentKey("w2")}};
+        CHECK(reader.crashes.back() == crash);
+        CHECK(reader.harmless == std::vector{answered});
+    }
+    SECTION("in a form that earlier releases write and read")
+    {
+        auto earlier = write;
+        earlier.value = R"({"crashes":[{"instance":{"backend":"b1","born_ms":7},)"
+                        R"("suspects":["k1","k2"]}],"harmless":["k3"]})";
+        reader.receive(earlier, 11);
+        REQUIRE(reader.crashes.size() == 1);
+        CHECK(reader.crashes[0].suspects == report("b1").suspects);
+        CHECK(reader.crashes[0].crashedAt == scheduler.now());
+        CHECK(reader.harmless
+              == std::vector{HarmlessContent{ContentKey("k3"), HarmlessContent::AnyVersion}});
+        CHECK(write.value.find(R"("suspects":["k1","k2"])") != std::string::npos);
+    }
+    SECTION("that content is harmless is sent again once an answer came further")
+    {
+        write.done(StoreRevision{11});
+        const auto publish = [&](std::uint64_t version, AnswerProgress progress) {
+            const std::size_t before = writer.store.writes.size();
+            writer.exchange.publishHarmless({ContentKey("k3"), version, progress});
+            scheduler.advance(CrashReportExchange::WriteInterval);
+            if (writer.store.writes.size() == before)
+                return false;
+            writer.store.writes.back().done(StoreRevision{12 + before});
+            return true;
+        };
+        CHECK(publish(6, AnswerProgress::Begun));
+        CHECK(publish(6, AnswerProgress::Complete));
+        CHECK_FALSE(publish(6, AnswerProgress::Begun));
+        CHECK(publish(7, AnswerProgress::Complete));
+    }
     SECTION("a later one with the same lease, at the revision of the last write")
     {
         write.done(StoreRevision{11});
-        writer.exchange.publishHarmless(ContentKey("k3"));
+        writer.exchange.publishHarmless({ContentKey("k3")});
         scheduler.advance(CrashReportExchange::BatchDelay);
         REQUIRE(writer.store.writes.size() == 2);
         CHECK(writer.store.leases.size() == 1);
         CHECK(writer.store.writes[1].expected == StoreRevision{11});
         reader.receive(writer.store.writes[1], 12);
-        CHECK(reader.harmless == std::vector{ContentKey("k3")});
+        CHECK(reader.harmless == std::vector{HarmlessContent{ContentKey("k3")}});
         CHECK(reader.crashes.size() == 2);
     }
     SECTION("what is learned during a write follows it")
@@ -151,7 +204,7 @@
         write.done(StoreRevision{11});
         const auto publish = [&] {
             const std::size_t before = writer.store.writes.size() + writer.store.leases.size();
-            writer.exchange.publishHarmless(ContentKey("k3"));
+            writer.exchange.publishHarmless({ContentKey("k3")});
             scheduler.advance(CrashReportExchange::BatchDelay);
             return writer.store.writes.size() + writer.store.leases.size() > before;
         };
@@ -218,12 +271,12 @@
         for (std::size_t i = 0; i < limit; ++i)
             writer.exchange.publish(report("c" + std::to_string(i)));
         for (std::size_t i = 0; i < CrashReportExchange::MaxHarmlessKeys; ++i)
-            writer.exchange.publishHarmless(ContentKey(std::to_string(i)));
+            writer.exchange.publishHarmless({ContentKey(std::to_string(i))});
         write.done(StoreRevision{11});
         scheduler.advance(CrashReportExchange::BatchDelay);
         Process restarted(scheduler, "one");
         restarted.exchange.publish(report("own"));
-        restarted.exchange.publishHarmless(ContentKey("own"));
+        restarted.exchange.publishHarmless({ContentKey("own")});
         restarted.receive(writer.store.writes.at(1), 12);
         scheduler.advance(CrashReportExchange::BatchDelay);
         restarted.store.leases.at(0)(LeaseId{6});
@@ -231,7 +284,7 @@
         CHECK(reader.crashes.size() == limit);
         CHECK(reader.crashes.back() == report("own"));
         CHECK(reader.harmless.size() == CrashReportExchange::MaxHarmlessKeys);
-        CHECK(reader.harmless.back() == ContentKey("own"));
+        CHECK(reader.harmless.back() == HarmlessContent{ContentKey("own")});
     }
     // Leases may run out while the service is down. Guards against reports that are gone for the
     // processes that start afterwards.
@@ -246,7 +299,8 @@
         writer.store.leases[1](LeaseId{6});
         REQUIRE(writer.store.writes.size() == 2);
         CHECK(writer.store.writes[1].expected == StoreRevision{0});
-        CHECK(writer.store.writes[1].value == write.value);
+        reader.receive(writer.store.writes[1], 13);
+        CHECK(reader.crashes == std::vector{report("b1"), report("b2")});
     }
     // Lease ids and revisions are assigned again by a store that came back from a copy. Guards
     // against reports that end with the lease of another process, or are lost.
@@ -260,7 +314,8 @@
         writer.store.leases[1](LeaseId{5});
         REQUIRE(writer.store.writes.size() == 2);
         CHECK(writer.store.writes[1].expected == StoreRevision{0});
-        CHECK(writer.store.writes[1].value == write.value);
+        reader.receive(writer.store.writes[1], 13);
+        CHECK(reader.crashes == std::vector{report("b1"), report("b2")});
     }
     SECTION("a lease of an earlier era is not used, although this mirror does not know of it yet")
     {
--- a/modules/gateway/include/godwit/gateway/gateway.h
+++ b/modules/gateway/include/godwit/gateway/gateway.h
@@ -45,7 +45,7 @@
         /// A backend server crashed; the other entry processes should know. May be empty.
         std::function<void(const CrashReport &)> onCrash = {};
         /// Content that was suspended is harmless; the others should know. May be empty.
-        std::function<void(const ContentKey &)> onHarmless = {};
+        std::function<void(const HarmlessContent &)> onHarmless = {};
     };
 
     Gateway(const GatewayOptions &options, Environment environment, Random random);
@@ -62,9 +62,12 @@
 
     /// Takes over the report of a crash that another entry process has seen, and cancels requests
     /// that must not run because of it. Returns suspects that are known here to be harmless.
-    std::vector<ContentKey> mergeCrashReport(const CrashReport &report);
-    /// Another entry process knows \a key to be harmless.
-    void recordHarmless(const ContentKey &key) { m_crashSuspects.recordHarmless(key); }
+    std::vector<HarmlessContent> mergeCrashReport(const CrashReport &report);
+    /// Another entry process knows \a harmless.
+    void recordHarmless(const HarmlessContent &harmless)
+    {
+        m_crashSuspects.recordHarmless(harmless);
+    }
 
     /// From \a deadline on, engines that serve an older version of \a model get no new requests.
     /// Requests that have not started there shortly after it are cancelled, including those that
@@ -117,10 +120,18 @@
     /// longer bodies, the longest first: a backend server that sends bytes without end must not end
     /// the requests of other clients. Returns false if the body would be the longest itself.
     bool reserveBuffer(const ForwardedRequest &request, std::size_t bytes);
-    /// \a instance crashed while a request with \a content waited for its response.
-    void recordCrash(const BackendInstance &instance, const RequestContent &content);
-    /// A backend server has begun to answer a request with \a content.
-    void recordStart(const RequestContent &content);
+    /// \a instance, with weights of \a weightsVersion, crashed while a request with \a content was
+    /// in \a phase.
+    void recordCrash(const BackendInstance &instance, const RequestContent &content,
+                     CrashPhase phase, std::uint64_t weightsVersion);
+    void logSuspensions();
+    /// A backend server with weights of \a weightsVersion has begun to answer a request with
+    /// \a content.
+    void recordStart(const RequestContent &content, std::uint64_t weightsVersion);
+    /// The same for one that has answered it from its beginning to its end.
+    void recordCompletion(const RequestContent &content, std::uint64_t weightsVersion);
+    /// Logs \a cleared and tells the other processes.
+    void reportCleared(const std::vector<HarmlessContent> &cleared);
     /// Cancels the attempts that have not started and whose content is suspended.
     void cancelSuspended();
     /// Logs which backend servers have become cold or warm, and lets the time of their limits pass
--- a/modules/gateway/src/crashsuspects.cpp
+++ b/modules/gateway/src/crashsuspects.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Bounds the log of suspensions if nothing takes them.
+constexpr std::size_t MaxNewSuspensions = 64;
+
 std::vector<ContentKey> allKeys(const RequestContent &content)
 {
     std::vector<ContentKey> keys = content.sharedParts;
@@ -13,6 +16,13 @@
     return keys;
 }
 
+/// Whether \a crashes contains each crash in \a others.
+template <typename Crashes>
+bool includesAll(const Crashes &crashes, const Crashes &others)
+{
+    return std::ranges::all_of(others, [&](const auto &it) { return crashes.contains(it.first); });
+}
+
 } // namespace
 
 CrashSuspects::Decision CrashSuspects::decide(const RequestContent &content, TimePoint now)
@@ -43,127 +53,222 @@
         return keys;
     for (const ContentKey &it : allKeys(content)) {
         const auto suspect = m_suspects.find(it);
-        if (suspect != m_suspects.end() && now < suspect->second.suspendedUntil)
+        if (suspect != m_suspects.end() && now < suspect->second.suspendedUntil
+            && !isExplained(suspect->second))
             keys.push_back(it);
     }
     return keys;
 }
 
-bool CrashSuspects::isCertain(const ContentKey &key) const
+bool CrashSuspects::isExplained(const Suspect &suspect) const
+{
+    return std::ranges::any_of(m_certain, [&](const ContentKey &it) {
+        const auto &cause = m_suspects.at(it).crashes;
+        return suspect.crashes.size() < cause.size() && includesAll(cause, suspect.crashes);
+    });
+}
+
+std::size_t CrashSuspects::directCrashes(const Suspect &suspect)
 {
-    return m_suspects.at(key).crashes.size() >= CertainCrashes;
+    return static_cast<std::size_t>(std::ranges::count_if(
+            suspect.crashes, [](const auto &it) { return it.second.isDirect; }));
+}
+
+std::size_t CrashSuspects::separateCrashes(const Suspect &suspect)
+{
+    std::vector<TimePoint> times;
+    for (const auto &[instance, crash] : suspect.crashes)
+        times.push_back(crash.at);
+    std::ranges::sort(times);
+    std::size_t count = 0;
+    TimePoint last;
+    for (const TimePoint it : times) {
+        if (count > 0 && it - last < MinCrashInterval)
+            continue;
+        ++count;
+        last = it;
+    }
+    return count;
+}
+
+bool CrashSuspects::isCertain(const ContentKey &key, const Suspect &suspect)
+{
+    if (suspect.crashes.size() < CertainCrashes)
+        return false;
+    return isWholeRequest(key) || directCrashes(suspect) >= CertainCrashes
+           || separateCrashes(suspect) >= CertainCrashes;
 }
 
 bool CrashSuspects::hasOtherCause(const ContentKey &key, const std::vector<ContentKey> &present,
                                   TimePoint now) const
 {
     const auto &crashes = m_suspects.at(key).crashes;
-    const bool needsAllCrashes = isCertain(key);
+    const bool needsAllCrashes = m_certain.contains(key);
     return std::ranges::any_of(m_suspects, [&](const auto &it) {
         return !isWholeRequest(it.first) && now < it.second.suspendedUntil
                && std::ranges::find(present, it.first) == present.end()
-               && (!needsAllCrashes || std::ranges::includes(it.second.crashes, crashes));
+               && (!needsAllCrashes || includesAll(it.second.crashes, crashes));
     });
 }
 
 void CrashSuspects::extendIfCertain(const ContentKey &key, TimePoint now)
 {
-    if (!isCertain(key))
+    if (!m_certain.contains(key))
         return;
     Suspect &suspect = m_suspects.at(key);
     suspect.suspendedUntil = now + LongSuspension;
     suspect.expiresAt = now + LongSuspension;
 }
 
-bool CrashSuspects::isHarmless(const ContentKey &key) const
+RecentKeys &CrashSuspects::begunKeys(const ContentKey &key)
 {
-    return m_harmlessParts.contains(key) || m_harmlessRequests.contains(key);
+    return isWholeRequest(key) ? m_begunRequests : m_begunParts;
 }
 
-std::vector<ContentKey> CrashSuspects::recordStart(const RequestContent &content)
+RecentKeys &CrashSuspects::completeKeys(const ContentKey &key)
 {
-    m_harmlessRequests.add(content.whole);
-    for (const ContentKey &it : content.sharedParts)
-        m_harmlessParts.add(it);
-    std::vector<ContentKey> cleared;
-    if (m_suspects.empty())
-        return cleared;
+    return isWholeRequest(key) ? m_completeRequests : m_completeParts;
+}
+
+std::vector<HarmlessContent> CrashSuspects::recordStart(const RequestContent &content,
+                                                        std::uint64_t version)
+{
+    return recordAnswer(content, version, AnswerProgress::Begun);
+}
+
+std::vector<HarmlessContent> CrashSuspects::recordCompletion(const RequestContent &content,
+                                                             std::uint64_t version)
+{
+    return recordAnswer(content, version, AnswerProgress::Complete);
+}
+
+std::vector<HarmlessContent> CrashSuspects::recordAnswer(const RequestContent &content,
+                                                         std::uint64_t version,
+                                                         AnswerProgress progress)
+{
+    std::vector<HarmlessContent> cleared;
     for (const ContentKey &it : allKeys(content)) {
-        const auto suspect = m_suspects.find(it);
-        if (suspect == m_suspects.end())
-            continue;
-        if (suspect->second.crashes.size() >= MinCrashes)
-            cleared.push_back(it);
-        m_suspects.erase(suspect);
+        begunKeys(it).add(it, version);
+        if (progress == AnswerProgress::Complete)
+            completeKeys(it).add(it, version);
+        const HarmlessContent harmless{it, version, progress};
+        if (!m_suspects.empty() && clearCrashes(harmless))
+            cleared.push_back(harmless);
     }
     return cleared;
 }
 
+bool CrashSuspects::clearCrashes(const HarmlessContent &harmless)
+{
+    const auto suspect = m_suspects.find(harmless.content);
+    if (suspect == m_suspects.end())
+        return false;
+    auto &crashes = suspect->second.crashes;
+    const bool hadEnough = crashes.size() >= MinCrashes;
+    const bool isComplete = harmless.progress == AnswerProgress::Complete;
+    std::erase_if(crashes, [&](const auto &it) {
+        return it.second.weightsVersion <= harmless.weightsVersion
+               && (isComplete || it.second.isDirect);
+    });
+    if (!isCertain(harmless.content, suspect->second))
+        m_certain.erase(harmless.content);
+    if (crashes.empty()) {
+        m_suspects.erase(suspect);
+        return hadEnough;
+    }
+    if (directCrashes(suspect->second) < MinCrashes && !m_certain.contains(harmless.content))
+        suspect->second.suspendedUntil = {};
+    return false;
+}
+
 std::optional<CrashReport> CrashSuspects::recordCrash(const BackendInstance &instance,
-                                                      const RequestContent &content, TimePoint now)
+                                                      const RequestContent &content, TimePoint now,
+                                                      CrashPhase phase, std::uint64_t version)
 {
     evict(now);
-    CrashReport report{instance, {}};
+    CrashReport report;
+    report.instance = instance;
+    report.weightsVersion = version;
+    report.crashedAt = now;
+    RequestContent request;
+    bool isNew = false;
     for (const ContentKey &it : allKeys(content)) {
-        if (!isHarmless(it) && addCrash(it, instance, now))
+        const bool isBefore = phase == CrashPhase::BeforeAnswer;
+        if (completeKeys(it).contains(it, version)
+            || (isBefore && begunKeys(it).contains(it, version)))
+            continue;
+        // What earlier weights have answered may be in several of these crashes by coincidence.
+        const bool isDirect = isBefore && !begunKeys(it).contains(it);
+        if (isWholeRequest(it))
+            request.whole = it;
+        else
+            request.sharedParts.push_back(it);
+        if (!addCrash(it, instance, {now, version, isDirect}, now))
+            continue;
+        isNew = true;
+        if (isDirect)
             report.suspects.push_back(it);
     }
-    clearExplained();
-    if (report.suspects.empty())
+    if (!isNew)
         return std::nullopt;
+    report.requests.push_back(std::move(request));
     return report;
 }
 
-std::vector<ContentKey> CrashSuspects::merge(const CrashReport &report, TimePoint now)
+std::vector<HarmlessContent> CrashSuspects::merge(const CrashReport &report, TimePoint now)
 {
     evict(now);
-    std::vector<ContentKey> harmless;
-    for (const ContentKey &it : report.suspects) {
-        if (isHarmless(it))
-            harmless.push_back(it);
+    std::vector<HarmlessContent> harmless;
+    const auto add = [&](const ContentKey &key, bool isDirect) {
+        const std::uint64_t version = report.weightsVersion;
+        const bool isComplete = completeKeys(key).contains(key, version);
+        if (isComplete || (isDirect && begunKeys(key).contains(key, version)))
+            harmless.push_back(
+                    {key, version, isComplete ? AnswerProgress::Complete : AnswerProgress::Begun});
         else
-            addCrash(it, report.instance, now);
+            addCrash(key, report.instance, {report.crashedAt, version, isDirect}, now);
+    };
+    for (const ContentKey &it : report.suspects)
+        add(it, true);
+    for (const RequestContent &request : report.requests) {
+        for (const ContentKey &it : allKeys(request)) {
+            if (!it.empty() && std::ranges::find(report.suspects, it) == report.suspects.end())
+                add(it, false);
+        }
     }
-    clearExplained();
     return harmless;
 }
 
-void CrashSuspects::recordHarmless(const ContentKey &key)
+void CrashSuspects::recordHarmless(const HarmlessContent &harmless)
 {
-    (isWholeRequest(key) ? m_harmlessRequests : m_harmlessParts).add(key);
-    m_suspects.erase(key);
+    const ContentKey &key = harmless.content;
+    begunKeys(key).add(key, harmless.weightsVersion);
+    if (harmless.progress == AnswerProgress::Complete)
+        completeKeys(key).add(key, harmless.weightsVersion);
+    clearCrashes(harmless);
 }
 
-bool CrashSuspects::addCrash(const ContentKey &key, const BackendInstance &instance, TimePoint now)
+bool CrashSuspects::addCrash(const ContentKey &key, const BackendInstance &instance,
+                             const Crash &crash, TimePoint now)
 {
     Suspect &suspect = m_suspects[key];
-    if (!suspect.crashes.insert(instance).second)
+    const auto [known, isNew] = suspect.crashes.try_emplace(instance, crash);
+    if (!isNew && (known->second.isDirect || !crash.isDirect))
         return false;
-    const std::size_t crashes = suspect.crashes.size();
+    known->second = crash;
     suspect.expiresAt = now + LongSuspension;
-    m_suspensionCount += crashes >= MinCrashes;
-    if (crashes >= CertainCrashes)
-        suspect.suspendedUntil = now + LongSuspension;
-    else if (crashes >= MinCrashes)
-        suspect.suspendedUntil = now + ShortSuspension;
+    const bool isNowCertain = isCertain(key, suspect);
+    if (!isNowCertain && directCrashes(suspect) < MinCrashes)
+        return true;
+    const bool hasBecomeCertain = isNowCertain && m_certain.insert(key).second;
+    const bool isChange = hasBecomeCertain || now >= suspect.suspendedUntil;
+    if (isChange && m_newSuspensions.size() < MaxNewSuspensions)
+        m_newSuspensions.push_back({key, suspect.crashes.size(), isNowCertain});
+    ++m_suspensionCount;
+    suspect.suspendedUntil = now + (isNowCertain ? LongSuspension : ShortSuspension);
     return true;
 }
 
-void CrashSuspects::clearExplained()
-{
-    std::vector<std::set<BackendInstance>> explained;
-    for (const auto &[key, suspect] : m_suspects) {
-        if (suspect.crashes.size() >= CertainCrashes)
-            explained.push_back(suspect.crashes);
-    }
-    std::erase_if(m_suspects, [&explained](const auto &it) {
-        const auto &crashes = it.second.crashes;
-        return std::ranges::any_of(explained, [&crashes](const auto &cause) {
-            return crashes.size() < cause.size() && std::ranges::includes(cause, crashes);
-        });
-    });
-}
-
 void CrashSuspects::evict(TimePoint now)
 {
     std::erase_if(m_suspects, [now](const auto &it) { return now >= it.second.expiresAt; });
@@ -171,6 +276,7 @@
         m_suspects.erase(std::ranges::min_element(
                 m_suspects, {}, [](const auto &it) { return it.second.expiresAt; }));
     }
+    std::erase_if(m_certain, [this](const auto &it) { return !m_suspects.contains(it); });
 }
 
 } // namespace godwit
--- a/modules/gateway/src/forwardedrequest.cpp
+++ b/modules/gateway/src/forwardedrequest.cpp
@@ -181,6 +181,11 @@
     return m_bodyMode != BodyMode::None;
 }
 
+std::uint64_t ForwardedRequest::weightsVersionOf(const PastAttempt &attempt)
+{
+    return attempt.weightsVersion.value_or(attempt.recordedVersion.value_or(0));
+}
+
 void ForwardedRequest::cancelIfSuspended()
 {
     if (m_ended || !m_attemptInProgress || hasResponseStarted() || m_isTrial
@@ -243,6 +248,7 @@
                           .predictedStartDelay = choice.predictedStartDelay,
                           .foundFreeSlot = choice.hasFreeSlot,
                           .recordedVersion = choice.weightsVersion,
+                          .resumesStream = m_eventSplitter.lastId() || m_request.lastEventId,
                           .endpoint = choice.endpoint,
                           .sentAt = now()});
     m_currentAttempt = m_attempts.size() - 1;
--- a/modules/gateway/src/forwardedrequest.h
+++ b/modules/gateway/src/forwardedrequest.h
@@ -73,6 +73,7 @@
         bool foundFreeSlot = true;
         /// Of the weights, by the record of the backend server.
         std::optional<std::uint64_t> recordedVersion = {};
+        bool resumesStream = false; ///< Continues a stream that another attempt or request began.
         HttpEndpoint endpoint;
         TimePoint sentAt;
         /// Calls that its connection had carried before; empty if the request was not sent.
@@ -122,6 +123,10 @@
     void refuseSuspended();
     /// Whether the backend server has begun to answer the current attempt.
     bool hasResponseStarted() const;
+    /// Of the weights of the backend server of \a attempt; 0 if it has none or it is unknown.
+    static std::uint64_t weightsVersionOf(const PastAttempt &attempt);
+    /// The current attempt has answered the request to its end.
+    void recordCompletion();
     HttpCall callFor(const BackendChoice &choice) const;
     /// Cancels the current attempt, whose weights became outdated at \a expiry, if its response has
     /// not started, and sends the request elsewhere.
--- a/modules/gateway/src/forwardedresponse.cpp
+++ b/modules/gateway/src/forwardedresponse.cpp
@@ -78,7 +78,7 @@
         m_bodyMode = m_streaming ? BodyMode::Unusable : BodyMode::Buffered;
     // An error may be sent before any work on the content of the request.
     if (m_bodyMode == BodyMode::Buffered && isSuccess(status))
-        m_gateway.recordStart(m_content);
+        m_gateway.recordStart(m_content, weightsVersionOf(currentAttempt()));
     if (m_bodyMode == BodyMode::Buffered)
         recordSilenceEnd();
     restartSilenceTimer();
@@ -173,7 +173,7 @@
     attempt.firstEventsAt = at;
     recordWeights(attempt, at);
     m_gateway.m_backends.onResponseStarted(attempt.backend, m_position);
-    m_gateway.recordStart(m_content);
+    m_gateway.recordStart(m_content, weightsVersionOf(attempt));
     // Under load, the delay would also contain the error of this process in estimating the load of
     // the others.
     if (attempt.foundFreeSlot)
@@ -220,15 +220,26 @@
 
 void ForwardedRequest::failAfterClose(std::string detail)
 {
-    // A crash closes the connection before the response has begun.
-    const bool mayBeCrash = !hasResponseStarted();
-    if (mayBeCrash)
-        m_gateway.recordCrash(currentAttempt().instance, m_content);
+    // A backend server that rejects the request, or sends no valid response, does not run it.
+    const bool mayBeCrash = m_bodyMode != BodyMode::Rejection && m_bodyMode != BodyMode::Unusable;
+    if (mayBeCrash) {
+        const bool hasBegun = hasResponseStarted() || m_streaming;
+        m_gateway.recordCrash(currentAttempt().instance, m_content,
+                              hasBegun ? CrashPhase::DuringAnswer : CrashPhase::BeforeAnswer,
+                              weightsVersionOf(currentAttempt()));
+    }
     fail(AttemptOutcome::Broken, std::move(detail));
     if (mayBeCrash)
         m_gateway.cancelSuspended();
 }
 
+void ForwardedRequest::recordCompletion()
+{
+    // Only an attempt that ran the request from its beginning has run all of its content.
+    if (isSuccess(m_responseHead.status) && !currentAttempt().resumesStream)
+        m_gateway.recordCompletion(m_content, weightsVersionOf(currentAttempt()));
+}
+
 void ForwardedRequest::onComplete()
 {
     switch (m_bodyMode) {
@@ -260,6 +271,7 @@
         if (!m_streaming)
             m_reply->start(m_responseHead.status, m_responseHead.headers);
         m_reply->finish();
+        recordCompletion();
         endAttempt(AttemptOutcome::Complete);
         finishRequest(m_responseHead.status, ResultCode::Ok, {});
         return;
@@ -282,6 +294,7 @@
 
 void ForwardedRequest::sendBufferedResponse()
 {
+    recordCompletion();
     endAttempt(m_responseHead.status >= FirstServerError ? AttemptOutcome::Failed
                                                          : AttemptOutcome::Complete);
     HttpResponse response;
--- a/modules/gateway/src/forwardedsilence.cpp
+++ b/modules/gateway/src/forwardedsilence.cpp
@@ -160,7 +160,14 @@
     const bool isComplete = std::holds_alternative<std::monostate>(outcome)
                             && !m_stalled->eventSplitter.hasPartialEvent();
     if (!isComplete) {
+        const auto *error = std::get_if<Error>(&outcome);
+        if (!error || error->code == ResultCode::PlatformReplyLost) {
+            const PastAttempt &attempt = m_attempts[m_stalled->index];
+            m_gateway.recordCrash(attempt.instance, m_content, CrashPhase::DuringAnswer,
+                                  weightsVersionOf(attempt));
+        }
         dropStalledAttempt(AttemptOutcome::Broken);
+        m_gateway.cancelSuspended();
         return;
     }
     returnToStalledAttempt();
--- a/modules/gateway/src/gateway.cpp
+++ b/modules/gateway/src/gateway.cpp
@@ -21,14 +21,21 @@
 /// decay, clients that switch to a shorter timeout would be taken for clients that retry.
 constexpr int ClientTimeoutDecayRequests = 300;
 
-void logCrash(const CrashReport &report)
+void logCrash(const CrashReport &report, CrashPhase phase)
 {
     boost::json::array suspects;
     for (const ContentKey &it : report.suspects)
         suspects.emplace_back(it.value());
-    logStateChange("backend_crash_suspected", {{"backend", report.instance.id.value()},
-                                               {"born_ms", report.instance.startTimeMs},
-                                               {"suspects", std::move(suspects)}});
+    boost::json::array requests;
+    for (const RequestContent &it : report.requests)
+        requests.emplace_back(it.whole.value());
+    logStateChange("backend_crash_suspected",
+                   {{"backend", report.instance.id.value()},
+                    {"born_ms", report.instance.startTimeMs},
+                    {"weights_version", report.weightsVersion},
+                    {"suspects", std::move(suspects)},
+                    {"requests", std::move(requests)},
+                    {"answer_begun", phase == CrashPhase::DuringAnswer}});
 }
 
 } // namespace
@@ -153,31 +160,53 @@
     return spent >= shortestRetryAfter(longest) && spent <= longest / 2 ? spent : Duration::zero();
 }
 
-void Gateway::recordCrash(const BackendInstance &instance, const RequestContent &content)
+void Gateway::recordCrash(const BackendInstance &instance, const RequestContent &content,
+                          CrashPhase phase, std::uint64_t weightsVersion)
 {
-    const auto report =
-            m_crashSuspects.recordCrash(instance, content, m_environment.scheduler.now());
+    const auto report = m_crashSuspects.recordCrash(
+            instance, content, m_environment.scheduler.now(), phase, weightsVersion);
     if (!report)
         return;
-    logCrash(*report);
+    logCrash(*report, phase);
+    logSuspensions();
     if (m_environment.onCrash)
         m_environment.onCrash(*report);
 }
 
-void Gateway::recordStart(const RequestContent &content)
+void Gateway::logSuspensions()
 {
-    for (const ContentKey &it : m_crashSuspects.recordStart(content)) {
-        logStateChange("content_cleared", {{"content", it.value()}});
+    for (const CrashSuspects::Suspension &it : m_crashSuspects.takeSuspensions())
+        logStateChange("content_suspended", {{"content", it.content.value()},
+                                             {"crashes", it.crashes},
+                                             {"certain", it.isCertain}});
+}
+
+void Gateway::recordStart(const RequestContent &content, std::uint64_t weightsVersion)
+{
+    reportCleared(m_crashSuspects.recordStart(content, weightsVersion));
+}
+
+void Gateway::recordCompletion(const RequestContent &content, std::uint64_t weightsVersion)
+{
+    reportCleared(m_crashSuspects.recordCompletion(content, weightsVersion));
+}
+
+void Gateway::reportCleared(const std::vector<HarmlessContent> &cleared)
+{
+    for (const HarmlessContent &it : cleared) {
+        logStateChange("content_cleared", {{"content", it.content.value()},
+                                           {"complete", it.progress == AnswerProgress::Complete}});
         if (m_environment.onHarmless)
             m_environment.onHarmless(it);
     }
 }
 
-std::vector<ContentKey> Gateway::mergeCrashReport(const CrashReport &report)
+std::vector<HarmlessContent> Gateway::mergeCrashReport(const CrashReport &report)
 {
     // A process sends its earlier reports again with each new one.
     const std::uint64_t before = m_crashSuspects.suspensionCount();
     auto harmless = m_crashSuspects.merge(report, m_environment.scheduler.now());
+    logSuspensions();
     if (m_crashSuspects.suspensionCount() != before)
         cancelSuspended();
     return harmless;
--- a/modules/gateway/tests/crashsuspectstest.cpp
+++ b/modules/gateway/tests/crashsuspectstest.cpp
@@ -34,7 +34,7 @@
 
     std::vector<CrashSuspects> processes = std::vector<CrashSuspects>(5);
     std::vector<std::pair<std::size_t, CrashReport>> reports;
-    std::vector<std::pair<std::size_t, ContentKey>> harmless;
+    std::vector<std::pair<std::size_t, HarmlessContent>> harmless;
     TimePoint now;
     std::size_t sent = 0;
     std::vector<TimePoint> crashes;
@@ -48,7 +48,7 @@
         if (processes[index].decide(request, now) == CrashSuspects::Decision::Refuse)
             return false;
         if (!crashesServer) {
-            for (const ContentKey &it : processes[index].recordStart(request))
+            for (const HarmlessContent &it : processes[index].recordStart(request))
                 harmless.emplace_back(sent, it);
             return true;
         }
@@ -64,7 +64,7 @@
     {
         while (!reports.empty() && reports.front().first + ExchangeDelay <= sent) {
             for (CrashSuspects &process : processes) {
-                for (const ContentKey &it : process.merge(reports.front().second, now))
+                for (const HarmlessContent &it : process.merge(reports.front().second, now))
                     harmless.emplace_back(sent, it);
             }
             reports.erase(reports.begin());
@@ -159,7 +159,8 @@
         CHECK(suspects.decide(content({"fresh"}, "t"), start) == Decision::Refuse);
         CHECK(suspects.decide(content({"fresh"}, "t"), start + CrashSuspects::TrialInterval)
               == Decision::Trial);
-        CHECK(suspects.recordStart(content({"fresh"}, "t")) == std::vector{ContentKey("fresh")});
+        CHECK(suspects.recordStart(content({"fresh"}, "t"))
+              == std::vector{HarmlessContent{ContentKey("fresh")}});
         CHECK(suspects.decide(content({"fresh"}, "u"), start) == Decision::Run);
         CHECK(suspects.isSuspended(content({"bad"}, "u"), start));
     }
@@ -227,11 +228,11 @@
     {
         suspects.recordStart(content({"rare"}, "r"));
         CHECK(suspects.merge({instance(1), {ContentKey("rare"), ContentKey("bad")}}, now)
-              == std::vector{ContentKey("rare")});
+              == std::vector{HarmlessContent{ContentKey("rare")}});
         CrashSuspects other;
         other.merge({instance(1), {ContentKey("rare")}}, now);
         other.merge({instance(2), {ContentKey("rare")}}, now);
-        other.recordHarmless(ContentKey("rare"));
+        other.recordHarmless({ContentKey("rare")});
         CHECK_FALSE(other.isSuspended(content({"rare"}, "r"), now));
     }
     // Each process sends its earlier reports again with each new one. Guards against a part that
@@ -294,3 +295,341 @@
                                    [&](TimePoint it) { return it > fifth + 2 * ContactTime; }));
     }
 }
+
+// Guards against content that is never held back because the crash comes after the answer has
+// begun, and against sound content that is held back because it ran on the same backend server.
+TEST_CASE("CrashSuspects finds content that crashes backend servers in the middle of its answer")
+{
+    CrashSuspects suspects;
+    TimePoint now;
+    int crashes = 0;
+    const auto crash = [&](const RequestContent &request, std::uint64_t version = 0) {
+        suspects.recordStart(request, version);
+        return suspects.recordCrash(instance(++crashes), request, now, CrashPhase::DuringAnswer,
+                                    version);
+    };
+
+    SECTION("a request that is sent again after three crashes")
+    {
+        const auto bad = content({}, "request-bad");
+        crash(bad);
+        crash(bad);
+        CHECK_FALSE(suspects.isSuspended(bad, now));
+        crash(bad);
+        CHECK(suspects.decide(bad, now) == CrashSuspects::Decision::Refuse);
+
+        SECTION("its begin, which another process reports, does not clear it")
+        {
+            suspects.recordHarmless({bad.whole, 0, AnswerProgress::Begun});
+            CHECK(suspects.isSuspended(bad, now));
+        }
+        SECTION("the end of its answer does")
+        {
+            CHECK(suspects.recordCompletion(bad)
+                  == std::vector{HarmlessContent{bad.whole, 0, AnswerProgress::Complete}});
+            CHECK_FALSE(suspects.isSuspended(bad, now));
+            CHECK_FALSE(crash(bad));
+        }
+        SECTION("which explains those of a sound one that waited at two of the servers")
+        {
+            const auto sound = content({}, "request-sound");
+            for (int i = 1; i <= 2; ++i)
+                suspects.recordCrash(instance(i), sound, now);
+            CHECK_FALSE(suspects.isSuspended(sound, now));
+            SECTION("until it is cleared itself")
+            {
+                suspects.recordCompletion(bad);
+                CHECK(suspects.isSuspended(sound, now));
+            }
+        }
+    }
+    SECTION("a part, after three crashes that did not happen at the same time")
+    {
+        const auto request = [&] {
+            return content({"system", "bad"}, "request-" + std::to_string(crashes));
+        };
+        suspects.recordCompletion(content({"system"}, "request-sound"));
+        for (int i = 0; i < 3; ++i) {
+            CHECK_FALSE(suspects.isSuspended(request(), now));
+            const auto report = crash(request());
+            REQUIRE(report);
+            CHECK(report->suspects.empty());
+            CHECK(report->requests.at(0).sharedParts == std::vector{ContentKey("bad")});
+            crash(request());
+            now += CrashSuspects::MinCrashInterval;
+        }
+        CHECK(suspects.decide(request(), now) == CrashSuspects::Decision::Refuse);
+        CHECK(suspects.decide(content({"system"}, "request-next"), now)
+              == CrashSuspects::Decision::Run);
+    }
+    // A loss of power or of all connections breaks many streams, and processes that have just
+    // started have seen none of them end.
+    SECTION("servers that all end at once suspend no part of what they were answering")
+    {
+        for (int i = 0; i < 30; ++i)
+            crash(content({"system", "subject"}, "request-" + std::to_string(i)));
+        CHECK_FALSE(suspects.isSuspended(content({"system", "subject"}, "request-next"), now));
+    }
+    // Guards against content that is harmless for good because earlier weights have answered it.
+    SECTION("newer weights may crash on what earlier ones have answered")
+    {
+        const auto known = content({"subject"}, "request-known");
+        suspects.recordCompletion(known, 6);
+        CHECK_FALSE(crash(known, 6));
+        for (int i = 0; i < 3; ++i) {
+            now += CrashSuspects::MinCrashInterval;
+            CHECK(crash(content({"subject"}, "request-" + std::to_string(i)), 7));
+        }
+        CHECK(suspects.isSuspended(known, now));
+        SECTION("which servers with the earlier ones do not disprove")
+        {
+            suspects.recordCompletion(known, 6);
+            CHECK(suspects.isSuspended(known, now));
+            suspects.recordCompletion(known, 7);
+            CHECK_FALSE(suspects.isSuspended(known, now));
+        }
+    }
+    SECTION("one crash before the answer of newer weights begins is no direct evidence either")
+    {
+        const auto known = content({"subject"}, "request-known");
+        suspects.recordStart(known, 6);
+        for (int i = 1; i <= 4; ++i)
+            suspects.recordCrash(instance(i), known, now, CrashPhase::BeforeAnswer, 7);
+        CHECK_FALSE(suspects.isSuspended(content({"subject"}, "request-next"), now));
+    }
+    // Guards against a process that starts later, reads all crashes at once, and takes them for one
+    // event.
+    SECTION("what other processes report counts with the times of the crashes")
+    {
+        CrashSuspects late;
+        for (int i = 0; i < 3; ++i) {
+            const auto report = crash(content({"bad"}, "request-" + std::to_string(i)));
+            REQUIRE(report);
+            now += CrashSuspects::MinCrashInterval;
+            late.merge(*report, now);
+        }
+        CHECK(late.isSuspended(content({"bad"}, "request-next"), now));
+
+        CrashSuspects sound;
+        sound.recordCompletion(content({"bad"}, "request-sound"));
+        const auto report = crash(content({"bad"}, "request-more"));
+        REQUIRE(report);
+        CHECK(sound.merge(*report, now)
+              == std::vector{HarmlessContent{ContentKey("bad"), 0, AnswerProgress::Complete}});
+    }
+    SECTION("suspensions are stated once for the log")
+    {
+        const auto bad = content({}, "request-bad");
+        for (int i = 0; i < 4; ++i)
+            crash(bad);
+        const auto suspensions = suspects.takeSuspensions();
+        REQUIRE(suspensions.size() == 1);
+        CHECK(suspensions[0].content == bad.whole);
+        CHECK(suspensions[0].isCertain);
+        CHECK(suspects.takeSuspensions().empty());
+    }
+}
+
+namespace {
+
+/// Entry processes that send streams to backend servers, some of which crash them after a number of
+/// events. A crash breaks all streams of its backend server, and each of them is resumed once at
+/// another one. Processes hear of each other's crashes after ExchangeDelay.
+class StreamingFleet
+{
+public:
+    static constexpr std::size_t Processes = 5;
+    static constexpr int Backends = 12;
+    static constexpr int Events = 24;
+    static constexpr int Attempts = 2;
+    static constexpr Duration Step = 50ms; ///< Between two events of a stream.
+    static constexpr Duration Restart = 3s;
+    static constexpr Duration ExchangeDelay = 1s;
+
+    StreamingFleet(std::uint64_t seed, int eventsBeforeCrash)
+        : m_random(seed)
+        , m_eventsBeforeCrash(eventsBeforeCrash)
+    {}
+
+    TimePoint now;
+    std::vector<TimePoint> crashes;
+    std::vector<TimePoint> badArrivals; ///< At backend servers.
+    std::vector<TimePoint> soundRefusals;
+    int soundCompleted = 0;
+
+    void send(const RequestContent &request, bool isBad)
+    {
+        const auto process = static_cast<std::size_t>(m_random.uniform() * Processes);
+        run({process, request, isBad});
+    }
+
+    void advance()
+    {
+        now += Step;
+        exchange();
+        for (std::size_t i = 0; i < m_streams.size(); ++i)
+            m_streams[i].hasEnded |= m_streams[i].isBad
+                                     && m_streams[i].events == m_eventsBeforeCrash
+                                     && crash(m_streams[i].backend);
+        for (Stream &it : m_streams)
+            if (!it.hasEnded)
+                progress(it);
+        std::erase_if(m_streams, [](const Stream &it) { return it.hasEnded; });
+        for (const Stream &it : std::exchange(m_resumed, {}))
+            run(it);
+    }
+
+private:
+    struct Stream
+    {
+        std::size_t process = 0;
+        RequestContent request;
+        bool isBad = false;
+        int attempt = 0;
+        int backend = 0;
+        int events = 0;        ///< Of this attempt.
+        int earlierEvents = 0; ///< Of earlier attempts.
+        bool hasEnded = false;
+    };
+    struct Backend
+    {
+        std::uint64_t start = 1;
+        TimePoint upAt;
+    };
+
+    void run(Stream stream)
+    {
+        CrashSuspects &suspects = m_processes[stream.process];
+        const bool isRefused =
+                suspects.decide(stream.request, now) == CrashSuspects::Decision::Refuse;
+        std::vector<int> up;
+        for (int i = 0; i < Backends; ++i)
+            if (now >= m_backends[static_cast<std::size_t>(i)].upAt)
+                up.push_back(i);
+        if (isRefused && !stream.isBad)
+            soundRefusals.push_back(now);
+        if (isRefused || up.empty())
+            return;
+        if (stream.isBad)
+            badArrivals.push_back(now);
+        stream.backend =
+                up[static_cast<std::size_t>(m_random.uniform() * static_cast<double>(up.size()))];
+        m_streams.push_back(std::move(stream));
+    }
+
+    void progress(Stream &stream)
+    {
+        CrashSuspects &suspects = m_processes[stream.process];
+        if (++stream.events == 1)
+            publish(suspects.recordStart(stream.request));
+        if (stream.earlierEvents + stream.events < Events)
+            return;
+        stream.hasEnded = true;
+        soundCompleted += !stream.isBad;
+        if (stream.attempt == 0)
+            publish(suspects.recordCompletion(stream.request));
+    }
+
+    bool crash(int backend)
+    {
+        Backend &it = m_backends[static_cast<std::size_t>(backend)];
+        if (now < it.upAt)
+            return true;
+        crashes.push_back(now);
+        const BackendInstance ended = instance(backend, it.start);
+        ++it.start;
+        it.upAt = now + Restart;
+        for (Stream &stream : m_streams) {
+            if (stream.backend != backend || stream.hasEnded)
+                continue;
+            stream.hasEnded = true;
+            const bool hasBegun = stream.events + stream.earlierEvents > 0;
+            const auto report = m_processes[stream.process].recordCrash(
+                    ended, stream.request, now,
+                    hasBegun ? CrashPhase::DuringAnswer : CrashPhase::BeforeAnswer);
+            if (report)
+                m_reports.emplace_back(now + ExchangeDelay, *report);
+            Stream next = stream;
+            next.hasEnded = false;
+            next.earlierEvents += std::exchange(next.events, 0);
+            if (++next.attempt < Attempts)
+                m_resumed.push_back(std::move(next));
+        }
+        return true;
+    }
+
+    void publish(const std::vector<HarmlessContent> &cleared)
+    {
+        for (const HarmlessContent &it : cleared)
+            m_harmless.emplace_back(now + ExchangeDelay, it);
+    }
+
+    void exchange()
+    {
+        const auto isDue = [&](const auto &it) { return it.first <= now; };
+        for (const auto &[at, report] : m_reports)
+            if (at <= now)
+                for (CrashSuspects &it : m_processes)
+                    publish(it.merge(report, now));
+        std::erase_if(m_reports, isDue);
+        for (const auto &[at, harmless] : m_harmless)
+            if (at <= now)
+                for (CrashSuspects &it : m_processes)
+                    it.recordHarmless(harmless);
+        std::erase_if(m_harmless, isDue);
+    }
+
+    Random m_random;
+    int m_eventsBeforeCrash;
+    std::vector<CrashSuspects> m_processes = std::vector<CrashSuspects>(Processes);
+    std::vector<Backend> m_backends = std::vector<Backend>(Backends);
+    std::vector<Stream> m_streams;
+    std::vector<Stream> m_resumed;
+    std::vector<std::pair<TimePoint, CrashReport>> m_reports;
+    std::vector<std::pair<TimePoint, HarmlessContent>> m_harmless;
+};
+
+} // namespace
+
+// Load pattern: backend servers are busy with streams, and some requests crash them in the middle
+// of theirs. Guards against entry processes that let such requests through for good, and against
+// ones that hold back the sound streams which each crash breaks.
+TEST_CASE("Five processes stop streams that crash backend servers after some events")
+{
+    constexpr int Steps = 1200;
+    constexpr Duration ContactTime = 3s;
+    const int eventsBeforeCrash = GENERATE(0, 1, 10);
+    const bool isPart = GENERATE(false, true);
+    constexpr int FirstBad = 100; ///< The processes have served sound requests before.
+    CAPTURE(eventsBeforeCrash, isPart);
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        StreamingFleet fleet(seed, eventsBeforeCrash);
+        Random random(seed + 100);
+        for (int i = 0; i < Steps; ++i) {
+            for (int n = 0; n < 3; ++n) {
+                const auto subject = static_cast<int>(random.uniform() * 40);
+                fleet.send(content({"system", "subject" + std::to_string(subject)},
+                                   "request-" + std::to_string(i) + "-" + std::to_string(n)),
+                           false);
+            }
+            if (i >= FirstBad && i % 10 == 0) {
+                const std::string whole =
+                        isPart ? "request-bad" + std::to_string(i) : "request-bad";
+                fleet.send(content(isPart ? std::vector<std::string>{"system", "bad"}
+                                          : std::vector<std::string>{"system"},
+                                   whole),
+                           true);
+            }
+            fleet.advance();
+        }
+        const std::size_t limit = isPart ? 5 : 3;
+        REQUIRE(fleet.crashes.size() >= 2);
+        const TimePoint last = fleet.crashes[std::min(limit, fleet.crashes.size()) - 1];
+        const auto isLate = [&](TimePoint it) { return it > last + ContactTime; };
+        CHECK(std::ranges::count_if(fleet.badArrivals, isLate) <= 3);
+        CHECK(std::ranges::none_of(fleet.soundRefusals,
+                                   [&](TimePoint it) { return it > last + 2 * ContactTime; }));
+        CHECK(fleet.soundCompleted > Steps * 3 * 3 / 4);
+    }
+}
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -832,11 +832,94 @@
         it.backendCalls.back()->complete();
         CHECK(it.crashReports.size() == 2);
     }
-    SECTION("a response that is broken off later was no crash by its request")
+    // Guards against a request that is never held back because it crashes each server only after
+    // the first events of its stream, and again when the stream is resumed at the next one.
+    SECTION("a stream that crashes its servers after its first events is held back")
+    {
+        const auto crash = [&](int lastEvent) {
+            it.backendCalls.back()->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+            it.backendCalls.back()->data(event(lastEvent));
+            it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        };
+        send("/stream/x", "acb");
+        crash(1);
+        REQUIRE(it.backendCalls.size() == 3);
+        crash(2);
+        CHECK(it.backendCalls.size() == 3);
+        REQUIRE(it.crashReports.size() == 2);
+        // Sound requests that run on the same server are broken in the same way.
+        CHECK(it.crashReports[0].suspects.empty());
+        REQUIRE(it.crashReports[0].requests.size() == 1);
+        CHECK(it.crashReports[0].requests[0].sharedParts.size() == 1);
+
+        --number;
+        const auto second = send("/stream/x", "acb");
+        REQUIRE(it.backendCalls.size() == 4);
+        SECTION("after the third crash, also by the process that runs it")
+        {
+            crash(1);
+            CHECK(it.backendCalls.size() == 4);
+            CHECK_FALSE(second->finished);
+            --number;
+            CHECK(send("/stream/x", "acb")->status == 503);
+            CHECK(it.backendCalls.size() == 4);
+        }
+        SECTION("unless a server has answered it to the end")
+        {
+            answer(*it.backendCalls.back());
+            --number;
+            send("/stream/x", "acb");
+            crash(1);
+            CHECK(it.backendCalls.size() == 6);
+        }
+        SECTION("while other requests with its part run")
+        {
+            crash(1);
+            send("/stream/x", "acb");
+            CHECK(it.backendCalls.size() == 5);
+        }
+    }
+    SECTION("so is a request whose response is not a stream")
+    {
+        const auto lookUp = [&] {
+            send("/safe/x", "");
+            --number;
+        };
+        const auto crash = [&] {
+            it.backendCalls.back()->head(200, {{"seal", "s"}, {"Content-Length", "9"}});
+            it.backendCalls.back()->data("part");
+            it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+        };
+        lookUp();
+        crash();
+        crash();
+        lookUp();
+        crash();
+        const std::size_t calls = it.backendCalls.size();
+        lookUp();
+        CHECK(it.backendCalls.size() == calls);
+    }
+    SECTION("a resumed stream that is completed says nothing about its beginning")
+    {
+        for (int i = 0; i < 3; ++i) {
+            send("/stream/x", "acb");
+            --number;
+            it.backendCalls.back()->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+            it.backendCalls.back()->data(event(1));
+            it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
+            if (i < 2)
+                answer(*it.backendCalls.back());
+        }
+        const std::size_t calls = it.backendCalls.size();
+        CHECK(send("/stream/x", "acb")->status == 503);
+        CHECK(it.backendCalls.size() == calls);
+    }
+    // A server that rejects a request, or whose response is no answer, does not run it.
+    SECTION("a rejection that is broken off is no crash by its request")
     {
         send("/stream/x", "acb");
-        it.backendCalls.back()->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
-        it.backendCalls.back()->data(event(1));
+        it.backendCalls.back()->head(503, {{"not-run", "1"}, {"Content-Length", "9"}});
+        it.backendCalls.back()->data("part");
         it.backendCalls.back()->fail(ResultCode::PlatformReplyLost);
         CHECK(it.crashReports.empty());
     }
@@ -852,7 +935,7 @@
 
         SECTION("until that process says that it is harmless")
         {
-            it.gateway.recordHarmless(part);
+            it.gateway.recordHarmless({part});
             const std::size_t calls = it.backendCalls.size();
             send("/stream/y", "acd");
             CHECK(it.backendCalls.size() == calls + 1);
