Tell a bad request from the part that sound requests share with it

Cause: a part has all crashes of each request that holds it, and CrashSuspects::hasOtherCause() accepted only another part as the cause instead, so that a part whose crashes all came from one request was certain, with no trial. Ruled out: trials that the bad request takes (it is refused), and suspensions that processes pass back and forth (one process decides so).

Change: each crash of a part names its requests, in memory and in the reports. If requests that crashed repeatedly explain the crashes of a part but those of one other request, requests with the part run as trials. A request that holds the certain cause is not explained by it, so that it stays suspended.

--- a/modules/gateway/include/godwit/gateway/crashsuspects.h
+++ b/modules/gateway/include/godwit/gateway/crashsuspects.h
@@ -34,6 +34,9 @@
 ///
 /// If several suspects were in the same requests, a request without one of them is let through now
 /// and then as a trial, which finds the cause among them, however many crashes they have in common.
+/// The same holds for a part whose crashes come from one request that is sent again and again, or
+/// from several: such a request may be the cause by itself. What tells a part that crashes servers
+/// from one that sound requests share with the cause is that different requests crashed with it.
 /// Processes send each other their reports, so that a suspect counts the crashes that all of them
 /// saw. Has no sockets and no clock.
 class CrashSuspects
@@ -117,6 +120,9 @@
         std::uint64_t weightsVersion = 0;
         /// The content had never been answered, and the answer to its request had not begun.
         bool isDirect = false;
+        /// The requests with the content that the crash broke, as far as they may be the cause
+        /// themselves.
+        std::set<ContentKey> requests = {};
     };
 
     struct Suspect
@@ -141,13 +147,19 @@
     /// Number of crashes that cannot have one cause other than content.
     static std::size_t separateCrashes(const Suspect &suspect);
     static bool isCertain(const ContentKey &key, const Suspect &suspect);
-    /// Whether the crashes of \a suspect are a proper subset of those of a certain cause. They
-    /// count again if the cause is cleared.
-    bool isExplained(const Suspect &suspect) const;
-    /// Whether a suspended shared part other than \a present may be the cause instead of \a key. If
-    /// \a key was in enough crashes to be the certain cause, the other one was in all of them too.
+    /// Whether the crashes of \a suspect, which has \a key, are a proper subset of those of a
+    /// certain cause beside it. They count again if the cause is cleared.
+    bool isExplained(const ContentKey &key, const Suspect &suspect) const;
+    /// Whether a suspended shared part other than \a present may be the cause instead of \a key, in
+    /// the request \a whole. If \a key was in enough crashes to be the certain cause, the other one
+    /// was in all of them too, or other requests explain them.
     bool hasOtherCause(const ContentKey &key, const std::vector<ContentKey> &present,
-                       TimePoint now) const;
+                       const ContentKey &whole, TimePoint now) const;
+    /// Whether requests other than \a whole that crashed repeatedly leave too few of the crashes of
+    /// \a part to suspend it.
+    bool isExplainedByRequests(const Suspect &part, const ContentKey &whole) const;
+    /// Whether \a request was in the crash of \a instance, and in enough crashes to be suspended.
+    bool crashedRepeatedly(const ContentKey &request, const BackendInstance &instance) const;
     /// Prolongs the suspension of \a key if it is the certain cause.
     void extendIfCertain(const ContentKey &key, TimePoint now);
     RecentKeys &begunKeys(const ContentKey &key);
--- a/modules/gateway/src/crashsuspects.cpp
+++ b/modules/gateway/src/crashsuspects.cpp
@@ -32,8 +32,9 @@
         return Decision::Run;
     for (const ContentKey &it : suspended)
         extendIfCertain(it, now);
-    const bool mayBeHarmless = std::ranges::all_of(
-            suspended, [&](const ContentKey &it) { return hasOtherCause(it, suspended, now); });
+    const bool mayBeHarmless = std::ranges::all_of(suspended, [&](const ContentKey &it) {
+        return hasOtherCause(it, suspended, content.whole, now);
+    });
     if (now < m_nextTrialAt || !mayBeHarmless)
         return Decision::Refuse;
     m_nextTrialAt = now + TrialInterval;
@@ -54,17 +55,21 @@
     for (const ContentKey &it : allKeys(content)) {
         const auto suspect = m_suspects.find(it);
         if (suspect != m_suspects.end() && now < suspect->second.suspendedUntil
-            && !isExplained(suspect->second))
+            && !isExplained(it, suspect->second))
             keys.push_back(it);
     }
     return keys;
 }
 
-bool CrashSuspects::isExplained(const Suspect &suspect) const
+bool CrashSuspects::isExplained(const ContentKey &key, const Suspect &suspect) const
 {
     return std::ranges::any_of(m_certain, [&](const ContentKey &it) {
         const auto &cause = m_suspects.at(it).crashes;
-        return suspect.crashes.size() < cause.size() && includesAll(cause, suspect.crashes);
+        // A request that holds the cause crashes servers as well.
+        const bool holdsCause = std::ranges::any_of(
+                cause, [&key](const auto &crash) { return crash.second.requests.contains(key); });
+        return suspect.crashes.size() < cause.size() && !holdsCause
+               && includesAll(cause, suspect.crashes);
     });
 }
 
@@ -100,15 +105,49 @@
 }
 
 bool CrashSuspects::hasOtherCause(const ContentKey &key, const std::vector<ContentKey> &present,
-                                  TimePoint now) const
+                                  const ContentKey &whole, TimePoint now) const
 {
     const auto &crashes = m_suspects.at(key).crashes;
     const bool needsAllCrashes = m_certain.contains(key);
-    return std::ranges::any_of(m_suspects, [&](const auto &it) {
+    const bool hasOtherPart = std::ranges::any_of(m_suspects, [&](const auto &it) {
         return !isWholeRequest(it.first) && now < it.second.suspendedUntil
                && std::ranges::find(present, it.first) == present.end()
                && (!needsAllCrashes || includesAll(it.second.crashes, crashes));
     });
+    return hasOtherPart
+           || (needsAllCrashes && !isWholeRequest(key)
+               && isExplainedByRequests(m_suspects.at(key), whole));
+}
+
+bool CrashSuspects::isExplainedByRequests(const Suspect &part, const ContentKey &whole) const
+{
+    std::size_t unexplained = 0;
+    std::set<ContentKey> otherRequests;
+    for (const auto &[instance, crash] : part.crashes) {
+        const auto isCause = [&, &at = instance](const ContentKey &it) {
+            return it != whole && crashedRepeatedly(it, at);
+        };
+        // A request without the part may have run beside the cause, unless it is certain itself.
+        const auto isCertainCause = [&](const ContentKey &it) {
+            return isWholeRequest(it) && isCause(it);
+        };
+        if (std::ranges::any_of(crash.requests, isCause)
+            || std::ranges::any_of(m_certain, isCertainCause))
+            continue;
+        ++unexplained;
+        otherRequests.insert(crash.requests.begin(), crash.requests.end());
+        if (crash.requests.empty())
+            otherRequests.insert(ContentKey(instance.id.value()));
+    }
+    return std::min(unexplained, otherRequests.size()) < MinCrashes;
+}
+
+bool CrashSuspects::crashedRepeatedly(const ContentKey &request,
+                                      const BackendInstance &instance) const
+{
+    const auto suspect = m_suspects.find(request);
+    return suspect != m_suspects.end() && suspect->second.crashes.contains(instance)
+           && (m_certain.contains(request) || directCrashes(suspect->second) >= MinCrashes);
 }
 
 void CrashSuspects::extendIfCertain(const ContentKey &key, TimePoint now)
@@ -203,7 +242,10 @@
             request.whole = it;
         else
             request.sharedParts.push_back(it);
-        if (!addCrash(it, instance, {now, version, isDirect}, now))
+        Crash crash{now, version, isDirect};
+        if (!completeKeys(content.whole).contains(content.whole, version))
+            crash.requests.insert(content.whole);
+        if (!addCrash(it, instance, crash, now))
             continue;
         isNew = true;
         if (isDirect)
@@ -219,21 +261,23 @@
 {
     evict(now);
     std::vector<HarmlessContent> harmless;
-    const auto add = [&](const ContentKey &key, bool isDirect) {
+    const auto add = [&](const ContentKey &key, std::set<ContentKey> requests) {
+        const bool isDirect = std::ranges::find(report.suspects, key) != report.suspects.end();
         const std::uint64_t version = report.weightsVersion;
         const bool isComplete = completeKeys(key).contains(key, version);
         if (isComplete || (isDirect && begunKeys(key).contains(key, version)))
             harmless.push_back(
                     {key, version, isComplete ? AnswerProgress::Complete : AnswerProgress::Begun});
         else
-            addCrash(key, report.instance, {report.crashedAt, version, isDirect}, now);
+            addCrash(key, report.instance,
+                     {report.crashedAt, version, isDirect, std::move(requests)}, now);
     };
     for (const ContentKey &it : report.suspects)
-        add(it, true);
+        add(it, {});
     for (const RequestContent &request : report.requests) {
         for (const ContentKey &it : allKeys(request)) {
-            if (!it.empty() && std::ranges::find(report.suspects, it) == report.suspects.end())
-                add(it, false);
+            if (!it.empty())
+                add(it, request.whole.empty() ? std::set<ContentKey>() : std::set{request.whole});
         }
     }
     return harmless;
@@ -253,9 +297,13 @@
 {
     Suspect &suspect = m_suspects[key];
     const auto [known, isNew] = suspect.crashes.try_emplace(instance, crash);
-    if (!isNew && (known->second.isDirect || !crash.isDirect))
-        return false;
-    known->second = crash;
+    if (!isNew) {
+        known->second.requests.insert(crash.requests.begin(), crash.requests.end());
+        if (known->second.isDirect || !crash.isDirect)
+            return false;
+        known->second.isDirect = true;
+        known->second.at = crash.at;
+    }
     suspect.expiresAt = now + LongSuspension;
     const bool isNowCertain = isCertain(key, suspect);
     if (!isNowCertain && directCrashes(suspect) < MinCrashes)
--- a/modules/gateway/tests/crashsuspectstest.cpp
+++ b/modules/gateway/tests/crashsuspectstest.cpp
@@ -296,6 +296,115 @@
     }
 }
 
+// Guards against a part that sound requests share with a request that crashes servers, and that
+// stays suspended for good although that request has stayed away.
+TEST_CASE("CrashSuspects tells the request that crashes backend servers from its parts")
+{
+    using Decision = CrashSuspects::Decision;
+    CrashSuspects suspects;
+    TimePoint now;
+    int crashes = 0;
+    const auto crash = [&](const std::string &whole) {
+        return suspects.recordCrash(instance(++crashes), content({"shared"}, whole), now);
+    };
+    const auto decide = [&](const std::string &whole) {
+        now += CrashSuspects::TrialInterval;
+        return suspects.decide(content({"shared"}, whole), now);
+    };
+
+    SECTION("if one request was in all crashes, another one with its part is a trial")
+    {
+        for (int i = 0; i < 3; ++i)
+            crash("request-bad");
+        CHECK(decide("request-bad") == Decision::Refuse);
+        CHECK(decide("request-sound") == Decision::Trial);
+        CHECK(suspects.decide(content({"shared"}, "request-next"), now) == Decision::Refuse);
+
+        SECTION("whose answer clears the part, but not the request")
+        {
+            suspects.recordStart(content({"shared"}, "request-sound"));
+            CHECK(decide("request-next") == Decision::Run);
+            CHECK(decide("request-bad") == Decision::Refuse);
+        }
+        SECTION("whose crash is followed by one more trial, since it may be bad as well")
+        {
+            crash("request-sound");
+            CHECK(decide("request-next") == Decision::Trial);
+            crash("request-next");
+            for (int i = 0; i < 10; ++i)
+                CHECK(decide("request-" + std::to_string(i)) == Decision::Refuse);
+        }
+    }
+    SECTION("also if several requests with the part crash servers")
+    {
+        for (int i = 0; i < 3; ++i) {
+            crash("request-bad");
+            crash("request-worse");
+        }
+        CHECK(decide("request-sound") == Decision::Trial);
+        CHECK(decide("request-worse") == Decision::Refuse);
+    }
+    SECTION("and if one of them is a suspect for the first time")
+    {
+        for (int i = 0; i < 3; ++i)
+            crash("request-bad");
+        crash("request-worse");
+        CHECK(decide("request-sound") == Decision::Trial);
+    }
+    // The suspension after two crashes ends, but what they say does not.
+    SECTION("and if the suspension of the first one has ended meanwhile")
+    {
+        crash("request-bad");
+        crash("request-bad");
+        now += CrashSuspects::ShortSuspension;
+        crash("request-worse");
+        CHECK(decide("request-bad") == Decision::Refuse);
+        CHECK(decide("request-sound") == Decision::Trial);
+    }
+    // Requests that differ have no other common cause.
+    SECTION("if different requests crashed with the part, there is no trial")
+    {
+        crash("request-1");
+        crash("request-1");
+        crash("request-2");
+        crash("request-3");
+        CHECK(decide("request-4") == Decision::Refuse);
+    }
+    SECTION("a request without the part that was certainly on the same servers explains it too")
+    {
+        for (int i = 1; i <= 3; ++i) {
+            suspects.recordCrash(instance(i), content({}, "request-bad"), now);
+            suspects.recordCrash(instance(i), content({"shared"}, "request-" + std::to_string(i)),
+                                 now);
+        }
+        CHECK(decide("request-sound") == Decision::Trial);
+    }
+    SECTION("a process that has only read the reports decides alike")
+    {
+        CrashSuspects one;
+        CrashSuspects several;
+        for (int i = 0; i < 3; ++i) {
+            const auto first = crash("request-bad");
+            REQUIRE(first);
+            one.merge(*first, now);
+            several.merge(*first, now);
+            const auto other = suspects.recordCrash(
+                    instance(crashes), content({"shared"}, "request-" + std::to_string(i)), now);
+            REQUIRE(other);
+        }
+        CHECK(one.decide(content({"shared"}, "request-sound"), now) == Decision::Trial);
+        for (int i = 0; i < 2; ++i)
+            several.merge(*crash("request-other" + std::to_string(i)), now);
+        CHECK(several.decide(content({"shared"}, "request-sound"), now) == Decision::Refuse);
+    }
+    SECTION("crashes of which the requests are not known count as those of different ones")
+    {
+        for (int i = 1; i <= 3; ++i)
+            suspects.merge({instance(i), {ContentKey("shared")}}, now);
+        CHECK(decide("request-sound") == Decision::Refuse);
+    }
+}
+
 // Guards against content that is never held back because the crash comes after the answer has
 // begun, and against sound content that is held back because it ran on the same backend server.
 TEST_CASE("CrashSuspects finds content that crashes backend servers in the middle of its answer")
@@ -600,8 +709,10 @@
     constexpr Duration ContactTime = 3s;
     const int eventsBeforeCrash = GENERATE(0, 1, 10);
     const bool isPart = GENERATE(false, true);
-    constexpr int FirstBad = 100; ///< The processes have served sound requests before.
-    CAPTURE(eventsBeforeCrash, isPart);
+    // Before that, the processes have served sound requests; or they start together with the bad
+    // ones.
+    const int firstBad = GENERATE(0, 100);
+    CAPTURE(eventsBeforeCrash, isPart, firstBad);
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         CAPTURE(seed);
         StreamingFleet fleet(seed, eventsBeforeCrash);
@@ -613,7 +724,7 @@
                                    "request-" + std::to_string(i) + "-" + std::to_string(n)),
                            false);
             }
-            if (i >= FirstBad && i % 10 == 0) {
+            if (i >= firstBad && i % 10 == 0) {
                 const std::string whole =
                         isPart ? "request-bad" + std::to_string(i) : "request-bad";
                 fleet.send(content(isPart ? std::vector<std::string>{"system", "bad"}
--- a/modules/gateway/tests/gatewayfaultstest.cpp
+++ b/modules/gateway/tests/gatewayfaultstest.cpp
@@ -899,6 +899,18 @@
         lookUp();
         CHECK(it.backendCalls.size() == calls);
     }
+    SECTION("so is one whose server ends while another one resumes the silent stream")
+    {
+        send("/stream/x", "acb");
+        const auto silent = it.backendCalls.back();
+        silent->head(200, {{"seal", "s"}, {"events", "1"}, {"weights", "1"}});
+        silent->data(event(1));
+        it.scheduler.advance(1s);
+        REQUIRE(it.backendCalls.size() == 3);
+        silent->fail(ResultCode::PlatformReplyLost);
+        REQUIRE(it.crashReports.size() == 1);
+        CHECK(it.crashReports[0].instance.id == BackendId(silent->backend()));
+    }
     SECTION("a resumed stream that is completed says nothing about its beginning")
     {
         for (int i = 0; i < 3; ++i) {
