Take no answer for whole whose connection was reset during the upload

Cause: the system reports a reset once, to the write or to the read. The pending write of the upload gets it, and the read then ends as after a proper close, which ends a response without framing. Ruled out: the parser (without an upload each reset is an error, 'A call is complete only if its response is').

Change: when such a read ends, the connection asks its socket for the peer: after a reset there is none, after a proper close there is.

--- a/modules/ports/src/clientconnection.cpp
+++ b/modules/ports/src/clientconnection.cpp
@@ -269,7 +269,8 @@
         return;
     }
     if (n > 0 || m_receivedBytes) {
-        // The server may already have replied; onRead() determines the outcome.
+        // The server may already have replied; onRead() determines the outcome. A reset is reported
+        // once, here or there, see wasReset().
         return;
     }
     if (isReused() && !call->retried) {
@@ -333,7 +334,7 @@
 void ClientConnection::onReadFailed(const ErrorCode &ec)
 {
     ErrorCode parseError;
-    if (ec == asio::error::eof && m_parser->got_some()) {
+    if (ec == asio::error::eof && m_parser->got_some() && !wasReset()) {
         m_parser->put_eof(parseError);
         if (!parseError && m_parser->is_done() && !m_isStaleResponse) {
             complete();
@@ -346,6 +347,13 @@
         failCall(ResultCode::PlatformReplyLost, ec.message());
 }
 
+bool ClientConnection::wasReset() const
+{
+    ErrorCode ec;
+    m_socket.remote_endpoint(ec);
+    return ec == asio::error::not_connected;
+}
+
 void ClientConnection::parse()
 {
     const auto self = shared_from_this();
--- a/modules/ports/src/clientconnection.h
+++ b/modules/ports/src/clientconnection.h
@@ -136,6 +136,10 @@
     void read();
     void onRead(const boost::system::error_code &ec, std::size_t n);
     void onReadFailed(const boost::system::error_code &ec);
+    /// Whether the connection has ended by a reset. If the write of the request has got that error,
+    /// the read ends like after an orderly close, but the socket has no peer any more; after an
+    /// orderly close by the server it has.
+    bool wasReset() const;
     void parse();
     void complete();
     void onDeadline();
--- a/modules/ports/tests/httprobustnesstest.cpp
+++ b/modules/ports/tests/httprobustnesstest.cpp
@@ -5,6 +5,7 @@
 #include <godwit/ports/httpserver.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -190,6 +191,47 @@
     }
 }
 
+// The system reports a reset once, to the write of the request or to the read of the response. If
+// the write gets it, the read ends like after a proper close. Guards against a part of a response
+// that is taken for a whole one, and against whole ones that are not.
+TEST_CASE("A response to a long upload that ends with a reset is not complete")
+{
+    constexpr std::size_t UploadBytes = 3'500'000; // More than the buffers of both sockets hold.
+    const std::string response = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart";
+
+    SECTION("whichever of write and read notices the reset")
+    {
+        // Of connections that write and read at once; which one notices it varies.
+        constexpr int Calls = 40;
+        for (int i = 0; i < Calls; ++i) {
+            boost::asio::io_context io;
+            ClosingServer server(io, response, ClosingServer::Close::Reset);
+            HttpCall call;
+            call.method = "POST";
+            call.endpoint = server.endpoint();
+            call.body = std::string(UploadBytes, 'a');
+            CHECK(callUntilError(io, call) != ResultCode::Ok);
+        }
+    }
+    SECTION("while one that ends properly is, although the upload goes on")
+    {
+        boost::asio::io_context io;
+        tcp::acceptor acceptor(io, {Loopback, 0});
+        tcp::socket socket(io);
+        std::vector<char> upload(UploadBytes);
+        acceptor.async_accept(socket, [&](auto) {
+            boost::asio::write(socket, boost::asio::buffer(response));
+            socket.shutdown(tcp::socket::shutdown_send);
+            boost::asio::async_read(socket, boost::asio::buffer(upload), [](auto, std::size_t) {});
+        });
+        HttpCall call;
+        call.method = "POST";
+        call.endpoint = {"127.0.0.1", acceptor.local_endpoint().port()};
+        call.body = std::string(UploadBytes, 'a');
+        CHECK(callUntilError(io, call) == ResultCode::Ok);
+    }
+}
+
 // Guards against a response that reads as one with the beginning of a copy that broke off, and
 // against the loss of a sound response that only names the protocol.
 TEST_CASE("A call fails if the head of its response contains a second status line")
