Try a part only with requests that were in none of its crashes, and keep both kinds of crash

Cause: a request that a client sent again after its crash was a trial of its own part, and parts of any position were tried if the crashes of one request were left over. And a crash that broke a request within its answer, and another one with the same part that waited, counted as a crash before the answer only, so that the begin of an answer elsewhere cleared it. Ruled out as the cause of the crashes: late exchange of reports (all processes knew the part within 50 ms).

Change: no trial of a request that was in a crash of the part; if crashes before the answer of one request are left over, only a first part is tried, which is common to all requests of a kind. A crash keeps both what it says of waiting and of running requests.

Tests: crashsuspectstest, sections 'and if one of them is a suspect for the first time' and 'a crash that also broke a waiting request counts on when the answer begins'.

--- a/modules/gateway/include/godwit/gateway/crashsuspects.h
+++ b/modules/gateway/include/godwit/gateway/crashsuspects.h
@@ -118,8 +118,10 @@
     {
         TimePoint at;
         std::uint64_t weightsVersion = 0;
-        /// The content had never been answered, and the answer to its request had not begun.
+        /// A request whose answer had not begun had the content, which had never been answered.
         bool isDirect = false;
+        /// Another request had the content.
+        bool isIndirect = false;
         /// The requests with the content that the crash broke, as far as they may be the cause
         /// themselves.
         std::set<ContentKey> requests = {};
@@ -150,14 +152,15 @@
     /// Whether the crashes of \a suspect, which has \a key, are a proper subset of those of a
     /// certain cause beside it. They count again if the cause is cleared.
     bool isExplained(const ContentKey &key, const Suspect &suspect) const;
-    /// Whether a suspended shared part other than \a present may be the cause instead of \a key, in
-    /// the request \a whole. If \a key was in enough crashes to be the certain cause, the other one
-    /// was in all of them too, or other requests explain them.
+    /// Whether a suspended shared part other than \a present may be the cause instead of \a key,
+    /// for a request with \a content. If \a key was in enough crashes to be the certain cause, the
+    /// other one was in all of them too, or other requests explain them.
     bool hasOtherCause(const ContentKey &key, const std::vector<ContentKey> &present,
-                       const ContentKey &whole, TimePoint now) const;
-    /// Whether requests other than \a whole that crashed repeatedly leave too few of the crashes of
-    /// \a part to suspend it.
-    bool isExplainedByRequests(const Suspect &part, const ContentKey &whole) const;
+                       const RequestContent &content, TimePoint now) const;
+    /// Whether the crashes of \a part may be those of requests that crashed repeatedly, so that a
+    /// request with \a content, which was in none of them, can be a trial. If crashes of one other
+    /// request are left, that depends on what they say and on the position of the part.
+    bool isExplainedByRequests(const ContentKey &part, const RequestContent &content) const;
     /// Whether \a request was in the crash of \a instance, and in enough crashes to be suspended.
     bool crashedRepeatedly(const ContentKey &request, const BackendInstance &instance) const;
     /// Prolongs the suspension of \a key if it is the certain cause.
--- a/modules/gateway/src/crashsuspects.cpp
+++ b/modules/gateway/src/crashsuspects.cpp
@@ -33,7 +33,7 @@
     for (const ContentKey &it : suspended)
         extendIfCertain(it, now);
     const bool mayBeHarmless = std::ranges::all_of(suspended, [&](const ContentKey &it) {
-        return hasOtherCause(it, suspended, content.whole, now);
+        return hasOtherCause(it, suspended, content, now);
     });
     if (now < m_nextTrialAt || !mayBeHarmless)
         return Decision::Refuse;
@@ -105,7 +105,7 @@
 }
 
 bool CrashSuspects::hasOtherCause(const ContentKey &key, const std::vector<ContentKey> &present,
-                                  const ContentKey &whole, TimePoint now) const
+                                  const RequestContent &content, TimePoint now) const
 {
     const auto &crashes = m_suspects.at(key).crashes;
     const bool needsAllCrashes = m_certain.contains(key);
@@ -115,31 +115,41 @@
                && (!needsAllCrashes || includesAll(it.second.crashes, crashes));
     });
     return hasOtherPart
-           || (needsAllCrashes && !isWholeRequest(key)
-               && isExplainedByRequests(m_suspects.at(key), whole));
+           || (needsAllCrashes && !isWholeRequest(key) && isExplainedByRequests(key, content));
 }
 
-bool CrashSuspects::isExplainedByRequests(const Suspect &part, const ContentKey &whole) const
+bool CrashSuspects::isExplainedByRequests(const ContentKey &part,
+                                          const RequestContent &content) const
 {
     std::size_t unexplained = 0;
+    bool hasDirectCrash = false; // That is unexplained.
     std::set<ContentKey> otherRequests;
-    for (const auto &[instance, crash] : part.crashes) {
-        const auto isCause = [&, &at = instance](const ContentKey &it) {
-            return it != whole && crashedRepeatedly(it, at);
+    for (const auto &[instance, crash] : m_suspects.at(part).crashes) {
+        if (crash.requests.contains(content.whole))
+            return false;
+        const auto isCause = [this, &at = instance](const ContentKey &it) {
+            return crashedRepeatedly(it, at);
         };
         // A request without the part may have run beside the cause, unless it is certain itself.
-        const auto isCertainCause = [&](const ContentKey &it) {
+        const auto isCertainCause = [&isCause](const ContentKey &it) {
             return isWholeRequest(it) && isCause(it);
         };
         if (std::ranges::any_of(crash.requests, isCause)
             || std::ranges::any_of(m_certain, isCertainCause))
             continue;
         ++unexplained;
+        hasDirectCrash |= crash.isDirect;
         otherRequests.insert(crash.requests.begin(), crash.requests.end());
         if (crash.requests.empty())
             otherRequests.insert(ContentKey(instance.id.value()));
     }
-    return std::min(unexplained, otherRequests.size()) < MinCrashes;
+    const std::size_t separate = std::min(unexplained, otherRequests.size());
+    if (separate >= MinCrashes)
+        return false;
+    // The first part is common to all requests of a kind, so that a wrong suspension costs more
+    // than one more crash. A later part is in few of them.
+    const bool isFirst = content.sharedParts.front() == part;
+    return separate == 0 || !hasDirectCrash || isFirst;
 }
 
 bool CrashSuspects::crashedRepeatedly(const ContentKey &request,
@@ -205,10 +215,14 @@
     auto &crashes = suspect->second.crashes;
     const bool hadEnough = crashes.size() >= MinCrashes;
     const bool isComplete = harmless.progress == AnswerProgress::Complete;
-    std::erase_if(crashes, [&](const auto &it) {
-        return it.second.weightsVersion <= harmless.weightsVersion
-               && (isComplete || it.second.isDirect);
-    });
+    for (auto &[instance, crash] : crashes) {
+        if (crash.weightsVersion > harmless.weightsVersion)
+            continue;
+        crash.isDirect = false;
+        crash.isIndirect &= !isComplete;
+    }
+    std::erase_if(crashes,
+                  [](const auto &it) { return !it.second.isDirect && !it.second.isIndirect; });
     if (!isCertain(harmless.content, suspect->second))
         m_certain.erase(harmless.content);
     if (crashes.empty()) {
@@ -242,7 +256,7 @@
             request.whole = it;
         else
             request.sharedParts.push_back(it);
-        Crash crash{now, version, isDirect};
+        Crash crash{now, version, isDirect, !isDirect};
         if (!completeKeys(content.whole).contains(content.whole, version))
             crash.requests.insert(content.whole);
         if (!addCrash(it, instance, crash, now))
@@ -261,8 +275,10 @@
 {
     evict(now);
     std::vector<HarmlessContent> harmless;
-    const auto add = [&](const ContentKey &key, std::set<ContentKey> requests) {
-        const bool isDirect = std::ranges::find(report.suspects, key) != report.suspects.end();
+    const auto waited = [&report](const ContentKey &key) {
+        return std::ranges::find(report.suspects, key) != report.suspects.end();
+    };
+    const auto add = [&](const ContentKey &key, bool isDirect, std::set<ContentKey> requests) {
         const std::uint64_t version = report.weightsVersion;
         const bool isComplete = completeKeys(key).contains(key, version);
         if (isComplete || (isDirect && begunKeys(key).contains(key, version)))
@@ -270,14 +286,18 @@
                     {key, version, isComplete ? AnswerProgress::Complete : AnswerProgress::Begun});
         else
             addCrash(key, report.instance,
-                     {report.crashedAt, version, isDirect, std::move(requests)}, now);
+                     {report.crashedAt, version, isDirect, !isDirect, std::move(requests)}, now);
     };
     for (const ContentKey &it : report.suspects)
-        add(it, {});
+        add(it, true, {});
     for (const RequestContent &request : report.requests) {
         for (const ContentKey &it : allKeys(request)) {
-            if (!it.empty())
-                add(it, request.whole.empty() ? std::set<ContentKey>() : std::set{request.whole});
+            if (it.empty())
+                continue;
+            // Other requests of the crash may have waited with the same part.
+            const bool isDirect = waited(request.whole) && waited(it);
+            add(it, isDirect,
+                request.whole.empty() ? std::set<ContentKey>() : std::set{request.whole});
         }
     }
     return harmless;
@@ -298,11 +318,12 @@
     Suspect &suspect = m_suspects[key];
     const auto [known, isNew] = suspect.crashes.try_emplace(instance, crash);
     if (!isNew) {
-        known->second.requests.insert(crash.requests.begin(), crash.requests.end());
-        if (known->second.isDirect || !crash.isDirect)
+        Crash &merged = known->second;
+        merged.requests.insert(crash.requests.begin(), crash.requests.end());
+        merged.isIndirect |= crash.isIndirect;
+        if (merged.isDirect || !crash.isDirect)
             return false;
-        known->second.isDirect = true;
-        known->second.at = crash.at;
+        merged.isDirect = true;
     }
     suspect.expiresAt = now + LongSuspension;
     const bool isNowCertain = isCertain(key, suspect);
--- a/modules/gateway/tests/crashsuspectstest.cpp
+++ b/modules/gateway/tests/crashsuspectstest.cpp
@@ -329,6 +329,7 @@
         SECTION("whose crash is followed by one more trial, since it may be bad as well")
         {
             crash("request-sound");
+            CHECK(decide("request-sound") == Decision::Refuse);
             CHECK(decide("request-next") == Decision::Trial);
             crash("request-next");
             for (int i = 0; i < 10; ++i)
@@ -349,7 +350,14 @@
         for (int i = 0; i < 3; ++i)
             crash("request-bad");
         crash("request-worse");
+        CHECK(decide("request-worse") == Decision::Refuse);
         CHECK(decide("request-sound") == Decision::Trial);
+        SECTION("but not for a later part, which is in few requests")
+        {
+            suspects.recordStart(content({"system"}, "request-first"));
+            CHECK(suspects.decide(content({"system", "shared"}, "request-next"), now + 1s)
+                  == Decision::Refuse);
+        }
     }
     // The suspension after two crashes ends, but what they say does not.
     SECTION("and if the suspension of the first one has ended meanwhile")
@@ -479,6 +487,31 @@
             crash(content({"system", "subject"}, "request-" + std::to_string(i)));
         CHECK_FALSE(suspects.isSuspended(content({"system", "subject"}, "request-next"), now));
     }
+    // Guards against crashes that are forgotten because another request with the same part waited
+    // at the same server, which the begin of an answer to the part rules out.
+    SECTION("a crash that also broke a waiting request counts on when the answer begins")
+    {
+        CrashSuspects other;
+        for (int i = 1; i <= 3; ++i) {
+            const auto waiting = content({"bad"}, "request-w" + std::to_string(i));
+            const auto running = content({"bad"}, "request-r" + std::to_string(i));
+            const auto first = suspects.recordCrash(instance(i), waiting, now);
+            const auto second =
+                    suspects.recordCrash(instance(i), running, now, CrashPhase::DuringAnswer);
+            REQUIRE((first && second));
+            // The exchange merges the reports of one crash.
+            CrashReport both = *first;
+            both.requests.push_back(second->requests.at(0));
+            other.merge(both, now);
+            now += CrashSuspects::MinCrashInterval;
+        }
+        for (CrashSuspects *it : {&suspects, &other}) {
+            it->recordHarmless({ContentKey("bad"), 0, AnswerProgress::Begun});
+            CHECK(it->isSuspended(content({"bad"}, "request-next"), now));
+            it->recordHarmless({ContentKey("bad"), 0, AnswerProgress::Complete});
+            CHECK_FALSE(it->isSuspended(content({"bad"}, "request-next"), now));
+        }
+    }
     // Guards against content that is harmless for good because earlier weights have answered it.
     SECTION("newer weights may crash on what earlier ones have answered")
     {
