Name the content that a crash leaves suspected once, for memory and report alike

Cause: a request known to be harmless before its answer was listed beside its parts in memory, but not in the report of the same crash. Found by reading.

--- a/modules/gateway/src/crashsuspects.cpp
+++ b/modules/gateway/src/crashsuspects.cpp
@@ -1,6 +1,7 @@
 #include <godwit/gateway/crashsuspects.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace godwit {
 
@@ -16,6 +17,17 @@
     return keys;
 }
 
+/// Returns the keys of \a request in a CrashReport, whose \c whole may be empty.
+std::vector<ContentKey> suspectKeys(const RequestContent &request)
+{
+    return request.whole.empty() ? request.sharedParts : allKeys(request);
+}
+
+std::set<ContentKey> requestKeys(const RequestContent &request)
+{
+    return request.whole.empty() ? std::set<ContentKey>() : std::set{request.whole};
+}
+
 /// Whether \a crashes contains each crash in \a others.
 template <typename Crashes>
 bool includesAll(const Crashes &crashes, const Crashes &others)
@@ -243,23 +255,20 @@
     report.instance = instance;
     report.weightsVersion = version;
     report.crashedAt = now;
+    const bool isBefore = phase == CrashPhase::BeforeAnswer;
+    const auto mayBeCause = [&](const ContentKey &it) {
+        return !completeKeys(it).contains(it, version)
+               && !(isBefore && begunKeys(it).contains(it, version));
+    };
     RequestContent request;
+    std::ranges::copy_if(content.sharedParts, std::back_inserter(request.sharedParts), mayBeCause);
+    if (mayBeCause(content.whole))
+        request.whole = content.whole;
     bool isNew = false;
-    for (const ContentKey &it : allKeys(content)) {
-        const bool isBefore = phase == CrashPhase::BeforeAnswer;
-        if (completeKeys(it).contains(it, version)
-            || (isBefore && begunKeys(it).contains(it, version)))
-            continue;
+    for (const ContentKey &it : suspectKeys(request)) {
         // What earlier weights have answered may be in several of these crashes by coincidence.
         const bool isDirect = isBefore && !begunKeys(it).contains(it);
-        if (isWholeRequest(it))
-            request.whole = it;
-        else
-            request.sharedParts.push_back(it);
-        Crash crash{now, version, isDirect, !isDirect};
-        if (!completeKeys(content.whole).contains(content.whole, version))
-            crash.requests.insert(content.whole);
-        if (!addCrash(it, instance, crash, now))
+        if (!addCrash(it, instance, {now, version, isDirect, !isDirect, requestKeys(request)}, now))
             continue;
         isNew = true;
         if (isDirect)
@@ -291,13 +300,10 @@
     for (const ContentKey &it : report.suspects)
         add(it, true, {});
     for (const RequestContent &request : report.requests) {
-        for (const ContentKey &it : allKeys(request)) {
-            if (it.empty())
-                continue;
+        for (const ContentKey &it : suspectKeys(request)) {
             // Other requests of the crash may have waited with the same part.
             const bool isDirect = waited(request.whole) && waited(it);
-            add(it, isDirect,
-                request.whole.empty() ? std::set<ContentKey>() : std::set{request.whole});
+            add(it, isDirect, requestKeys(request));
         }
     }
     return harmless;
