Keep what a rollout has in a type per phase, so that a missing one cannot be read

Cause: what is known of the orders for a version was created when its transfer began, after the manifest. The retry of the manifest of a superseded version read it through a null pointer, if a version that waits for its order kept both in the queue. The states of a rollout were spread over six flags and three pointers. The same cause on a related path: a list of staged chunks that was requested before the engine lost its weights was taken as that of the next attempt, which began a transfer without a manifest.

Ruled out: memory over the limit and ends of connections; both tests end the process with neither.

Change: a rollout is in one phase, an alternative of a variant that holds what exists in it; answers are taken only in the phase that waits for them. LoadConfirmation exists from the beginning: before the first transfer it knows of no order and trusts what the engine holds, as before.

--- a/modules/rollout/include/godwit/rollout/loadconfirmation.h
+++ b/modules/rollout/include/godwit/rollout/loadconfirmation.h
@@ -5,6 +5,7 @@
 #include <godwit/rollout/layerlayout.h>
 
 #include <cstdint>
+#include <optional>
 #include <set>
 
 namespace godwit {
@@ -27,9 +28,19 @@
     /// An order that has not been accepted for this long was lost with its connection.
     static constexpr Duration MaxOrderDelay = std::chrono::seconds(30);
 
-    explicit LoadConfirmation(const LayerLayout &layout)
-        : m_layout(layout)
-    {}
+    /// Of a version of which this process has loaded nothing yet: what the engine holds counts as
+    /// sound, and there is no order that it may accept.
+    LoadConfirmation() = default;
+
+    /// Of a version that this process begins to load.
+    explicit LoadConfirmation(const LayerLayout &layout) { begin(layout); }
+
+    /// This process begins to load the version. Later calls have no effect.
+    void begin(const LayerLayout &layout)
+    {
+        if (!m_layout)
+            m_layout = layout;
+    }
 
     /// The engine process that started at \a startTimeMs and has accepted \a acceptedOrders since
     /// holds \a held, layers of this version.
@@ -80,7 +91,7 @@
 private:
     bool isIntact(std::uint32_t layer) const;
 
-    LayerLayout m_layout;
+    std::optional<LayerLayout> m_layout; ///< None before begin().
     std::uint64_t m_engineStartTimeMs = 0;
     LayerRange m_held;  ///< By the last report.
     LayerRange m_sound; ///< Empty if none.
--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -21,6 +21,8 @@
 namespace godwit {
 
 class ManifestExchange;
+struct LoadingPhase;
+struct Rollout;
 
 /// Loads the wanted version of each model into the engine of this host: obtains the manifest, and
 /// the chunks from the engine's staging area, from peers or from the origin as the TransferPlanner
@@ -83,27 +85,6 @@
     const TransferCounters &counters() const { return m_planner.counters(); }
 
 private:
-    /// A version that is being loaded into the engine or is served by it.
-    struct Rollout
-    {
-        ModelId model;
-        std::uint64_t version = 0;
-        TimePoint wantedAt;
-        bool hasWindow = false;                   ///< Requested with VersionWindow.
-        std::shared_ptr<const Manifest> manifest; ///< Null until it has been read.
-        Digest transfer;
-        std::unique_ptr<EngineStager> stager; ///< Null until the transfer has begun.
-        /// Outlasts the stager; null if this process has not begun to load the version.
-        std::shared_ptr<LoadConfirmation> confirmation;
-        std::set<ChunkIndex> previouslyStaged;  ///< Staged before the transfer, not yet read.
-        std::vector<ChunkIndex> deferredChunks; ///< Staged once no older version uses the area.
-        std::uint32_t manifestFailures = 0;     ///< Since the manifest was last read.
-        bool isReadingManifest = false;         ///< Until the staged chunks have been listed.
-        bool fullyStaged = false;               ///< All chunks have been staged.
-        bool awaitingOrder = false; ///< Fully staged, and the load order has not been accepted.
-        bool isServing = false;
-        std::unique_ptr<Timer> retryTimer;
-    };
     /// The rollouts of one model, oldest first. The first one owns the engine's staging area.
     using Rollouts = std::list<Rollout>;
 
@@ -123,7 +104,7 @@
 
     Rollout *find(const Key &key);
     Rollout *find(const Digest &transfer);
-    static Key keyOf(const Rollout &rollout) { return {rollout.model, rollout.version}; }
+    static Key keyOf(const Rollout &rollout);
 
     void reportIfNewer(const ModelId &model, std::uint64_t version) const;
     /// 1 if it is not known.
@@ -134,7 +115,9 @@
     void readManifest(Rollout &rollout);
     void onManifestRead(const Key &key, const Outcome<Manifest> &outcome);
     void onStagedListed(const Key &key, const Outcome<std::set<ChunkIndex>> &outcome);
-    void startTransfer(Rollout &rollout);
+    /// \a staged are the chunks in the engine's staging area, of any version.
+    void startTransfer(Rollout &rollout, const std::shared_ptr<const Manifest> &manifest,
+                       std::set<ChunkIndex> staged);
     /// Resets the rollout so that its chunks are obtained again, most of them from the engine's
     /// staging area.
     void resetTransfer(Rollout &rollout);
@@ -146,7 +129,7 @@
     /// served to peers.
     void endOlderRollouts(const Rollout &rollout);
     bool ownsStagingArea(const Rollout &rollout) const;
-    void stage(Rollout &rollout, ChunkIndex chunk);
+    void stage(LoadingPhase &loading, ChunkIndex chunk);
     /// The engine holds \a chunk now; drops the oldest staged chunk from the memory of this process
     /// if too many are cached.
     void onChunkStaged(const Digest &transfer, ChunkIndex chunk);
@@ -163,7 +146,11 @@
     void restartTransfer(Rollout &rollout);
     void onServing(const Key &key);
     void onChunkMissing(const Key &key);
-    void scheduleStep(Rollout &rollout, Duration delay, void (VersionRollout::*step)(Rollout &));
+    using Step = void (VersionRollout::*)(Rollout &);
+    /// Runs \a step after about \a delay, unless the timer is destroyed before.
+    std::unique_ptr<Timer> scheduleStep(const Rollout &rollout, Duration delay, Step step);
+    /// Runs \a step, which may destroy the stager, outside of the stager's callbacks.
+    void runOutsideCallback(Rollout &rollout, Step step);
 
     void run(const TransferActions &actions);
     void execute(const RequestChunk &action);
@@ -195,7 +182,8 @@
     void readPreviouslyStaged(const Key &key);
     void onPreviouslyStagedRead(const Key &key, const Digest &transfer, ChunkIndex chunk,
                                 Outcome<std::string> outcome);
-    void prepareConfirmation(Rollout &rollout);
+    void prepareConfirmation(Rollout &rollout, const Manifest &manifest,
+                             const std::set<ChunkIndex> &staged);
     void fetch(Download &download);
     void onChunkReceived(ChunkRequestId request, Outcome<std::string> outcome);
     void scheduleTick();
--- a/modules/rollout/src/loadconfirmation.cpp
+++ b/modules/rollout/src/loadconfirmation.cpp
@@ -45,7 +45,7 @@
 
 bool LoadConfirmation::isConfirmed(const LayerRange &held) const
 {
-    return contains(m_sound, held);
+    return !m_layout || contains(m_sound, held);
 }
 
 void LoadConfirmation::trust(std::uint64_t startTimeMs, const LayerRange &held)
@@ -126,8 +126,10 @@
 {
     if (contains(m_sound, {layer, layer + 1, m_sound.version}))
         return true;
-    const auto it = m_corrupt.lower_bound(m_layout.firstChunk(layer));
-    return it == m_corrupt.end() || *it >= m_layout.endChunk(layer + 1);
+    if (!m_layout)
+        return true;
+    const auto it = m_corrupt.lower_bound(m_layout->firstChunk(layer));
+    return it == m_corrupt.end() || *it >= m_layout->endChunk(layer + 1);
 }
 
 LayerRange LoadConfirmation::intactLayers(const LayerRange &held) const
--- a/modules/rollout/src/rolloutactions.cpp
+++ b/modules/rollout/src/rolloutactions.cpp
@@ -1,6 +1,8 @@
 // The part of VersionRollout that executes the actions of its TransferPlanner.
 #include <godwit/rollout/versionrollout.h>
 
+#include "rollout.h"
+
 #include <godwit/observe/log.h>
 #include <godwit/weights/chunksource.h>
 
@@ -105,12 +107,13 @@
 {
     std::vector<StagedCopy> copies;
     for (const auto &[model, rollouts] : m_rollouts) {
-        if (rollouts.empty() || !rollouts.front().manifest)
+        const auto manifest = rollouts.empty() ? nullptr : rollouts.front().manifest();
+        if (!manifest)
             continue;
-        const auto &chunks = rollouts.front().manifest->chunks;
+        const auto &chunks = manifest->chunks;
         for (ChunkIndex i = 0; i < chunks.size(); ++i) {
             if (chunks[i] == digest)
-                copies.push_back({model, i, rollouts.front().manifest->chunkSize(i)});
+                copies.push_back({model, i, manifest->chunkSize(i)});
         }
     }
     return copies;
@@ -140,7 +143,7 @@
                                 {"found", bytes ? "other bytes" : "nothing"}},
                                LogLevel::Warning);
                 const auto rollouts = m_rollouts.find(copy.model);
-                if (rollouts != m_rollouts.end() && rollouts->second.front().confirmation)
+                if (rollouts != m_rollouts.end() && !rollouts->second.empty())
                     rollouts->second.front().confirmation->onChunkCorrupt(copy.chunk);
                 serveStaged(action, copies);
             }));
@@ -149,8 +152,9 @@
 void VersionRollout::refuseStaged(const ServeChunk &action)
 {
     run(m_planner.uploadFinished(now(), action.upload, false));
-    if (const Rollout *rollout = find(action.transfer)) {
-        const auto &chunks = rollout->manifest->chunks;
+    const Rollout *rollout = find(action.transfer);
+    if (const LoadingPhase *loading = rollout ? rollout->loading() : nullptr) {
+        const auto &chunks = loading->manifest->chunks;
         const auto chunk = std::ranges::find(chunks, action.digest) - chunks.begin();
         run(m_planner.chunkLost(now(), action.transfer, static_cast<ChunkIndex>(chunk)));
     }
@@ -174,21 +178,23 @@
 void VersionRollout::execute(const DeliverToEngine &action)
 {
     Rollout *rollout = find(action.transfer);
-    if (!rollout)
+    LoadingPhase *loading = rollout ? rollout->loading() : nullptr;
+    if (!loading)
         return;
     if (ownsStagingArea(*rollout))
-        stage(*rollout, action.chunk);
+        stage(*loading, action.chunk);
     else
-        rollout->deferredChunks.push_back(action.chunk);
+        loading->deferredChunks.push_back(action.chunk);
 }
 
 void VersionRollout::execute(const FinishLoad &action)
 {
     Rollout *rollout = find(action.transfer);
-    if (!rollout)
+    LoadingPhase *loading = rollout ? rollout->loading() : nullptr;
+    if (!loading)
         return;
-    rollout->fullyStaged = true;
-    rollout->awaitingOrder = !rollout->isServing;
+    loading->progress = rollout->isServing ? LoadingPhase::Progress::Loaded
+                                           : LoadingPhase::Progress::AwaitingOrder;
     const TimePoint orderAt = orderTime(*rollout);
     logStateChange("pieces_staged", {{"model", rollout->model.value()},
                                      {"version", rollout->version},
@@ -199,7 +205,7 @@
                                      {"bytes_from_region_peers", counters().bytesFromRegionPeers},
                                      {"requests_failed", counters().requestsFailed},
                                      {"requests_stalled", counters().requestsStalled}});
-    rollout->stager->scheduleLoad(orderAt);
+    loading->stager->scheduleLoad(orderAt);
 }
 
 void VersionRollout::execute(const ReportFailed &action)
@@ -213,8 +219,7 @@
                     {"problem", toString(action.error)}},
                    LogLevel::Warning);
     // The rollout starts again with the next report of the engine.
-    rollout->stager.reset();
-    rollout->manifest.reset();
+    rollout->phase = IdlePhase();
     rollout->isServing = false;
 }
 
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -1,6 +1,7 @@
 #include <godwit/rollout/versionrollout.h>
 
 #include "manifestexchange.h"
+#include "rollout.h"
 
 #include <godwit/observe/log.h>
 #include <godwit/weights/chunksource.h>
@@ -31,7 +32,12 @@
 
 VersionRollout::~VersionRollout() = default;
 
-VersionRollout::Rollout *VersionRollout::find(const Key &key)
+VersionRollout::Key VersionRollout::keyOf(const Rollout &rollout)
+{
+    return {rollout.model, rollout.version};
+}
+
+Rollout *VersionRollout::find(const Key &key)
 {
     const auto rollouts = m_rollouts.find(key.model);
     if (rollouts == m_rollouts.end())
@@ -40,11 +46,11 @@
     return it == rollouts->second.end() ? nullptr : &*it;
 }
 
-VersionRollout::Rollout *VersionRollout::find(const Digest &transfer)
+Rollout *VersionRollout::find(const Digest &transfer)
 {
     for (auto &[model, rollouts] : m_rollouts) {
         for (Rollout &it : rollouts) {
-            if (it.stager && it.transfer == transfer)
+            if (it.loading() && it.loading()->transfer == transfer)
                 return &it;
         }
     }
@@ -86,8 +92,8 @@
         for (Rollout &rollout : rollouts) {
             startIfNeeded(rollout);
             for (const Participant &it : m_participants) {
-                if (rollout.stager && std::ranges::find(previous, it) == previous.end())
-                    run(m_planner.peerJoined(now(), rollout.transfer, it));
+                if (rollout.loading() && std::ranges::find(previous, it) == previous.end())
+                    run(m_planner.peerJoined(now(), rollout.loading()->transfer, it));
             }
         }
     }
@@ -123,12 +129,12 @@
                    {{"model", model.value()}, {"version", version}, {"previous", previous}});
     const bool isFrontOutdated =
             m_lastReport && servesNewerVersion(*m_lastReport, model, rollouts.front().version);
-    Rollout &front = rollouts.front();
+    const Rollout &front = rollouts.front();
     // After a restart of the engine, or while a lost chunk is fetched, there may be an order
     // although the rollout is not waiting for one.
-    if (front.confirmation && front.confirmation->mayOrderBeAccepted(now()))
-        front.awaitingOrder = true;
-    if (!front.awaitingOrder || isFrontOutdated)
+    const bool isLoadedFirst =
+            front.isAwaitingOrder() || front.confirmation->mayOrderBeAccepted(now());
+    if (!isLoadedFirst || isFrontOutdated)
         endOlderRollouts(rollout);
     checkEngine();
 }
@@ -139,12 +145,13 @@
     while (rollouts.front().version < rollout.version) {
         const Rollout ended = std::move(rollouts.front());
         rollouts.pop_front();
-        if (!ended.stager)
+        const LoadingPhase *loading = ended.loading();
+        if (!loading)
             continue;
-        if (ended.fullyStaged)
-            m_supersededTransfers.push_back(ended.transfer);
+        if (loading->progress == LoadingPhase::Progress::Fetching)
+            run(m_planner.cancel(now(), loading->transfer));
         else
-            run(m_planner.cancel(now(), ended.transfer));
+            m_supersededTransfers.push_back(loading->transfer);
     }
     stageDeferred(rollouts.front());
 }
@@ -183,10 +190,10 @@
             isListed && holdsAllLayers(report.layers, rollout.version, layerCount(rollout.model));
     const LayerRange held =
             heldLayers(report, rollout.model, rollout.version, layerCount(rollout.model));
-    if (rollout.confirmation && !report.busy)
+    if (!report.busy)
         rollout.confirmation->onReport(report.startTimeMs, report.acceptedOrders, held);
-    const bool isConfirmed = !rollout.confirmation || rollout.confirmation->isConfirmed(held);
-    if (serving && isConfirmed && !rollout.isServing && !rollout.stager) {
+    const bool isConfirmed = rollout.confirmation->isConfirmed(held);
+    if (serving && isConfirmed && !rollout.isServing && !rollout.loading()) {
         // The engine already served the version when this process started.
         rollout.isServing = true;
     } else if (!serving && rollout.isServing && !report.busy) {
@@ -203,32 +210,28 @@
 
 void VersionRollout::startIfNeeded(Rollout &rollout)
 {
-    const bool begun = rollout.manifest || rollout.isReadingManifest || rollout.retryTimer;
     // Without a report, an engine that already serves the version would be loaded again. One that
     // serves a newer version shows that this process has yet to learn of it.
-    if (m_origin && m_participantsKnown && m_lastReport && !rollout.isServing && !begun
+    if (m_origin && m_participantsKnown && m_lastReport && !rollout.isServing && rollout.isIdle()
         && !servesNewerVersion(*m_lastReport, rollout.model, rollout.version))
         readManifest(rollout);
 }
 
 void VersionRollout::resetTransfer(Rollout &rollout)
 {
-    if (rollout.stager) {
-        rollout.stager.reset();
-        run(m_planner.cancel(now(), rollout.transfer));
-    }
-    rollout.manifest.reset();
-    rollout.deferredChunks.clear();
-    rollout.fullyStaged = false;
-    rollout.awaitingOrder = false;
-    rollout.isReadingManifest = false;
+    const LoadingPhase *loading = rollout.loading();
+    const std::optional<Digest> transfer =
+            loading ? std::optional(loading->transfer) : std::nullopt;
+    rollout.phase = IdlePhase();
+    if (transfer)
+        run(m_planner.cancel(now(), *transfer));
 }
 
 void VersionRollout::startSeeding()
 {
     for (auto &[model, rollouts] : m_rollouts) {
         for (Rollout &it : rollouts) {
-            if (m_origin && it.isServing && !it.manifest && !it.isReadingManifest && !it.retryTimer)
+            if (m_origin && it.isServing && it.isIdle())
                 readManifest(it);
         }
     }
@@ -236,7 +239,7 @@
 
 void VersionRollout::readManifest(Rollout &rollout)
 {
-    rollout.isReadingManifest = true;
+    rollout.phase = ReadingManifestPhase();
     m_manifests->read(
             rollout.model, rollout.version, rollout.manifestFailures,
             bindWeak<Manifest>([this, key = keyOf(rollout)](const Outcome<Manifest> &outcome) {
@@ -247,7 +250,7 @@
 void VersionRollout::onManifestRead(const Key &key, const Outcome<Manifest> &outcome)
 {
     Rollout *rollout = find(key);
-    if (!rollout || !rollout->isReadingManifest)
+    if (!rollout || !std::holds_alternative<ReadingManifestPhase>(rollout->phase))
         return;
     if (const auto *error = std::get_if<Error>(&outcome)) {
         logStateChange("manifest_failed",
@@ -255,19 +258,19 @@
                         {"version", key.version},
                         {"problem", toString(*error)}},
                        LogLevel::Warning);
-        rollout->isReadingManifest = false;
         ++rollout->manifestFailures;
         const bool isPeer = error->code == ResultCode::NotSent;
-        scheduleStep(*rollout, isPeer ? PeerManifestRetryInterval : ManifestRetryInterval,
-                     isSuperseded(*rollout) ? &VersionRollout::restartTransfer
-                                            : &VersionRollout::startIfNeeded);
+        rollout->phase = ManifestRetryPhase{
+                scheduleStep(*rollout, isPeer ? PeerManifestRetryInterval : ManifestRetryInterval,
+                             &VersionRollout::restartTransfer)};
         if (!isPeer && m_environment.onOriginUnreachable)
             m_environment.onOriginUnreachable();
         return;
     }
-    rollout->manifest = std::make_shared<const Manifest>(std::get<0>(outcome));
+    const auto manifest = std::make_shared<const Manifest>(std::get<0>(outcome));
+    rollout->phase = ListingStagedPhase{manifest};
     rollout->manifestFailures = 0;
-    m_manifests->publish(key.model, key.version, rollout->manifest);
+    m_manifests->publish(key.model, key.version, manifest);
     m_environment.engine.listStaged(
             key.model, bindWeak<std::set<ChunkIndex>>(
                                [this, key](const Outcome<std::set<ChunkIndex>> &staged) {
@@ -275,38 +278,48 @@
                                }));
 }
 
-void VersionRollout::scheduleStep(Rollout &rollout, Duration delay,
-                                  void (VersionRollout::*step)(Rollout &))
+std::unique_ptr<Timer> VersionRollout::scheduleStep(const Rollout &rollout, Duration delay,
+                                                    Step step)
 {
     const auto jittered = std::chrono::duration_cast<Duration>(delay * (0.5 + m_random.uniform()));
-    rollout.retryTimer =
-            m_environment.scheduler.after(jittered, [this, key = keyOf(rollout), step] {
-                Rollout *found = find(key);
-                if (!found)
-                    return;
-                const auto timer = std::move(found->retryTimer);
-                (this->*step)(*found);
-            });
+    return m_environment.scheduler.after(jittered, [this, key = keyOf(rollout), step] {
+        if (Rollout *found = find(key))
+            (this->*step)(*found);
+    });
+}
+
+void VersionRollout::runOutsideCallback(Rollout &rollout, Step step)
+{
+    if (LoadingPhase *loading = rollout.loading())
+        loading->stepTimer = scheduleStep(rollout, Duration::zero(), step);
 }
 
 void VersionRollout::onStagedListed(const Key &key, const Outcome<std::set<ChunkIndex>> &outcome)
 {
     Rollout *rollout = find(key);
-    if (!rollout || !rollout->isReadingManifest)
+    const auto *listing = rollout ? std::get_if<ListingStagedPhase>(&rollout->phase) : nullptr;
+    if (!listing)
         return;
-    rollout->isReadingManifest = false;
-    if (const auto *staged = std::get_if<std::set<ChunkIndex>>(&outcome))
-        rollout->previouslyStaged = *staged;
-    startTransfer(*rollout);
+    const auto *staged = std::get_if<std::set<ChunkIndex>>(&outcome);
+    startTransfer(*rollout, listing->manifest, staged ? *staged : std::set<ChunkIndex>());
 }
 
-void VersionRollout::startTransfer(Rollout &rollout)
+void VersionRollout::startTransfer(Rollout &rollout,
+                                   const std::shared_ptr<const Manifest> &manifest,
+                                   std::set<ChunkIndex> staged)
 {
-    const auto manifest = rollout.manifest;
     const Key key = keyOf(rollout);
-    rollout.transfer = manifest->digest();
-    prepareConfirmation(rollout);
-    rollout.stager = std::make_unique<EngineStager>(
+    prepareConfirmation(rollout, *manifest, staged);
+    logStateChange("transfer_begun", {{"model", rollout.model.value()},
+                                      {"version", rollout.version},
+                                      {"own_copies", staged.size()},
+                                      {"hosts", m_participants.size()},
+                                      {"engine_has_version", rollout.isServing}});
+    LoadingPhase loading;
+    loading.manifest = manifest;
+    loading.transfer = manifest->digest();
+    loading.previouslyStaged = std::move(staged);
+    loading.stager = std::make_unique<EngineStager>(
             m_environment.engine, m_environment.scheduler, manifest, rollout.version,
             EngineStager::Handlers{[this, manifest](ChunkIndex chunk) {
                                        return m_planner.store().find(manifest->chunks[chunk]);
@@ -315,11 +328,7 @@
                                    [this, key] { onServing(key); },
                                    [this, key] { onChunkMissing(key); }},
             layerCount(rollout.model), rollout.confirmation);
-    logStateChange("transfer_begun", {{"model", rollout.model.value()},
-                                      {"version", rollout.version},
-                                      {"own_copies", rollout.previouslyStaged.size()},
-                                      {"hosts", m_participants.size()},
-                                      {"engine_has_version", rollout.isServing}});
+    rollout.phase = std::move(loading);
     TransferOrder order;
     order.manifest = *manifest;
     order.originRegion = m_originRegion;
@@ -329,19 +338,17 @@
     readPreviouslyStaged(key);
 }
 
-void VersionRollout::prepareConfirmation(Rollout &rollout)
+void VersionRollout::prepareConfirmation(Rollout &rollout, const Manifest &manifest,
+                                         const std::set<ChunkIndex> &staged)
 {
-    const Manifest &manifest = *rollout.manifest;
     const std::uint32_t layers = layerCount(rollout.model);
-    if (!rollout.confirmation)
-        rollout.confirmation =
-                std::make_shared<LoadConfirmation>(LayerLayout{manifest.chunkCount(), layers});
+    rollout.confirmation->begin({manifest.chunkCount(), layers});
     if (rollout.isServing)
         rollout.confirmation->trust(
                 m_lastReport->startTimeMs,
                 heldLayers(*m_lastReport, rollout.model, rollout.version, layers));
     for (ChunkIndex i = 0; i < manifest.chunkCount(); ++i) {
-        if (!rollout.previouslyStaged.contains(i))
+        if (!staged.contains(i))
             rollout.confirmation->onChunkCorrupt(i);
     }
 }
@@ -349,14 +356,15 @@
 void VersionRollout::readPreviouslyStaged(const Key &key)
 {
     Rollout *rollout = find(key);
-    if (!rollout || !rollout->stager || rollout->previouslyStaged.empty())
+    LoadingPhase *loading = rollout ? rollout->loading() : nullptr;
+    if (!loading || loading->previouslyStaged.empty())
         return;
-    const ChunkIndex chunk = *rollout->previouslyStaged.begin();
-    rollout->previouslyStaged.erase(chunk);
+    const ChunkIndex chunk = *loading->previouslyStaged.begin();
+    loading->previouslyStaged.erase(chunk);
     m_environment.engine.readStaged(
-            key.model, chunk, rollout->manifest->chunkBytes,
+            key.model, chunk, loading->manifest->chunkBytes,
             bindWeak<std::string>(
-                    [this, key, chunk, transfer = rollout->transfer](Outcome<std::string> outcome) {
+                    [this, key, chunk, transfer = loading->transfer](Outcome<std::string> outcome) {
                         onPreviouslyStagedRead(key, transfer, chunk, std::move(outcome));
                     }));
 }
@@ -367,8 +375,9 @@
     auto *bytes = std::get_if<std::string>(&outcome);
     Rollout *rollout = find(key);
     // The staged bytes may belong to another version.
-    const bool isKnown = rollout && rollout->manifest && chunk < rollout->manifest->chunkCount();
-    if (isKnown && (!bytes || Digest::of(*bytes) != rollout->manifest->chunks[chunk]))
+    const auto manifest = rollout ? rollout->manifest() : nullptr;
+    const bool isKnown = manifest && chunk < manifest->chunkCount();
+    if (isKnown && (!bytes || Digest::of(*bytes) != manifest->chunks[chunk]))
         rollout->confirmation->onChunkCorrupt(chunk);
     // The planner verifies them as well.
     if (bytes)
@@ -382,9 +391,9 @@
     return m_rollouts.at(rollout.model).front().version == rollout.version;
 }
 
-void VersionRollout::stage(Rollout &rollout, ChunkIndex chunk)
+void VersionRollout::stage(LoadingPhase &loading, ChunkIndex chunk)
 {
-    rollout.stager->stage(chunk, [this, transfer = rollout.transfer, chunk](bool isStaged) {
+    loading.stager->stage(chunk, [this, transfer = loading.transfer, chunk](bool isStaged) {
         // A chunk that the engine did not accept is staged again by the verification before the
         // order.
         run(m_planner.engineAccepted(now(), transfer, chunk));
@@ -405,9 +414,9 @@
 
 void VersionRollout::stageDeferred(Rollout &rollout)
 {
-    for (const ChunkIndex chunk : std::exchange(rollout.deferredChunks, {})) {
-        if (rollout.stager)
-            stage(rollout, chunk);
+    if (LoadingPhase *loading = rollout.loading()) {
+        for (const ChunkIndex chunk : std::exchange(loading->deferredChunks, {}))
+            stage(*loading, chunk);
     }
 }
 
@@ -439,11 +448,10 @@
 
 void VersionRollout::releaseStagingArea(Rollout &rollout)
 {
-    rollout.awaitingOrder = false;
-    if (!isSuperseded(rollout))
-        return;
-    // Deferred, because the stager must not be destroyed during its own callback.
-    scheduleStep(rollout, Duration::zero(), &VersionRollout::finishRollout);
+    if (LoadingPhase *loading = rollout.loading())
+        loading->progress = LoadingPhase::Progress::Loaded;
+    if (isSuperseded(rollout))
+        runOutsideCallback(rollout, &VersionRollout::finishRollout);
 }
 
 void VersionRollout::finishRollout(Rollout &rollout)
@@ -464,7 +472,8 @@
     logStateChange("version_served", {{"model", key.model.value()},
                                       {"version", key.version},
                                       {"ms", toMilliseconds(now() - rollout->wantedAt)}});
-    run(m_planner.engineLoaded(now(), rollout->transfer));
+    if (const LoadingPhase *loading = rollout->loading())
+        run(m_planner.engineLoaded(now(), loading->transfer));
     for (const Digest &transfer : std::exchange(m_supersededTransfers, {}))
         run(m_planner.cancel(now(), transfer));
     // The response to the order may have been lost.
@@ -473,9 +482,8 @@
 
 void VersionRollout::onChunkMissing(const Key &key)
 {
-    // Deferred, because the stager must not be destroyed during its own callback.
     if (Rollout *rollout = find(key))
-        scheduleStep(*rollout, Duration::zero(), &VersionRollout::restartTransfer);
+        runOutsideCallback(*rollout, &VersionRollout::restartTransfer);
 }
 
 bool VersionRollout::isSuperseded(const Rollout &rollout) const
@@ -486,11 +494,16 @@
 void VersionRollout::restartTransfer(Rollout &rollout)
 {
     // The origin may no longer provide a superseded version, which must not block the newer one.
+    if (isSuperseded(rollout) && !rollout.confirmation->mayOrderBeAccepted(now())) {
+        finishRollout(rollout);
+        return;
+    }
     if (isSuperseded(rollout)) {
-        if (rollout.confirmation->mayOrderBeAccepted(now()))
-            scheduleStep(rollout, ManifestRetryInterval, &VersionRollout::restartTransfer);
+        auto timer = scheduleStep(rollout, ManifestRetryInterval, &VersionRollout::restartTransfer);
+        if (LoadingPhase *loading = rollout.loading())
+            loading->stepTimer = std::move(timer);
         else
-            finishRollout(rollout);
+            rollout.phase = ManifestRetryPhase{std::move(timer)};
         return;
     }
     resetTransfer(rollout);
--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -86,6 +87,7 @@
     int ordersToRefuse = 0;
     int orderResponsesToLose = 0;                     ///< Of orders that are accepted.
     Duration readTime = std::chrono::milliseconds(1); ///< Of a staged chunk.
+    Duration listTime = std::chrono::milliseconds(1); ///< Of the list of staged chunks.
     std::vector<ChunkIndex> reads;                    ///< Staged chunks that were read.
     Duration orderDelay{0};     ///< Time for which orders wait before they are sent.
     Duration silenceOnOrder{0}; ///< Begins when the next order arrives, before it is accepted.
@@ -124,12 +126,13 @@
     }
     void listStaged(const ModelId &, Completion<std::set<ChunkIndex>> done) override
     {
-        respond<std::set<ChunkIndex>>(done, [this] {
+        const auto list = [this] {
             std::set<ChunkIndex> indexes;
             for (const auto &[chunk, bytes] : staged)
                 indexes.insert(chunk);
             return indexes;
-        });
+        };
+        respond<std::set<ChunkIndex>>(done, list, listTime);
     }
     void readStaged(const ModelId &, ChunkIndex chunk, std::uint32_t size,
                     Completion<std::string> done) override
@@ -260,7 +263,7 @@
     std::unique_ptr<Timer> m_loading;
 };
 
-/// Fake origin that responds after 5 ms. The first read of each chunk in `corruptOnce` returns
+/// Fake origin. The first read of each chunk in `corruptOnce` returns
 /// wrong bytes.
 class FakeOrigin : public WeightOriginPort
 {
@@ -273,12 +276,15 @@
     int chunkReads = 0;
     int manifestFailures = 0;
     std::uint64_t oldestVersion = 0; ///< Older ones are no longer provided.
+    bool isAway = false;             ///< Refuses all connections.
+    Duration responseTime = std::chrono::milliseconds(5);
+    std::map<std::uint64_t, int> readsByVersion; ///< Chunks that were provided.
 
     void readManifest(const ModelId &, std::uint64_t version, Completion<Manifest> done) override
     {
         respondLater([this, version, done] {
-            if (version < oldestVersion)
-                done(Error{ResultCode::NotFound, "too old"});
+            if (const auto error = refusal(version))
+                done(*error);
             else if (manifestFailures-- > 0)
                 done(Error{ResultCode::PlatformUnreachable, "down"});
             else
@@ -290,6 +296,11 @@
     {
         ++chunkReads;
         respondLater([this, version, chunk, done] {
+            if (const auto error = refusal(version)) {
+                done(*error);
+                return;
+            }
+            ++readsByVersion[version];
             done(corruptOnce.erase(chunk) > 0 ? std::string(TestChunkBytes, 'x')
                                               : testChunk(version, chunk));
         });
@@ -297,9 +308,18 @@
     }
 
 private:
+    std::optional<Error> refusal(std::uint64_t version) const
+    {
+        if (isAway)
+            return Error{ResultCode::PlatformUnreachable, "down"};
+        if (version < oldestVersion)
+            return Error{ResultCode::NotFound, "too old"};
+        return std::nullopt;
+    }
+
     void respondLater(std::function<void()> function)
     {
-        m_calls.push_back(m_scheduler.after(std::chrono::milliseconds(5), std::move(function)));
+        m_calls.push_back(m_scheduler.after(responseTime, std::move(function)));
     }
 
     Scheduler &m_scheduler;
--- a/modules/rollout/tests/rollouttest.cpp
+++ b/modules/rollout/tests/rollouttest.cpp
@@ -1,61 +1,15 @@
 #include <godwit/rollout/versionrollout.h>
 
-#include "fakeengine.h"
-#include "virtualscheduler.h"
+#include "rolloutfixture.h"
 
 #include <catch2/catch.hpp>
 
 using namespace godwit;
 using namespace std::chrono_literals;
 
-namespace {
-
-struct Fixture
-{
-    VirtualScheduler scheduler;
-    FakeEngine engine{scheduler};
-    NullPeerTransport peers;
-    std::shared_ptr<FakeOrigin> origin = std::make_shared<FakeOrigin>(scheduler);
-    int newerVersions = 0;
-    VersionRollout rollout{
-            options(), {scheduler, engine, peers, {}, [this] { ++newerVersions; }}, Random(4)};
-
-    Fixture()
-    {
-        rollout.setParticipants({{HostId("10.0.0.1"), ZoneId("z"), RegionId("r")}});
-        rollout.setOrigin(origin, RegionId("r"));
-    }
-
-    static RolloutOptions options()
-    {
-        RolloutOptions it;
-        it.self = {HostId("10.0.0.1"), ZoneId("z"), RegionId("r")};
-        it.transfer.hostRate = 1e6;
-        it.transfer.originRate = 1e6;
-        it.transfer.maxBackoff = 500ms;
-        it.maxCachedChunks = 1;
-        return it;
-    }
-
-    VersionWindow window() const { return {scheduler.now(), 8s}; }
-
-    bool isServing(std::uint64_t version) const
-    {
-        return engine.report.models == std::vector<ServedModel>{{TestModel, version}};
-    }
-
-    void stageAll(std::uint64_t version)
-    {
-        for (ChunkIndex i = 0; i < TestChunkCount; ++i)
-            engine.staged[i] = testChunk(version, i);
-    }
-};
-
-} // namespace
-
 TEST_CASE("VersionRollout loads a version into the engine")
 {
-    Fixture it;
+    RolloutFixture it;
 
     SECTION("an empty engine loads as soon as all chunks are staged")
     {
@@ -181,7 +135,7 @@
 // Most chunks are only in the engine's staging area when peers request them.
 TEST_CASE("VersionRollout serves chunks that it has staged")
 {
-    Fixture it;
+    RolloutFixture it;
     const HostId peer("10.0.0.2");
     it.rollout.setWantedVersion(TestModel, 1, it.window());
     it.scheduler.advance(1500ms);
@@ -218,7 +172,7 @@
 // Weights often hold equal chunks, such as zeros. Guards against hosts that never load them.
 TEST_CASE("VersionRollout loads weights with equal chunks")
 {
-    Fixture it;
+    RolloutFixture it;
     const HostId peer("10.0.0.2");
 
     SECTION("and reads their bytes from the origin once")
@@ -284,7 +238,7 @@
 // A host whose watch of the store has gone silent must not wait for the end of a long call.
 TEST_CASE("VersionRollout reports a version that it learns of from a peer")
 {
-    Fixture it;
+    RolloutFixture it;
     it.rollout.setWantedVersion(TestModel, 2, std::nullopt);
     HaveUpdate update;
     update.model = TestModel.value();
@@ -305,7 +259,7 @@
 // for its own, so that it fetches all chunks over the links between the regions.
 TEST_CASE("A host that is missing from the list of participants exchanges chunks in its region")
 {
-    Fixture it;
+    RolloutFixture it;
     const RegionId originRegion("far");
     const HostId neighbour("10.0.0.2");
     const HostId distant("10.9.0.1");
@@ -320,7 +274,7 @@
 
 TEST_CASE("VersionRollout with two versions in quick succession")
 {
-    Fixture it;
+    RolloutFixture it;
     it.engine.serve(1);
     it.rollout.setWantedVersion(TestModel, 2, it.window());
 
@@ -362,7 +316,7 @@
 TEST_CASE("VersionRollout gives up a superseded version that it cannot complete")
 {
     constexpr std::uint32_t LayerCount = 3;
-    Fixture it;
+    RolloutFixture it;
     it.engine.layerCount = LayerCount;
     it.engine.serve(1);
     it.engine.report.layers = LayerRange{0, LayerCount, 1};
@@ -799,7 +753,7 @@
 TEST_CASE("VersionRollout fetches corrupt chunks again that a silent engine has loaded")
 {
     constexpr std::uint32_t LayerCount = 3;
-    Fixture it;
+    RolloutFixture it;
     it.engine.layerCount = LayerCount;
     it.engine.serve(1);
     it.engine.report.layers = LayerRange{0, LayerCount, 1};
@@ -820,7 +774,7 @@
 // accepts an order for the one before.
 TEST_CASE("VersionRollout stages no newer version while an order may still be accepted")
 {
-    Fixture it;
+    RolloutFixture it;
     bool isOrdered = false;
     const auto holdNextOrder = [&](Duration hold) {
         it.engine.onOrder = [&] { isOrdered = true; };
