Load the newest version next, and end those between it and the one that is loaded first

Cause: a version that waits for its order kept all newer ones in the queue, and its end passed the staging area to the next of them. Once that was two back, the origin provided its chunks no longer (410), so that it never ended; one transfer stood at 5 of 96 chunks for 20 s. Ruled out: links and load, no request of these transfers stalled. The same rule ended the version that waited for its order together with one that lacked its manifest.

Change: the queue holds the newest version and at most one before it, which is loaded first if all its chunks are staged or the engine may still accept an order for it. One function decides, at each event and every 0.3 s.

--- a/modules/rollout/include/godwit/rollout/versionrollout.h
+++ b/modules/rollout/include/godwit/rollout/versionrollout.h
@@ -85,7 +85,8 @@
     const TransferCounters &counters() const { return m_planner.counters(); }
 
 private:
-    /// The rollouts of one model, oldest first. The first one owns the engine's staging area.
+    /// The newest rollout of a model and, before it, at most one older one that is loaded first.
+    /// The first one owns the engine's staging area.
     using Rollouts = std::list<Rollout>;
 
     /// Identifies a rollout in callbacks, which may run after the rollout has ended.
@@ -125,9 +126,18 @@
     /// engine already served a version when this process started, the chunks are only in the
     /// engine's staging area and are read from there.
     void startSeeding();
-    /// Ends the rollouts older than \a rollout. Chunks of those that were fully staged are still
-    /// served to peers.
-    void endOlderRollouts(const Rollout &rollout);
+    /// Whether \a rollout, the first of its model, is loaded although a newer version is wanted:
+    /// all its chunks are staged, and its deadline is earlier; or the engine may still accept an
+    /// order for it, for which the staged chunks must not be replaced.
+    bool isLoadedFirst(const Rollout &rollout) const;
+    /// Ends all rollouts but the newest, and but the first if that is loaded first. Those between
+    /// them would delay the newest.
+    void endSuperseded(Rollouts &rollouts);
+    /// Ends \a rollout. If it was fully staged, its chunks are still served to peers.
+    void end(const Rollout &rollout, std::uint64_t newest);
+    void scheduleQueueCheck(Duration delay);
+    /// Ends the superseded rollouts of all models that need not be loaded any more.
+    void checkQueues();
     bool ownsStagingArea(const Rollout &rollout) const;
     void stage(LoadingPhase &loading, ChunkIndex chunk);
     /// The engine holds \a chunk now; drops the oldest staged chunk from the memory of this process
@@ -136,21 +146,15 @@
     void stageDeferred(Rollout &rollout);
     TimePoint orderTime(const Rollout &rollout);
     void onOrderAccepted(const Key &key);
-    /// The engine has read the staged chunks of \a rollout; the next version may be staged.
-    void releaseStagingArea(Rollout &rollout);
-    /// Ends \a rollout in favor of the next version of its model.
-    void finishRollout(Rollout &rollout);
     /// Whether a newer version of its model is wanted.
     bool isSuperseded(const Rollout &rollout) const;
-    /// Obtains the chunks of \a rollout again, or gives it up if it is superseded.
+    /// Obtains the chunks of \a rollout again unless it is superseded.
     void restartTransfer(Rollout &rollout);
     void onServing(const Key &key);
     void onChunkMissing(const Key &key);
     using Step = void (VersionRollout::*)(Rollout &);
     /// Runs \a step after about \a delay, unless the timer is destroyed before.
     std::unique_ptr<Timer> scheduleStep(const Rollout &rollout, Duration delay, Step step);
-    /// Runs \a step, which may destroy the stager, outside of the stager's callbacks.
-    void runOutsideCallback(Rollout &rollout, Step step);
 
     void run(const TransferActions &actions);
     void execute(const RequestChunk &action);
@@ -222,6 +226,7 @@
     std::map<ChunkRequestId, Download> m_downloads;
     std::unique_ptr<Timer> m_tickTimer;
     std::unique_ptr<Timer> m_engineCheckTimer;
+    std::unique_ptr<Timer> m_queueCheckTimer;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/modules/rollout/src/rollout.h
+++ b/modules/rollout/src/rollout.h
@@ -45,4 +45,7 @@
     }
 };
 
+/// Name of the phase of \a rollout in logs.
+const char *phaseName(const Rollout &rollout);
+
 } // namespace godwit
--- a/modules/rollout/src/rolloutphase.h
+++ b/modules/rollout/src/rolloutphase.h
@@ -37,7 +37,7 @@
 struct LoadingPhase
 {
     enum class Progress {
-        Fetching,      ///< Some chunks have not been staged.
+        Fetching,      ///< Some chunks have not been staged, or were lost since.
         AwaitingOrder, ///< All chunks have been staged; no load order has been accepted.
         Loaded,        ///< The engine has taken all staged chunks or serves the version.
     };
@@ -48,7 +48,7 @@
     std::set<ChunkIndex> previouslyStaged;  ///< Staged before the transfer, not yet read.
     std::vector<ChunkIndex> deferredChunks; ///< Staged once no older version uses the area.
     Progress progress = Progress::Fetching;
-    std::unique_ptr<Timer> stepTimer; ///< Of a step that must not run in a callback of the stager.
+    std::unique_ptr<Timer> restartTimer; ///< Of the transfer, if a staged chunk was lost.
 };
 
 /// How far a host has come with a version. Each phase holds what exists in it, so that what an
--- a/modules/rollout/src/versionrollout.cpp
+++ b/modules/rollout/src/versionrollout.cpp
@@ -17,6 +17,9 @@
 /// attempt asks another peer, so that it need not wait.
 constexpr Duration ManifestRetryInterval = std::chrono::milliseconds(300);
 constexpr Duration PeerManifestRetryInterval = std::chrono::milliseconds(30);
+/// Interval of the checks whether a superseded version still needs the staging area, beside those
+/// after each event.
+constexpr Duration QueueCheckInterval = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -125,35 +128,72 @@
     rollout.hasWindow = window.has_value();
     if (window)
         m_loadSchedules[model].announceVersion(version, *window);
-    logStateChange("rollout_begun",
-                   {{"model", model.value()}, {"version", version}, {"previous", previous}});
-    const bool isFrontOutdated =
-            m_lastReport && servesNewerVersion(*m_lastReport, model, rollouts.front().version);
-    const Rollout &front = rollouts.front();
-    // After a restart of the engine, or while a lost chunk is fetched, there may be an order
-    // although the rollout is not waiting for one.
-    const bool isLoadedFirst =
-            front.isAwaitingOrder() || front.confirmation->mayOrderBeAccepted(now());
-    if (!isLoadedFirst || isFrontOutdated)
-        endOlderRollouts(rollout);
+    endSuperseded(rollouts);
+    logStateChange("rollout_begun", {{"model", model.value()},
+                                     {"version", version},
+                                     {"previous", previous},
+                                     {"loaded_first", rollouts.front().version},
+                                     {"phase", phaseName(rollouts.front())}});
+    scheduleQueueCheck(QueueCheckInterval);
     checkEngine();
 }
 
-void VersionRollout::endOlderRollouts(const Rollout &rollout)
+bool VersionRollout::isLoadedFirst(const Rollout &rollout) const
 {
-    Rollouts &rollouts = m_rollouts.at(rollout.model);
-    while (rollouts.front().version < rollout.version) {
-        const Rollout ended = std::move(rollouts.front());
-        rollouts.pop_front();
-        const LoadingPhase *loading = ended.loading();
-        if (!loading)
+    if (rollout.confirmation->mayOrderBeAccepted(now()))
+        return true;
+    const bool isOutdated =
+            m_lastReport && servesNewerVersion(*m_lastReport, rollout.model, rollout.version);
+    return rollout.isAwaitingOrder() && !isOutdated;
+}
+
+void VersionRollout::endSuperseded(Rollouts &rollouts)
+{
+    const auto newest = std::prev(rollouts.end());
+    const bool keepsFirst = newest != rollouts.begin() && isLoadedFirst(rollouts.front());
+    Rollouts ended;
+    ended.splice(ended.end(), rollouts, std::next(rollouts.begin(), keepsFirst ? 1 : 0), newest);
+    for (const Rollout &it : ended)
+        end(it, newest->version);
+    stageDeferred(rollouts.front());
+}
+
+void VersionRollout::end(const Rollout &rollout, std::uint64_t newest)
+{
+    logStateChange("rollout_superseded", {{"model", rollout.model.value()},
+                                          {"version", rollout.version},
+                                          {"newest", newest},
+                                          {"phase", phaseName(rollout)},
+                                          {"serving", rollout.isServing},
+                                          {"ms", toMilliseconds(now() - rollout.wantedAt)}});
+    const LoadingPhase *loading = rollout.loading();
+    if (!loading)
+        return;
+    if (loading->progress == LoadingPhase::Progress::Fetching)
+        run(m_planner.cancel(now(), loading->transfer));
+    else
+        m_supersededTransfers.push_back(loading->transfer);
+}
+
+void VersionRollout::scheduleQueueCheck(Duration delay)
+{
+    m_queueCheckTimer = m_environment.scheduler.after(delay, [this] {
+        const auto timer = std::move(m_queueCheckTimer);
+        checkQueues();
+    });
+}
+
+void VersionRollout::checkQueues()
+{
+    bool hasSuperseded = false;
+    for (auto &[model, rollouts] : m_rollouts) {
+        if (rollouts.size() < 2)
             continue;
-        if (loading->progress == LoadingPhase::Progress::Fetching)
-            run(m_planner.cancel(now(), loading->transfer));
-        else
-            m_supersededTransfers.push_back(loading->transfer);
+        endSuperseded(rollouts);
+        hasSuperseded |= rollouts.size() > 1;
     }
-    stageDeferred(rollouts.front());
+    if (hasSuperseded)
+        scheduleQueueCheck(QueueCheckInterval);
 }
 
 void VersionRollout::checkEngine()
@@ -179,6 +219,7 @@
         for (Rollout &it : rollouts)
             reconcile(*report, it);
     }
+    checkQueues();
 }
 
 void VersionRollout::reconcile(const EngineReport &report, Rollout &rollout)
@@ -210,9 +251,10 @@
 
 void VersionRollout::startIfNeeded(Rollout &rollout)
 {
+    const bool mayStart = m_origin && m_participantsKnown && m_lastReport && rollout.isIdle();
     // Without a report, an engine that already serves the version would be loaded again. One that
     // serves a newer version shows that this process has yet to learn of it.
-    if (m_origin && m_participantsKnown && m_lastReport && !rollout.isServing && rollout.isIdle()
+    if (mayStart && !rollout.isServing && !isSuperseded(rollout)
         && !servesNewerVersion(*m_lastReport, rollout.model, rollout.version))
         readManifest(rollout);
 }
@@ -288,12 +330,6 @@
     });
 }
 
-void VersionRollout::runOutsideCallback(Rollout &rollout, Step step)
-{
-    if (LoadingPhase *loading = rollout.loading())
-        loading->stepTimer = scheduleStep(rollout, Duration::zero(), step);
-}
-
 void VersionRollout::onStagedListed(const Key &key, const Outcome<std::set<ChunkIndex>> &outcome)
 {
     Rollout *rollout = find(key);
@@ -442,25 +478,10 @@
     Rollout *rollout = find(key);
     if (!rollout)
         return;
-    // The engine reads the staged chunks when it accepts the order.
-    releaseStagingArea(*rollout);
-}
-
-void VersionRollout::releaseStagingArea(Rollout &rollout)
-{
-    if (LoadingPhase *loading = rollout.loading())
+    if (LoadingPhase *loading = rollout->loading())
         loading->progress = LoadingPhase::Progress::Loaded;
-    if (isSuperseded(rollout))
-        runOutsideCallback(rollout, &VersionRollout::finishRollout);
-}
-
-void VersionRollout::finishRollout(Rollout &rollout)
-{
-    const auto &rollouts = m_rollouts.at(rollout.model);
-    const auto next = std::ranges::find_if(
-            rollouts, [&](const Rollout &it) { return it.version > rollout.version; });
-    if (next != rollouts.end())
-        endOlderRollouts(*next);
+    // Deferred, because the stager must not be destroyed during its own callback.
+    scheduleQueueCheck(Duration::zero());
 }
 
 void VersionRollout::onServing(const Key &key)
@@ -472,18 +493,26 @@
     logStateChange("version_served", {{"model", key.model.value()},
                                       {"version", key.version},
                                       {"ms", toMilliseconds(now() - rollout->wantedAt)}});
-    if (const LoadingPhase *loading = rollout->loading())
+    if (LoadingPhase *loading = rollout->loading()) {
+        // The response to the order may have been lost.
+        loading->progress = LoadingPhase::Progress::Loaded;
         run(m_planner.engineLoaded(now(), loading->transfer));
+    }
     for (const Digest &transfer : std::exchange(m_supersededTransfers, {}))
         run(m_planner.cancel(now(), transfer));
-    // The response to the order may have been lost.
-    releaseStagingArea(*rollout);
+    scheduleQueueCheck(Duration::zero());
 }
 
 void VersionRollout::onChunkMissing(const Key &key)
 {
-    if (Rollout *rollout = find(key))
-        runOutsideCallback(*rollout, &VersionRollout::restartTransfer);
+    Rollout *rollout = find(key);
+    LoadingPhase *loading = rollout ? rollout->loading() : nullptr;
+    if (!loading)
+        return;
+    loading->progress = LoadingPhase::Progress::Fetching;
+    // Deferred, because the stager must not be destroyed during its own callback.
+    loading->restartTimer =
+            scheduleStep(*rollout, Duration::zero(), &VersionRollout::restartTransfer);
 }
 
 bool VersionRollout::isSuperseded(const Rollout &rollout) const
@@ -493,17 +522,9 @@
 
 void VersionRollout::restartTransfer(Rollout &rollout)
 {
-    // The origin may no longer provide a superseded version, which must not block the newer one.
-    if (isSuperseded(rollout) && !rollout.confirmation->mayOrderBeAccepted(now())) {
-        finishRollout(rollout);
-        return;
-    }
+    // The origin may no longer provide a superseded version.
     if (isSuperseded(rollout)) {
-        auto timer = scheduleStep(rollout, ManifestRetryInterval, &VersionRollout::restartTransfer);
-        if (LoadingPhase *loading = rollout.loading())
-            loading->stepTimer = std::move(timer);
-        else
-            rollout.phase = ManifestRetryPhase{std::move(timer)};
+        checkQueues();
         return;
     }
     resetTransfer(rollout);
--- a/modules/rollout/tests/fakeengine.h
+++ b/modules/rollout/tests/fakeengine.h
@@ -110,7 +110,8 @@
     /// longer than the operators tolerate.
     bool holdsLongCorrupt() const { return !m_corruptLayers.empty(); }
 
-    /// Starts again without layers; the staged chunks are kept.
+    /// Starts again without layers; the staged chunks are kept. Orders that it has not accepted are
+    /// lost.
     void restart()
     {
         const std::uint64_t startTimeMs = report.startTimeMs + 1;
@@ -167,8 +168,14 @@
         if (silenceOnOrder > Duration::zero())
             m_silentUntil = m_scheduler.now() + std::exchange(silenceOnOrder, Duration(0));
         const Duration delay = std::exchange(orderHold, Duration(0)) + std::chrono::milliseconds(1);
-        respond<OrderAcceptance>(
-                done, [this, order] { return accept(order); }, delay);
+        const auto deliver = [this, order,
+                              receiver = report.startTimeMs]() -> Outcome<OrderAcceptance> {
+            // An order that has not been accepted ends with the connection to its process.
+            if (receiver != report.startTimeMs)
+                return Error{ResultCode::PlatformReplyLost, "connection reset"};
+            return accept(order);
+        };
+        respond<OrderAcceptance>(done, deliver, delay);
     }
 
 private:
@@ -225,7 +232,8 @@
                 continue;
             for (ChunkIndex i = layer * perLayer; i < (layer + 1) * perLayer; ++i) {
                 loadedWrongBytes |= staged[i] != testChunk(wanted.version, i);
-                loadedOtherVersion |= staged[i] == testChunk(wanted.version + 1, i);
+                loadedOtherVersion |= !staged[i].empty() && !m_corruptSince.contains(i)
+                                      && staged[i] != testChunk(wanted.version, i);
                 if (m_corruptSince.contains(i)
                     && m_scheduler.now() - m_corruptSince[i] > ToleratedCorruption)
                     m_corruptLayers.insert(layer);
