Let the soak publish versions in series, beside origins that fail

Now it publishes 2 to 5 versions 0.3 to 6 s apart, alone or beside an origin that holds its replies, refuses connections, is slow, cut off or answers 503. What is checked stays: no process ends by itself, and all engines get the newest version after the last fault.

--- a/bench/src/main.cpp
+++ b/bench/src/main.cpp
@@ -31,7 +31,10 @@
 DEFINE_uint64(booking_servers, 0,
               "soak: backend servers of the booking service; 0 for the default");
 DEFINE_double(booking_share, 0.25, "soak: share of the bookings in the requests");
-DEFINE_string(faults, "", "soak: only kinds of faults whose names contain this; all if empty");
+DEFINE_string(
+        faults, "",
+        "soak: only kinds of faults whose names contain one of these, separated by commas; all "
+        "if empty");
 DEFINE_bool(timed, false, "soak: also check the time that the fleet takes to recover");
 DEFINE_uint64(standin_threads, 4, "Threads of the engine stand-ins of streams");
 
--- a/bench/src/soak.cpp
+++ b/bench/src/soak.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <iostream>
 #include <list>
+#include <ranges>
 
 namespace godwit {
 
@@ -44,6 +45,10 @@
 /// Of the servers that fall silent as an older version ends: a second or so.
 constexpr Duration MinVersionEndSilence = std::chrono::milliseconds(1000);
 constexpr Duration HalfMillisecond = std::chrono::microseconds(500); ///< As SilenceStep.
+constexpr Duration OriginDelay = std::chrono::milliseconds(400);
+/// Between two versions of a series.
+constexpr Duration MinVersionGap = std::chrono::milliseconds(300);
+constexpr Duration VersionGapStep = std::chrono::microseconds(5700); ///< As SilenceStep.
 constexpr std::size_t MaxTarget = 1000;
 constexpr std::size_t MaxCorruptPieces = 3; ///< By one fault.
 
@@ -82,7 +87,7 @@
     };
     static const std::vector<FaultKind> &faultKinds();
     /// The kinds that the options select.
-    static std::vector<FaultKind> selectKinds(const std::string &part);
+    static std::vector<FaultKind> selectKinds(const std::string &parts);
 
     void schedule(boost::asio::steady_timer &timer, Duration delay, void (Soak::*step)());
     void poll();
@@ -214,8 +219,31 @@
         endRejections(i);
     }
     void holdOrigin(std::size_t) { m_fleet.setOriginFault({.holdReplies = true}); }
-    void clearOriginFault(std::size_t) { m_fleet.setOriginFault({}); }
+    void refuseOrigin(std::size_t) { m_fleet.setOriginFault({.refuse = true}); }
+    void slowOrigin(std::size_t) { m_fleet.setOriginFault({.delay = OriginDelay}); }
+    void cutOrigin(std::size_t)
+    {
+        m_fleet.setOriginFault({.holdRequests = true, .holdReplies = true});
+    }
+    void failOrigin(std::size_t) { m_fleet.setOriginFailing(true); }
+    void clearOriginFault(std::size_t)
+    {
+        m_fleet.setOriginFault({});
+        m_fleet.setOriginFailing(false);
+    }
     void publishVersion(std::size_t) { m_fleet.publishVersion(); }
+    void publishVersions(std::size_t i)
+    {
+        m_fleet.publishVersions(2 + i % 4, MinVersionGap + static_cast<int>(i) * VersionGapStep);
+    }
+    void publishBesideOriginFault(std::size_t i)
+    {
+        publishVersions(i);
+        constexpr void (Soak::*Faults[])(std::size_t) = {&Soak::holdOrigin, &Soak::refuseOrigin,
+                                                         &Soak::slowOrigin, &Soak::cutOrigin,
+                                                         &Soak::failOrigin};
+        (this->*Faults[i % std::size(Faults)])(i);
+    }
     void changeConfiguration(std::size_t) { m_fleet.changeConfiguration(); }
     void beginBurst(std::size_t) { m_callers.setLoadFactor(BurstLoadFactor); }
     void endBurst(std::size_t) { m_callers.setLoadFactor(1); }
@@ -306,15 +334,23 @@
             {"publish a version", &Soak::publishVersion, nullptr},
             {"change the configuration", &Soak::changeConfiguration, nullptr},
             {"raise the request rate", &Soak::beginBurst, &Soak::endBurst},
+            {"publish several versions", &Soak::publishVersions, nullptr},
+            {"publish several versions beside a fault of the origin",
+             &Soak::publishBesideOriginFault, &Soak::clearOriginFault},
     };
     return all;
 }
 
-std::vector<Soak::FaultKind> Soak::selectKinds(const std::string &part)
+std::vector<Soak::FaultKind> Soak::selectKinds(const std::string &parts)
 {
     std::vector<FaultKind> selected = faultKinds();
-    std::erase_if(selected, [&part](const FaultKind &it) {
-        return std::string_view(it.name).find(part) == std::string_view::npos;
+    if (parts.empty())
+        return selected;
+    std::erase_if(selected, [&parts](const FaultKind &it) {
+        return std::ranges::none_of(std::views::split(parts, ','), [&it](const auto &part) {
+            const std::string_view text(part.begin(), part.end());
+            return std::string_view(it.name).find(text) != std::string_view::npos;
+        });
     });
     return selected;
 }
--- a/bench/src/soakfleet.cpp
+++ b/bench/src/soakfleet.cpp
@@ -113,11 +113,14 @@
 {
     HttpServerOptions options;
     options.listen = {address(OriginRole, 0), 0};
-    BOOST_LEAF_ASSIGN(
-            m_origin,
-            HttpServer::listen(m_io, options, [](const HttpRequest &request, const auto &reply) {
-                reply->send(standin::originResponse(request));
-            }));
+    BOOST_LEAF_ASSIGN(m_origin,
+                      HttpServer::listen(
+                              m_io, options, [this](const HttpRequest &request, const auto &reply) {
+                                  // The newest version and the one before it.
+                                  reply->send(m_originFails ? HttpResponse{503, {}, {}}
+                                                            : standin::originResponse(
+                                                                    request, m_version - 1));
+                              }));
     m_originProxy.setTarget(m_origin->endpoint());
     BOOST_LEAF_CHECK(m_originProxy.listen({address(OriginRole, 0), 0}));
     m_configuration.origin = toString(m_originProxy.endpoint());
@@ -382,6 +385,13 @@
     m_record.versionTimes.try_emplace(m_version, MonotonicClock::now());
 }
 
+void SoakFleet::publishVersions(std::size_t count, Duration gap)
+{
+    publishVersion();
+    if (count > 1)
+        schedule(m_seriesTimer, gap, [this, count, gap] { publishVersions(count - 1, gap); });
+}
+
 void SoakFleet::silenceAtVersionEnd(std::size_t target, Duration length)
 {
     if (m_versionTimer)
@@ -594,6 +604,8 @@
         }
     }
     m_originProxy.setFault({});
+    m_originFails = false;
+    m_seriesTimer.reset();
     m_store.rejectNextCalls = 0;
 }
 
--- a/bench/src/soakfleet.h
+++ b/bench/src/soakfleet.h
@@ -85,7 +85,11 @@
     /// Applies \a fault to the next load order, also if the engine restarts before.
     void setOrderFault(std::size_t engine, const standin::FleetEngineStandin::OrderFault &fault);
     void setOriginFault(const LinkFault &fault) { m_originProxy.setFault(fault); }
+    /// The origin answers each request with 503.
+    void setOriginFailing(bool fails) { m_originFails = fails; }
     void publishVersion();
+    /// Publishes \a count versions, \a gap apart. Ends an earlier series.
+    void publishVersions(std::size_t count, Duration gap);
     /// Publishes a version that no host can fetch until its predecessors have ended. Each engine
     /// falls silent for \a length as it starts a request in the last seconds before that, at a time
     /// that depends on \a target. Does nothing while an earlier call is in effect.
@@ -164,12 +168,14 @@
     FleetStoreStandin m_store;
     std::unique_ptr<boost::asio::steady_timer> m_rewriteTimer;
     std::unique_ptr<boost::asio::steady_timer> m_versionTimer; ///< Of silenceAtVersionEnd().
+    std::unique_ptr<boost::asio::steady_timer> m_seriesTimer;  ///< Of publishVersions().
     std::unique_ptr<HttpServer> m_origin;
     TcpProxy m_originProxy;
     std::vector<Member> m_members;
     std::vector<Engine> m_engines;
     standin::FleetConfiguration m_configuration;
     std::uint64_t m_version = 1;
+    bool m_originFails = false;
 };
 
 } // namespace godwit
--- a/standins/include/godwit/standin/fleetwire.h
+++ b/standins/include/godwit/standin/fleetwire.h
@@ -93,7 +93,8 @@
 /// Returns the content of piece \a number of weight version \a version.
 std::string pieceBytes(std::uint64_t version, std::uint32_t number);
 
-/// Returns the response of the weight origin to \a request.
-HttpResponse originResponse(const HttpRequest &request);
+/// Returns the response of the weight origin to \a request. It provides no version older than
+/// \a oldestVersion.
+HttpResponse originResponse(const HttpRequest &request, std::uint64_t oldestVersion = 0);
 
 } // namespace godwit::standin
--- a/standins/src/fleetwire.cpp
+++ b/standins/src/fleetwire.cpp
@@ -157,9 +157,11 @@
     return bytes;
 }
 
-HttpResponse originResponse(const HttpRequest &request)
+HttpResponse originResponse(const HttpRequest &request, std::uint64_t oldestVersion)
 {
     const std::uint64_t version = queryNumber(request, "version");
+    if (version < oldestVersion)
+        return {410, {}, {}};
     if (request.path().starts_with("/godwitrun/piece/"))
         return {200,
                 {},
