Let a watch of the store stand-in take the handler of its expired timer with it

Cause: a key that is written as the time of a watch ends answers and erases the watch, while the handler of its expired timer is already queued; the handler then used the erased entry. Destroying a steady_timer doesn't cancel such a handler.

Change: the watch uses the timer of AsioScheduler, whose destruction cancels a queued handler as well.

Test: fleetstoretest, 'A watch that is answered as its time ends': SIGBUS before (exit code 135), green now.

--- a/standins/include/godwit/standin/fleetstorestandin.h
+++ b/standins/include/godwit/standin/fleetstorestandin.h
@@ -1,9 +1,8 @@
 #pragma once
 
+#include <godwit/ports/asioscheduler.h>
 #include <godwit/ports/httpserver.h>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -80,7 +79,7 @@
         std::string prefix;
         std::uint64_t after = 0;
         std::shared_ptr<HttpReply> reply;
-        std::unique_ptr<boost::asio::steady_timer> timer;
+        std::unique_ptr<Timer> timer;
     };
 
     void handle(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply);
@@ -96,7 +95,7 @@
     void notifyWatches();
     void closeWatches();
 
-    boost::asio::io_context &m_io;
+    AsioScheduler m_scheduler;
     std::unique_ptr<HttpServer> m_server;
     State m_state;
     State m_copy;
--- a/standins/src/fleetstorestandin.cpp
+++ b/standins/src/fleetstorestandin.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 FleetStoreStandin::FleetStoreStandin(boost::asio::io_context &io)
-    : m_io(io)
+    : m_scheduler(io)
 {
     HttpServerOptions options;
     auto outcome = capture([&] {
@@ -203,11 +203,10 @@
         return;
     }
     const auto it = m_watches.insert(m_watches.end(), Watch{prefix, after, reply, nullptr});
-    it->timer = std::make_unique<boost::asio::steady_timer>(
-            m_io, std::chrono::milliseconds(queryNumber(request, "wait_ms")));
-    it->timer->async_wait([this, it](const boost::system::error_code &ec) {
-        if (ec)
-            return;
+    // A watch that is answered before the handler of its expired timer runs takes the handler with
+    // it.
+    const auto wait = std::chrono::milliseconds(queryNumber(request, "wait_ms"));
+    it->timer = m_scheduler.after(wait, [this, it] {
         bool unused = false;
         send(*it->reply, HttpResponse::json(200, eventsJson(it->prefix, it->after, unused)));
         m_watches.erase(it);
--- a/standins/tests/fleetstoretest.cpp
+++ b/standins/tests/fleetstoretest.cpp
@@ -6,11 +6,13 @@
 
 #include "loopback.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <map>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace godwit;
@@ -486,3 +488,25 @@
     CHECK(confirmations["c/"] >= 10);
     CHECK(it.standin.callCount <= before + 14);
 }
+
+// Guards against a stand-in that ends by itself: a key is written as the time of a watch ends, so
+// that the watch has been answered when the handler of its timer runs.
+TEST_CASE("A watch that is answered as its time ends")
+{
+    Fixture it;
+    HttpCall call;
+    call.endpoint = it.standin.endpoint();
+    call.target = "/godwitrun/kv-watch?prefix=a/&after=0&wait_ms=30";
+    std::optional<Outcome<HttpResponse>> result;
+    it.client.call(call, [&](auto response) { result = std::move(response); });
+    runUntil(it.io, [&] { return it.standin.callCount == 1; });
+    // Expires before the watch; both handlers are ready when the loop goes on.
+    boost::asio::steady_timer writer(it.io, 1ms);
+    writer.async_wait([&](const auto &) { it.standin.put("a/1", "text"); });
+    std::this_thread::sleep_for(60ms);
+    runUntil(it.io, [&] { return result.has_value(); });
+    REQUIRE(std::holds_alternative<HttpResponse>(*result));
+    CHECK(std::get<HttpResponse>(*result).status == 200);
+    it.io.restart();
+    it.io.poll();
+}
