--- a/bench/src/soak.cpp
+++ b/bench/src/soak.cpp
@@ -11,7 +11,8 @@
 #include <fstream>
 #include <iostream>
 #include <list>
-#include <ranges>
+#include <sstream>
+#include <string_view>
 
 namespace godwit {
 
@@ -343,15 +344,18 @@
 
 std::vector<Soak::FaultKind> Soak::selectKinds(const std::string &parts)
 {
-    std::vector<FaultKind> selected = faultKinds();
-    if (parts.empty())
-        return selected;
-    std::erase_if(selected, [&parts](const FaultKind &it) {
-        return std::ranges::none_of(std::views::split(parts, ','), [&it](const auto &part) {
-            const std::string_view text(part.begin(), part.end());
-            return std::string_view(it.name).find(text) != std::string_view::npos;
-        });
-    });
+    std::vector<FaultKind> selected;
+    std::istringstream stream(parts);
+    std::vector<std::string> names;
+    for (std::string name; std::getline(stream, name, ',');)
+        names.push_back(name);
+    for (const FaultKind &kind : faultKinds()) {
+        const auto isPart = [&kind](const std::string &name) {
+            return std::string_view(kind.name).find(name) != std::string_view::npos;
+        };
+        if (names.empty() || std::ranges::any_of(names, isPart))
+            selected.push_back(kind);
+    }
     return selected;
 }
 
