Reserve the addresses of a soak, so that two at a time cannot share them

Cause: the block of loopback addresses is taken from the process id alone (modulo 200), and nothing notices that it is in use.

Change: a soak binds a port of its block for as long as it runs and takes the next block if that fails. Open: the processes of a bench that crashes still live on and are not noticed by the next soak.

--- a/bench/src/soakfleet.cpp
+++ b/bench/src/soakfleet.cpp
@@ -15,10 +15,12 @@
 
 namespace {
 
+constexpr int ReservationRole = 0;
 constexpr int EntryRole = 1;
 constexpr int HostRole = 2;
 constexpr int BookingRole = 3;
 constexpr int OriginRole = 4;
+constexpr std::uint16_t ReservationPort = 7000;
 constexpr std::uint16_t CallerPort = 7001;
 constexpr std::uint16_t ReadinessPort = 7002;
 constexpr std::uint16_t PeerPort = 7003;
@@ -62,6 +64,7 @@
     , m_record(record)
     , m_processes(m_options.folder)
     , m_store(io)
+    , m_reservation(io)
     , m_originProxy(io, {})
 {
     m_configuration.customers = {{"customer-0", {"key-0", "key-0b", "key-0c", "key-0d"}},
@@ -70,17 +73,32 @@
 
 SoakFleet::~SoakFleet() = default;
 
-// The address block depends on the process id, so that concurrent soaks on one machine rarely share
-// addresses.
-std::string SoakFleet::address(int role, std::size_t index) const
+// Concurrent soaks on one machine must not share addresses: their processes could not listen.
+Result<void> SoakFleet::reserveAddresses()
 {
     constexpr int FirstBlock = 20;
     constexpr int Blocks = 200;
+    for (int i = 0; i < Blocks; ++i) {
+        m_addressBlock = FirstBlock + (getpid() + i) % Blocks;
+        const auto own = boost::asio::ip::make_address(address(ReservationRole, 0));
+        boost::system::error_code ec;
+        m_reservation.open(boost::asio::ip::tcp::v4(), ec);
+        // Without reuse of addresses, only one process binds the port.
+        m_reservation.bind({own, ReservationPort}, ec);
+        if (!ec)
+            return {};
+        m_reservation.close();
+    }
+    return fail(ResultCode::ListenFailed, "all blocks of loopback addresses are in use");
+}
+
+std::string SoakFleet::address(int role, std::size_t index) const
+{
     constexpr std::size_t PerBlock = 250;
     const std::size_t low = index % PerBlock + 1;
     const std::size_t high = index / PerBlock * 8 + static_cast<std::size_t>(role);
-    return "127." + std::to_string(FirstBlock + getpid() % Blocks) + '.' + std::to_string(high)
-           + '.' + std::to_string(low);
+    return "127." + std::to_string(m_addressBlock) + '.' + std::to_string(high) + '.'
+           + std::to_string(low);
 }
 
 HttpEndpoint SoakFleet::entry(std::size_t index) const
@@ -96,6 +114,7 @@
 Result<void> SoakFleet::start()
 {
     std::filesystem::create_directories(m_options.folder);
+    BOOST_LEAF_CHECK(reserveAddresses());
     BOOST_LEAF_CHECK(startOrigin());
     for (std::size_t i = 0; i < m_options.hosts; ++i)
         BOOST_LEAF_CHECK(addEngine(std::string(standin::ModelService), i));
--- a/bench/src/soakfleet.h
+++ b/bench/src/soakfleet.h
@@ -6,6 +6,7 @@
 
 #include <godwit/standin/fleetstorestandin.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
@@ -138,6 +139,8 @@
         std::unique_ptr<boost::asio::steady_timer> versionEnd; ///< To silenceAtNextRun().
     };
 
+    /// Chooses a block of loopback addresses that no other soak uses.
+    Result<void> reserveAddresses();
     std::string address(int role, std::size_t index) const;
     std::string settingsText(const Member &member) const;
     Result<void> addMember(bool isEntry, std::size_t index);
@@ -166,6 +169,8 @@
     SoakRecord &m_record;
     ProcessGroup m_processes;
     FleetStoreStandin m_store;
+    int m_addressBlock = 0; ///< Second number of all loopback addresses of this soak.
+    boost::asio::ip::tcp::acceptor m_reservation; ///< Keeps other soaks out of the block.
     std::unique_ptr<boost::asio::steady_timer> m_rewriteTimer;
     std::unique_ptr<boost::asio::steady_timer> m_versionTimer; ///< Of silenceAtVersionEnd().
     std::unique_ptr<boost::asio::steady_timer> m_seriesTimer;  ///< Of publishVersions().
